--- /dev/null
+++ b/logic/logic.go
@@ -0,0 +1,851 @@
+// Package logic decides, for one balancer, where each transaction goes and how it ends.
+//
+// How it is called: New once with the Terms; then, for each round, the calls that tell what came in (List, Leave,
+// Arrive, Outcome, Began, Vanish, Probed), in order, and one Round(now, w), which writes all decisions into w.
+// The interface, Writer, and all types stand in types.go; why it decides so is in docs/design.md.
+package logic
+
+import (
+	"errors"
+	"math"
+)
+
+const (
+	ms = int64(1e6)
+	s  = int64(1e9)
+
+	// The mechanism, as the design page gives it.
+	quantile   = 0.95
+	window     = 30 * s
+	minDelay   = 10 * ms
+	minSamples = 20
+	bucketPart = 0.1 // copies and retries per recent first send
+	gateAt     = 0.2 // copying pauses above this share of bad outcomes
+	winWindow  = 20 * s
+	winFloor   = 0.2
+	winSamples = 10
+	winLeast   = 0.05
+
+	panes   = 6 // the window moves in steps of a sixth
+	buckets = 128
+	wins    = 4
+
+	wellAbove = 1.25 // skip an upstream this far above the mean in flight
+	beat      = 200 * ms
+
+	setAsideAt = 4.5 // log odds at which an upstream is set aside
+	mostAside  = 0.4 // of the list's weight may be set aside
+	firstAside = 1 * s
+	longAside  = 8 * s
+	probeEvery = 300 * ms
+	probesDue  = 2 // answered probes before a return
+)
+
+// Balancer is the decision logic of one instance. It is not safe for concurrent use.
+type Balancer struct {
+	terms *Terms
+	w     Writer
+	now   int64
+	carry uint64
+
+	// Upstreams under their index.
+	known    []bool // slot in use
+	ready    []bool // listed and not draining
+	weight   []float64
+	zone     []int
+	cell     []int
+	born     []int64 // 0: warm since long ago
+	turn     []float64
+	flying   []int     // pushes out
+	doubt    []float64 // log odds that it is bad
+	good     []int     // outcomes
+	bad      []int
+	aside    []int64 // set aside: next probe or return; 0 in service
+	spell    []int64 // length of the last time aside
+	answered []int   // probes answered while aside
+	probing  []bool
+	trial    []int // good outcomes still owed after a return
+	silent   []bool
+	dead     []bool // set aside as unreachable, so it may come back cold
+	purse    []float64
+	filled   []int64
+	settled  int // outcomes of warm upstreams since the last beat
+	pace     float64
+
+	touched []*Transaction
+	dues    []*Transaction
+	open    int // transactions in hand
+	first   int64
+
+	latency [panes][buckets]int32
+	samples [panes]int
+	sends   [panes]int
+	results [panes]int
+	faults  [panes]int
+	pane    int
+	turnsAt int64
+	trigger int64 // 0 while there are too few samples
+	stale   bool
+
+	bucket float64
+	losers int // cancelled pushes still running
+
+	copies    [wins]int
+	won       [wins]int
+	winTurn   int64
+	allowance float64
+
+	room    float64 // transactions in hand at most
+	onTime  float64
+	late    float64
+	nextBit int64
+	cutAt   int64
+
+	wake      int64
+	following bool
+	follow    int64 // when to ask for the list again
+	refusals  int
+}
+
+// New starts a balancer; it refuses terms that it cannot work with.
+func New(terms *Terms, now int64) (*Balancer, error) {
+	switch {
+	case terms.Balancers < 1:
+		return nil, errors.New("terms: no balancers in this tier")
+	case len(terms.Tariffs) == 0:
+		return nil, errors.New("terms: no tariffs")
+	case terms.MaxPushes < 1:
+		return nil, errors.New("terms: no push is allowed")
+	case !(terms.ColdShare > 0 && terms.ColdShare <= 1):
+		return nil, errors.New("terms: the cold share is not within 0 to 1")
+	}
+	b := &Balancer{terms: terms, now: now, carry: terms.Seed<<1 | 1, allowance: 1, bucket: 1, room: math.Inf(1)}
+	b.turnsAt, b.winTurn, b.nextBit = now+window/panes, now+winWindow/wins, now+beat
+	for _, c := range terms.Customers {
+		c.purse, c.filled = c.Rate/float64(terms.Balancers), now
+	}
+	return b, nil
+}
+
+// chance draws from [0, 1) by multiply with carry.
+func (b *Balancer) chance() float64 {
+	b.carry = (b.carry&0xffffffff)*4294957665 + b.carry>>32
+	return float64(uint32(b.carry)) / (1 << 32)
+}
+
+// Join takes a new upstream and returns its index.
+func (b *Balancer) Join() int {
+	for i, known := range b.known {
+		if !known && b.flying[i] == 0 && !b.probing[i] {
+			b.known[i], b.born[i] = true, 0
+			b.reset(i)
+			return i
+		}
+	}
+	i := len(b.known)
+	b.known, b.ready, b.silent = append(b.known, true), append(b.ready, false), append(b.silent, false)
+	b.weight, b.turn, b.doubt = append(b.weight, 1), append(b.turn, 0), append(b.doubt, 0)
+	b.zone, b.cell, b.flying = append(b.zone, 0), append(b.cell, 0), append(b.flying, 0)
+	b.good, b.bad, b.trial = append(b.good, 0), append(b.bad, 0), append(b.trial, 0)
+	b.born, b.aside, b.spell = append(b.born, 0), append(b.aside, 0), append(b.spell, 0)
+	b.answered, b.probing, b.dead = append(b.answered, 0), append(b.probing, false), append(b.dead, false)
+	b.purse, b.filled = append(b.purse, 0), append(b.filled, 0)
+	b.reset(i)
+	return i
+}
+
+// reset forgets what was learnt of an upstream.
+func (b *Balancer) reset(i int) {
+	b.doubt[i], b.good[i], b.bad[i], b.trial[i] = 0, 0, 0, 0
+	b.aside[i], b.spell[i], b.answered[i], b.dead[i], b.silent[i] = 0, 0, 0, false, false
+	b.turn[i], b.purse[i], b.filled[i] = b.chance(), b.chance(), b.now
+}
+
+// List says that an upstream takes work, and how the list describes it.
+func (b *Balancer) List(i int, u Upstream, now int64) {
+	b.now = now
+	if u.Born > b.born[i] && b.ready[i] {
+		b.reset(i) // the same machine, started anew: nothing known of it holds, and it is cold
+	}
+	// A later start than the one listed may have been guessed from a return after a spell of refused connections.
+	b.ready[i], b.weight[i], b.zone[i], b.cell[i] = true, math.Max(u.Weight, 1e-6), u.Zone, u.Cell
+	b.born[i] = max(b.born[i], u.Born)
+}
+
+// Drain says that an upstream drains: nothing new goes there from this round on, well within any grace.
+func (b *Balancer) Drain(i int) { b.ready[i] = false }
+
+// Leave says that an upstream is gone; its index may be used again once nothing of it is out.
+func (b *Balancer) Leave(i int) { b.ready[i], b.known[i] = false, false }
+
+// Listed says how a question to the list ended, or that a report of it came.
+func (b *Balancer) Listed(ok bool, now int64) {
+	if ok {
+		b.refusals = 0
+		return
+	}
+	// The list is one small service for all: ask again later each time, and not all at once.
+	b.refusals++
+	b.following = false
+	b.follow = now + int64(float64(250*ms<<min(b.refusals, 4))*(0.5+b.chance()))
+}
+
+// Arrive takes a transaction; one final answer is owed for it from now on.
+func (b *Balancer) Arrive(t *Transaction, tariff, customer int, work, left int64, again bool, now int64) {
+	f := b.terms.Tariffs[tariff]
+	t.tariff, t.arrived, t.slot, t.anchor, t.again = f, now, -1, -1, again
+	t.stop = now + left
+	t.contract = min(now+f.ContractTime+int64(f.Stretch*float64(work)), t.stop)
+	if customer >= 0 {
+		t.customer = b.terms.Customers[customer]
+	}
+	b.touch(t)
+}
+
+// Outcome tells how a push ended; final, that the transaction ended with it or before.
+func (b *Balancer) Outcome(t *Transaction, n int, r Result, took int64, final bool, now int64) {
+	p := &t.pushes[n]
+	if !p.out {
+		return
+	}
+	b.now = now
+	p.out, p.result = false, r
+	t.out--
+	b.flying[p.upstream]--
+	if p.lost {
+		p.lost = false
+		b.losers--
+	}
+	b.learn(t, p, r, took)
+	if final && !t.over {
+		t.streams = false
+		b.close(t)
+		b.punctual(t, now > t.arrived+(t.contract-t.arrived)*4/5)
+		if p.copy && r == Settled {
+			b.won[0]++
+		}
+	}
+	b.touch(t)
+}
+
+// Began says that a streamed answer has started: the client has it, and no time-out holds any more.
+func (b *Balancer) Began(t *Transaction, n int) {
+	t.streams = true
+	b.touch(t)
+}
+
+// Vanish says that the client has left; nothing is owed any more.
+func (b *Balancer) Vanish(t *Transaction) {
+	if !t.over {
+		b.close(t)
+		b.touch(t)
+	}
+}
+
+// Probed tells how a probe ended.
+func (b *Balancer) Probed(i int, ok bool) {
+	b.probing[i] = false
+	if !ok {
+		b.answered[i] = 0
+	} else if b.answered[i]++; b.aside[i] != 0 && b.answered[i] >= probesDue {
+		b.restore(i)
+	}
+}
+
+func (b *Balancer) touch(t *Transaction) {
+	if !t.queued {
+		t.queued = true
+		b.touched = append(b.touched, t)
+	}
+}
+
+// close ends a transaction; from here on nothing may go out for it.
+func (b *Balancer) close(t *Transaction) {
+	t.over = true
+	if t.held {
+		t.held = false
+		b.open--
+	}
+}
+
+// Round decides on all that came in. Calls off losers, starts pushes and copies, and gives final answers.
+func (b *Balancer) Round(now int64, w Writer) {
+	b.now, b.w = now, w
+	if b.terms.AskForList && !b.following && now >= b.follow {
+		b.following = true
+		w.Follow()
+	}
+	if now >= b.nextBit {
+		b.tick()
+	}
+	for len(b.dues) > 0 && b.dues[0].due <= now {
+		t := b.dues[0]
+		b.unschedule(t)
+		b.touch(t)
+	}
+	for k := 0; k < len(b.touched); k++ {
+		t := b.touched[k]
+		t.queued = false
+		b.decide(t)
+	}
+	b.touched = b.touched[:0]
+	next := b.nextBit
+	if b.open == 0 && !b.busy() {
+		next = math.MaxInt64 // nothing to watch over: sleep until something comes in
+	}
+	if len(b.dues) > 0 {
+		next = min(next, b.dues[0].due)
+	}
+	if b.terms.AskForList && !b.following {
+		next = min(next, b.follow)
+	}
+	if next != math.MaxInt64 && (b.wake <= now || next < b.wake) {
+		b.wake = max(next, now+1)
+		w.Wake(b.wake)
+	}
+	b.w = nil
+}
+
+// decide is the way of one transaction, from its arrival to its final answer.
+func (b *Balancer) decide(t *Transaction) {
+	if t.over || t.streams {
+		b.callOff(t)
+		b.unschedule(t)
+		return
+	}
+	if b.now >= t.giveUp(b.terms.Layer) {
+		b.end(t)
+		return
+	}
+
+	// The first push, to the next in turn.
+	if len(t.pushes) == 0 {
+		if !b.admit(t) {
+			b.end(t)
+			return
+		}
+		i := b.next(t)
+		if i < 0 {
+			b.end(t) // nobody to send it to, and no news in sight: say so at once
+			return
+		}
+		b.sends[b.pane]++
+		b.bucket = min(b.bucket+bucketPart, max(1, bucketPart*float64(sum(b.sends[:]))))
+		b.push(t, i, false)
+	}
+
+	// A further push after a failure, if the tariff bears it and the bucket pays.
+	if t.out == 0 {
+		i := -1
+		if b.repeatable(t) && b.funded() {
+			i = b.next(t)
+		}
+		if i < 0 {
+			b.end(t)
+			return
+		}
+		b.bucket--
+		b.push(t, i, false)
+	}
+
+	// A copy, once the push outruns the live quantile.
+	last := &t.pushes[len(t.pushes)-1]
+	outrun := int64(math.MaxInt64)
+	if b.trigger > 0 {
+		outrun = last.sent + b.trigger
+		if b.now >= outrun {
+			b.overdue(last)
+			outrun = math.MaxInt64
+			if t.out == 1 && b.terms.SecondCopies && b.repeatable(t) && !b.gated() && b.funded() &&
+				b.chance() < b.allowance {
+				if i := b.next(t); i >= 0 {
+					b.bucket--
+					b.copies[0]++
+					b.push(t, i, true)
+				}
+			}
+		}
+	}
+
+	due := min(t.giveUp(b.terms.Layer), outrun)
+	if soon := t.arrived + (t.contract-t.arrived)*4/5; !t.counted && b.now >= soon {
+		b.punctual(t, true)
+	} else if !t.counted {
+		due = min(due, soon)
+	}
+	b.schedule(t, due)
+}
+
+// giveUp is when waiting on is worth nothing: a client's answer after the contract time, where lateness earns
+// nothing, else at the hard stop. Within the service the caller judges, not the call.
+func (t *Transaction) giveUp(layer int) int64 {
+	if layer == 0 && t.tariff.LateEarnings == 0 {
+		return t.contract
+	}
+	return t.stop
+}
+
+// end gives the final answer: a deferral if it is certain that trying again is harmless, else a forfeit.
+func (b *Balancer) end(t *Transaction) {
+	b.unschedule(t)
+	if !t.counted && b.now > t.arrived {
+		b.punctual(t, true)
+	}
+	b.recall(t)
+	harmless := t.anchor < 0 || t.tariff.Repeat == Repeatable ||
+		t.tariff.Repeat == Tagged && t.tariff.Group == Everywhere
+	b.close(t)
+	if harmless {
+		var backoff int64
+		if b.terms.AdviseBackoff {
+			backoff = min(b.terms.MaxBackoff, t.tariff.ContractTime/2)
+		}
+		b.w.Defer(t, backoff)
+	} else {
+		b.w.Forfeit(t)
+	}
+	b.callOff(t)
+}
+
+// callOff cancels what is still out for a transaction that has ended, but for a streamed answer.
+func (b *Balancer) callOff(t *Transaction) {
+	if !b.terms.Cancelling || t.streams && !t.over {
+		return
+	}
+	for n := range t.pushes {
+		if p := &t.pushes[n]; p.out && !p.lost {
+			p.lost = true
+			b.losers++
+			b.w.Cancel(t, n)
+		}
+	}
+}
+
+func (b *Balancer) push(t *Transaction, i int, copied bool) {
+	if !t.held {
+		t.held = true
+		b.open++
+	}
+	if t.anchor < 0 {
+		t.mayRun = b.now
+	}
+	t.pushes = append(t.pushes, Push{upstream: i, sent: b.now, out: true, copy: copied})
+	t.out++
+	b.flying[i]++
+	if b.warmth(i) < 1 {
+		b.purse[i]--
+	}
+	if t.anchor < 0 {
+		t.anchor = i
+	}
+	b.w.Push(t, i, t.stop)
+}
+
+// repeatable reports whether another push is allowed now. Danger: an effect that happens twice.
+func (b *Balancer) repeatable(t *Transaction) bool {
+	if len(t.pushes) >= b.terms.MaxPushes {
+		return false
+	}
+	b.recall(t)
+	switch {
+	case t.anchor < 0 || t.tariff.Repeat == Repeatable:
+		return true
+	case t.tariff.Repeat == Tagged:
+		return b.now < t.mayRun+t.tariff.Remembered
+	}
+	return false
+}
+
+// recall finds the first push that may have run: pushes that provably never ran bind nothing.
+func (b *Balancer) recall(t *Transaction) {
+	t.anchor = -1
+	for n := range t.pushes {
+		if p := &t.pushes[n]; p.out || !p.result.NeverRan() {
+			t.anchor, t.mayRun = p.upstream, p.sent
+			return
+		}
+	}
+}
+
+// within reports whether an upstream drops repeats of what has been sent already.
+func (b *Balancer) within(t *Transaction, i int) bool {
+	if t.anchor < 0 || t.tariff.Repeat != Tagged || t.tariff.Group == Everywhere {
+		return true
+	}
+	if t.tariff.Group == SameZone {
+		return b.zone[i] == b.zone[t.anchor]
+	}
+	return b.cell[i] == b.cell[t.anchor] && b.zone[i] == b.zone[t.anchor]
+}
+
+// next takes the next upstream by smooth weighted round robin, skipping those well above the mean in flight.
+func (b *Balancer) next(t *Transaction) int {
+	flying, total := 0.0, 0.0
+	for i, ready := range b.ready {
+		if ready && b.aside[i] == 0 {
+			flying += float64(b.flying[i])
+			total += b.weight[i] * b.warmth(i)
+		}
+	}
+	best, spare := -1, -1
+	sum, least := 0.0, math.Inf(1)
+	for i, ready := range b.ready {
+		if !ready || b.aside[i] != 0 || b.tried(t, i) || !b.within(t, i) {
+			continue
+		}
+		share := b.weight[i]
+		if warm := b.warmth(i); warm < 1 {
+			share *= warm
+			if b.fill(i) < 1 || len(t.pushes) > 0 {
+				continue
+			}
+		}
+		if b.trial[i] > 0 && (t.tariff.Repeat == OnceOnly || b.flying[i] > 0) {
+			continue // what may not run twice isn't tried out on an upstream in doubt
+		}
+		if load := (float64(b.flying[i]) + 1) / share; load < least {
+			least, spare = load, i
+		}
+		if float64(b.flying[i]) > wellAbove*flying*share/total+0.5 {
+			continue
+		}
+		b.turn[i] += share
+		sum += share
+		if best < 0 || b.turn[i] > b.turn[best] {
+			best = i
+		}
+	}
+	if best >= 0 {
+		b.turn[best] -= sum
+		return best
+	}
+	if spare >= 0 {
+		return spare
+	}
+	// All in service are out of the question: one set aside is better than none, if it may be sent anything.
+	for i, ready := range b.ready {
+		if ready && b.aside[i] != 0 && !b.tried(t, i) && b.within(t, i) && (b.warmth(i) == 1 || b.fill(i) >= 1) {
+			if spare < 0 || b.flying[i] < b.flying[spare] {
+				spare = i
+			}
+		}
+	}
+	return spare
+}
+
+// tried reports whether a transaction went to an upstream already.
+func (b *Balancer) tried(t *Transaction, i int) bool {
+	for n := range t.pushes {
+		if t.pushes[n].upstream == i {
+			return true
+		}
+	}
+	return false
+}
+
+// warmth is the least share of its capacity that an upstream can have by now.
+func (b *Balancer) warmth(i int) float64 {
+	age := b.now - b.born[i]
+	if b.born[i] == 0 || age >= b.terms.WarmUp {
+		return 1
+	}
+	return b.terms.ColdShare + (1-b.terms.ColdShare)*float64(max(age, 0))/float64(b.terms.WarmUp)
+}
+
+// fill pays a cold upstream what this balancer may send it. Danger: a cold upstream sent too much by all balancers
+// falls over for good. Each sends no faster than warm ones of its weight now settle, cut to its present warmth;
+// as warm ones can't settle more than their capacity, all together stay below it, and fall_multiple is the margin.
+func (b *Balancer) fill(i int) float64 {
+	rate := b.pace * b.weight[i] * b.warmth(i)
+	if b.pace == 0 {
+		rate = 1 / float64(b.terms.FallSpan) // no warm one to learn from
+	}
+	hold := 1 + rate*float64(b.terms.FallSpan)/2
+	b.purse[i] = min(hold, b.purse[i]+rate*float64(b.now-b.filled[i]))
+	b.filled[i] = b.now
+	return b.purse[i]
+}
+
+// funded reports whether the bucket pays for a push; losers that still run stay charged to it.
+func (b *Balancer) funded() bool { return b.bucket-float64(b.losers) >= 1 }
+
+// gated reports whether copying pauses because outcomes are bad.
+func (b *Balancer) gated() bool {
+	bad := sum(b.faults[:])
+	return bad >= 2 && float64(bad) > gateAt*float64(sum(b.results[:]))
+}
+
+// learn takes what an outcome tells of the tier and of its upstream.
+func (b *Balancer) learn(t *Transaction, p *Push, r Result, took int64) {
+	i := p.upstream
+	if r == Unsent {
+		return
+	}
+	if r != Cancelled {
+		b.results[b.pane]++
+		if r.fault() {
+			b.faults[b.pane]++
+		}
+	}
+	switch {
+	case r == Settled, r == Cancelled && !p.copy, r == TimedOut:
+		// A loser or a time-out took at least this long; a copy called off early tells nothing.
+		k := min(buckets-1, int(math.Log(float64(max(took, ms))/float64(ms))/math.Log(1.1)))
+		b.latency[b.pane][k]++
+		b.samples[b.pane]++
+		b.stale = true
+	}
+	if r == Settled {
+		if b.warmth(i) == 1 {
+			b.settled++
+		}
+		b.trial[i] = max(0, b.trial[i]-1)
+	}
+	if p.overdue && !r.fault() || r == Cancelled {
+		return
+	}
+	if r == Unreachable {
+		b.dead[i] = true
+	} else if r == Settled {
+		b.dead[i] = false
+	}
+	b.judge(i, r.fault())
+}
+
+// overdue counts silence as evidence before any time-out. Danger: an upstream that takes work and answers none.
+func (b *Balancer) overdue(p *Push) {
+	if !p.overdue && p.out {
+		p.overdue = true
+		b.judge(p.upstream, true)
+	}
+}
+
+// judge is a sequential test of one upstream against its peers: is it as bad as they are, or half-way to all bad?
+func (b *Balancer) judge(i int, bad bool) {
+	if bad {
+		b.bad[i]++
+	} else {
+		b.good[i]++
+	}
+	worse, all := 0, 0
+	for j := range b.ready {
+		if j != i {
+			worse += b.bad[j]
+			all += b.bad[j] + b.good[j]
+		}
+	}
+	usual := max(0.05, (float64(worse)+0.5)/(float64(all)+10))
+	unusual := (1 + usual) / 2
+	if bad {
+		b.doubt[i] += math.Log(unusual / usual)
+	} else {
+		b.doubt[i] = max(0, b.doubt[i]+math.Log((1-unusual)/(1-usual)))
+	}
+	if b.doubt[i] >= setAsideAt && b.aside[i] == 0 && b.ready[i] {
+		b.setAside(i)
+	}
+}
+
+func (b *Balancer) setAside(i int) {
+	out, total := b.weight[i], 0.0
+	for j, ready := range b.ready {
+		if ready {
+			total += b.weight[j]
+			if b.aside[j] != 0 {
+				out += b.weight[j]
+			}
+		}
+	}
+	if out > mostAside*total {
+		b.doubt[i] = setAsideAt // the rest could not carry the work
+		return
+	}
+	b.spell[i] = min(max(firstAside, 2*b.spell[i]), longAside)
+	b.aside[i] = b.now + int64(float64(b.spell[i])*(0.75+b.chance()/2))
+	b.answered[i] = 0
+}
+
+// restore takes an upstream back on trial. Danger: one that was dead may have started anew and cold, unannounced.
+func (b *Balancer) restore(i int) {
+	b.aside[i], b.doubt[i], b.trial[i] = 0, setAsideAt/2, 3
+	if b.dead[i] {
+		b.born[i], b.dead[i], b.purse[i], b.filled[i] = b.now, false, b.chance(), b.now
+	}
+}
+
+// admit decides whether a client's transaction is taken on or deferred at once.
+func (b *Balancer) admit(t *Transaction) bool {
+	if b.terms.Layer > 0 {
+		return true // work is already in it: turned away here, all of that is lost
+	}
+	fits := true
+	if c := t.customer; c != nil {
+		rate := c.Rate / float64(b.terms.Balancers)
+		c.purse = min(2*rate, c.purse+rate*float64(b.now-c.filled)/float64(s))
+		c.filled = b.now
+		if fits = c.purse >= 1; fits {
+			c.purse--
+		}
+	}
+	room := b.room
+	if !fits {
+		room *= 0.7
+	}
+	return float64(b.open) < room
+}
+
+// punctual counts a transaction as on time or late, once.
+func (b *Balancer) punctual(t *Transaction, late bool) {
+	if t.counted {
+		return
+	}
+	t.counted = true
+	if late {
+		b.late++
+	} else {
+		b.onTime++
+	}
+}
+
+func (b *Balancer) busy() bool {
+	for i, at := range b.aside {
+		if at != 0 && b.ready[i] {
+			return true
+		}
+	}
+	return false
+}
+
+// tick does what the clock asks for: window panes, the quantile, the win-rate loop, room, probes.
+func (b *Balancer) tick() {
+	for b.now >= b.turnsAt {
+		b.turnsAt += window / panes
+		b.pane = (b.pane + 1) % panes
+		b.latency[b.pane], b.samples[b.pane] = [buckets]int32{}, 0
+		b.sends[b.pane], b.results[b.pane], b.faults[b.pane] = 0, 0, 0
+		for i := range b.good {
+			b.good[i], b.bad[i] = b.good[i]*3/4, b.bad[i]*3/4
+		}
+		b.stale = true
+	}
+	for b.now >= b.winTurn {
+		b.winTurn += winWindow / wins
+		copies, won := sum(b.copies[:]), sum(b.won[:])
+		if copies >= winSamples && float64(won) < winFloor*float64(copies) {
+			b.allowance = max(winLeast, b.allowance/2)
+		} else {
+			b.allowance = min(1, b.allowance+0.25)
+		}
+		copy(b.copies[1:], b.copies[:wins-1])
+		copy(b.won[1:], b.won[:wins-1])
+		b.copies[0], b.won[0] = 0, 0
+	}
+	if b.stale {
+		b.estimate()
+	}
+	total := 0.0
+	for i, ready := range b.ready {
+		if ready && b.aside[i] == 0 && b.warmth(i) == 1 {
+			total += b.weight[i]
+		}
+		if ready && b.aside[i] != 0 && b.now >= b.aside[i] {
+			if !b.terms.Probing {
+				b.restore(i)
+			} else if !b.probing[i] {
+				b.probing[i] = true
+				b.aside[i] = b.now + probeEvery
+				b.w.Probe(i)
+			}
+		}
+	}
+	span := float64(b.now - b.nextBit + beat)
+	if total > 0 {
+		b.pace += min(1, span/float64(4*s)) * (float64(b.settled)/span/total - b.pace)
+	}
+	b.settled = 0
+	if all := b.onTime + b.late; all >= 5 && b.late > 0.15*all {
+		if b.now >= b.cutAt {
+			b.room = max(2, 0.85*min(b.room, float64(b.open)))
+			b.cutAt = b.now + 2*beat
+		}
+	} else if float64(b.open) > 0.7*b.room {
+		b.room *= 1.03
+	}
+	b.onTime, b.late = b.onTime*0.8, b.late*0.8
+	b.nextBit = b.now + beat
+}
+
+// estimate reads the live quantile off the window.
+func (b *Balancer) estimate() {
+	b.stale, b.trigger = false, 0
+	all := sum(b.samples[:])
+	if all < minSamples {
+		return
+	}
+	above := int(float64(all) * (1 - quantile))
+	for k := buckets - 1; k >= 0; k-- {
+		for p := range b.latency {
+			above -= int(b.latency[p][k])
+		}
+		if above < 0 {
+			b.trigger = max(minDelay, int64(float64(ms)*math.Pow(1.1, float64(k+1))))
+			return
+		}
+	}
+}
+
+// The due times are a heap; each transaction stands in it once.
+func (b *Balancer) schedule(t *Transaction, due int64) {
+	b.unschedule(t)
+	t.due, t.slot = due, len(b.dues)
+	b.dues = append(b.dues, t)
+	b.rise(t.slot)
+}
+
+func (b *Balancer) unschedule(t *Transaction) {
+	k, last := t.slot, len(b.dues)-1
+	if k < 0 {
+		return
+	}
+	t.slot = -1
+	moved := b.dues[last]
+	b.dues[last], b.dues = nil, b.dues[:last]
+	if k == last {
+		return
+	}
+	b.dues[k], moved.slot = moved, k
+	b.rise(k)
+	for k = moved.slot; 2*k+1 < last; {
+		c := 2*k + 1
+		if c+1 < last && b.dues[c+1].due < b.dues[c].due {
+			c++
+		}
+		if b.dues[k].due <= b.dues[c].due {
+			break
+		}
+		b.swap(k, c)
+		k = c
+	}
+}
+
+func (b *Balancer) rise(k int) {
+	for k > 0 && b.dues[k].due < b.dues[(k-1)/2].due {
+		b.swap(k, (k-1)/2)
+		k = (k - 1) / 2
+	}
+}
+
+func (b *Balancer) swap(k, c int) {
+	b.dues[k], b.dues[c] = b.dues[c], b.dues[k]
+	b.dues[k].slot, b.dues[c].slot = k, c
+}
+
+func sum(counts []int) (all int) {
+	for _, n := range counts {
+		all += n
+	}
+	return all
+}
+
+// Known reports whether an index still belongs to a listed upstream.
+func (b *Balancer) Known(i int) bool { return b.known[i] }
