--- a/logic/logic.go
+++ b/logic/logic.go
@@ -33,6 +33,8 @@
 	wellAbove = 1.25 // skip an upstream this far above the mean in flight
 	beat      = 200 * ms
 
+	crowded = 0.7 // room shrinks while answers take this much (a logarithm) longer than at best
+
 	setAsideAt = 4.5 // log odds at which an upstream is set aside
 	mostAside  = 0.4 // of the list's weight may be set aside
 	firstAside = 1 * s
@@ -95,11 +97,13 @@
 	winTurn   int64
 	allowance float64
 
-	room    float64 // transactions in hand at most
-	onTime  float64
-	late    float64
+	room    float64           // transactions in hand at most
+	lines   [2][]*Transaction // waiting for room
+	ends    float64           // settled pushes of the last second or so
+	logs    float64           // their logarithms of the time taken
+	base    float64           // the least mean of these
+	best    float64           // most settled a nanosecond
 	nextBit int64
-	cutAt   int64
 
 	wake      int64
 	following bool
@@ -193,7 +197,7 @@
 // Arrive takes a transaction; one final answer is owed for it from now on.
 func (b *Balancer) Arrive(t *Transaction, tariff, customer int, work, left int64, again bool, now int64) {
 	f := b.terms.Tariffs[tariff]
-	t.tariff, t.arrived, t.slot, t.anchor, t.again = f, now, -1, -1, again
+	t.tariff, t.arrived, t.slot, t.anchor, t.rank, t.again = f, now, -1, -1, -1, again
 	t.stop = now + left
 	t.contract = min(now+f.ContractTime+int64(f.Stretch*float64(work)), t.stop)
 	if customer >= 0 {
@@ -220,7 +224,6 @@
 	if final && !t.over {
 		t.streams = false
 		b.close(t)
-		b.punctual(t, now > t.arrived+(t.contract-t.arrived)*4/5)
 		if p.copy && r == Settled {
 			b.won[0]++
 		}
@@ -289,6 +292,7 @@
 		b.decide(t)
 	}
 	b.touched = b.touched[:0]
+	b.serve()
 	next := b.nextBit
 	if b.open == 0 && !b.busy() {
 		next = math.MaxInt64 // nothing to watch over: sleep until something comes in
@@ -321,7 +325,7 @@
 	// The first push, to the next in turn.
 	if len(t.pushes) == 0 {
 		if !b.admit(t) {
-			b.end(t)
+			b.queue(t)
 			return
 		}
 		i := b.next(t)
@@ -367,13 +371,7 @@
 		}
 	}
 
-	due := min(t.giveUp(b.terms.Layer), outrun)
-	if soon := t.arrived + (t.contract-t.arrived)*4/5; !t.counted && b.now >= soon {
-		b.punctual(t, true)
-	} else if !t.counted {
-		due = min(due, soon)
-	}
-	b.schedule(t, due)
+	b.schedule(t, min(t.giveUp(b.terms.Layer), outrun))
 }
 
 // giveUp is when waiting on is worth nothing: a client's answer after the contract time, where lateness earns
@@ -388,9 +386,6 @@
 // end gives the final answer: a deferral if it is certain that trying again is harmless, else a forfeit.
 func (b *Balancer) end(t *Transaction) {
 	b.unschedule(t)
-	if !t.counted && b.now > t.arrived {
-		b.punctual(t, true)
-	}
 	b.recall(t)
 	harmless := t.anchor < 0 || t.tariff.Repeat == Repeatable ||
 		t.tariff.Repeat == Tagged && t.tariff.Group == Everywhere
@@ -596,6 +591,8 @@
 		b.stale = true
 	}
 	if r == Settled {
+		b.ends++
+		b.logs += math.Log(float64(max(took, 1)))
 		if b.warmth(i) == 1 {
 			b.settled++
 		}
@@ -673,37 +670,69 @@
 	}
 }
 
-// admit decides whether a client's transaction is taken on or deferred at once.
+// admit reports whether there is room for a client's transaction now; rank orders the line for it.
 func (b *Balancer) admit(t *Transaction) bool {
 	if b.terms.Layer > 0 {
 		return true // work is already in it: turned away here, all of that is lost
 	}
-	fits := true
-	if c := t.customer; c != nil {
-		rate := c.Rate / float64(b.terms.Balancers)
-		c.purse = min(2*rate, c.purse+rate*float64(b.now-c.filled)/float64(s))
-		c.filled = b.now
-		if fits = c.purse >= 1; fits {
-			c.purse--
-		}
+	if t.rank < 0 {
+		t.rank = b.rank(t)
 	}
 	room := b.room
-	if !fits {
-		room *= 0.7
+	if t.rank > 0 {
+		room *= 0.85
 	}
 	return float64(b.open) < room
 }
 
-// punctual counts a transaction as on time or late, once.
-func (b *Balancer) punctual(t *Transaction, late bool) {
-	if t.counted {
+// rank is 0 for what a customer sends within its share and 1 for what goes beyond it.
+func (b *Balancer) rank(t *Transaction) int {
+	c := t.customer
+	if c == nil {
+		return 0
+	}
+	rate := c.Rate / float64(b.terms.Balancers)
+	c.purse = min(2*rate, c.purse+rate*float64(b.now-c.filled)/float64(s))
+	c.filled = b.now
+	if c.purse < 1 {
+		return 1
+	}
+	c.purse--
+	return 0
+}
+
+// queue lets a transaction wait for room, unless the line is so long that the wait would end in a deferral.
+func (b *Balancer) queue(t *Transaction) {
+	patience := (t.contract - t.arrived) / 4
+	ahead := len(b.lines[0])
+	if t.rank > 0 {
+		ahead += len(b.lines[1])
+	}
+	if t.inLine {
+		if b.now >= t.arrived+patience {
+			b.end(t)
+		}
 		return
 	}
-	t.counted = true
-	if late {
-		b.late++
-	} else {
-		b.onTime++
+	if float64(ahead) > b.best*float64(patience) {
+		b.end(t)
+		return
+	}
+	t.inLine = true
+	b.lines[t.rank] = append(b.lines[t.rank], t)
+	b.schedule(t, t.arrived+patience)
+}
+
+// serve takes from the lines while there is room, what is within a share first.
+func (b *Balancer) serve() {
+	for r := range b.lines {
+		n := 0
+		for n < len(b.lines[r]) && (b.lines[r][n].over || b.admit(b.lines[r][n])) {
+			t := b.lines[r][n]
+			n++
+			b.decide(t)
+		}
+		b.lines[r] = b.lines[r][:copy(b.lines[r], b.lines[r][n:])]
 	}
 }
 
@@ -763,16 +792,29 @@
 		b.pace += min(1, span/float64(4*s)) * (float64(b.settled)/span/total - b.pace)
 	}
 	b.settled = 0
-	if all := b.onTime + b.late; all >= 5 && b.late > 0.15*all {
-		if b.now >= b.cutAt {
-			b.room = max(2, 0.85*min(b.room, float64(b.open)))
-			b.cutAt = b.now + 2*beat
+	b.makeRoom(span)
+	b.nextBit = b.now + beat
+}
+
+// makeRoom bounds what is in hand by what it does to the time that an answer takes. Danger: upstreams that hold far
+// more than they can work on turn slower and stay so; the line here costs nothing.
+func (b *Balancer) makeRoom(span float64) {
+	if b.ends >= 10 {
+		now := b.logs / b.ends
+		if b.base == 0 || now < b.base {
+			b.base = now
+		} else {
+			b.base += span / float64(100*s)
+		}
+		b.best = max(b.best*0.995, b.ends*0.2/span)
+		least := max(2, b.best*math.Exp(b.base))
+		if now > b.base+crowded {
+			b.room = max(least, 0.9*min(b.room, float64(b.open)))
+		} else if float64(b.open) > 0.7*b.room {
+			b.room += max(1, 0.05*b.room)
 		}
-	} else if float64(b.open) > 0.7*b.room {
-		b.room *= 1.03
 	}
-	b.onTime, b.late = b.onTime*0.8, b.late*0.8
-	b.nextBit = b.now + beat
+	b.ends, b.logs = b.ends*0.8, b.logs*0.8
 }
 
 // estimate reads the live quantile off the window.
--- a/logic/types.go
+++ b/logic/types.go
@@ -119,7 +119,8 @@
 	anchor   int  // first upstream on which it may have run, -1 if none
 	queued   bool // among those to look at in this round
 	again    bool // a try repeated by its client
-	counted  bool // its lateness is already in the figures
+	rank     int  // 0 within its customer's share, 1 beyond, -1 not looked at
+	inLine   bool // waits for room
 	held     bool // taken into the count of transactions in hand
 	streams  bool // its answer has begun
 	over     bool // has had its final answer
