--- a/logic/logic.go
+++ b/logic/logic.go
@@ -33,7 +33,7 @@
 	wellAbove = 1.25 // skip an upstream this far above the mean in flight
 	beat      = 200 * ms
 
-	crowded = 0.7 // room shrinks while answers take this much (a logarithm) longer than at best
+	crowded = 1.4 // room shrinks while answers take this many times longer than at best
 
 	setAsideAt = 4.5 // log odds at which an upstream is set aside
 	mostAside  = 0.4 // of the list's weight may be set aside
@@ -99,10 +99,12 @@
 
 	room    float64           // transactions in hand at most
 	lines   [2][]*Transaction // waiting for room
-	ends    float64           // settled pushes of the last second or so
-	logs    float64           // their logarithms of the time taken
-	base    float64           // the least mean of these
-	best    float64           // most settled a nanosecond
+	ends    float64           // settled pushes since the last beat
+	held    [2]float64        // in hand and settled a nanosecond, over a second and over five
+	rate    [2]float64
+	base    float64 // the least mean time taken
+	best    float64 // most settled a nanosecond
+	started int64
 	nextBit int64
 
 	wake      int64
@@ -123,7 +125,8 @@
 	case !(terms.ColdShare > 0 && terms.ColdShare <= 1):
 		return nil, errors.New("terms: the cold share is not within 0 to 1")
 	}
-	b := &Balancer{terms: terms, now: now, carry: terms.Seed<<1 | 1, allowance: 1, bucket: 1, room: math.Inf(1)}
+	b := &Balancer{terms: terms, now: now, carry: terms.Seed<<1 | 1, allowance: 1, bucket: 1, room: math.Inf(1),
+		started: now}
 	b.turnsAt, b.winTurn, b.nextBit = now+window/panes, now+winWindow/wins, now+beat
 	for _, c := range terms.Customers {
 		c.purse, c.filled = c.Rate/float64(terms.Balancers), now
@@ -592,7 +595,6 @@
 	}
 	if r == Settled {
 		b.ends++
-		b.logs += math.Log(float64(max(took, 1)))
 		if b.warmth(i) == 1 {
 			b.settled++
 		}
@@ -799,22 +801,28 @@
 // makeRoom bounds what is in hand by what it does to the time that an answer takes. Danger: upstreams that hold far
 // more than they can work on turn slower and stay so; the line here costs nothing.
 func (b *Balancer) makeRoom(span float64) {
-	if b.ends >= 10 {
-		now := b.logs / b.ends
-		if b.base == 0 || now < b.base {
-			b.base = now
-		} else {
-			b.base += span / float64(100*s)
-		}
-		b.best = max(b.best*0.995, b.ends*0.2/span)
-		least := max(2, b.best*math.Exp(b.base))
-		if now > b.base+crowded {
-			b.room = max(least, 0.9*min(b.room, float64(b.open)))
-		} else if float64(b.open) > 0.7*b.room {
-			b.room += max(1, 0.05*b.room)
-		}
+	short, long := min(1, span/float64(s)), min(1, span/float64(5*s))
+	for k, part := range [2]float64{short, long} {
+		b.held[k] += part * (float64(b.open) - b.held[k])
+		b.rate[k] += part * (b.ends/span - b.rate[k])
+	}
+	b.ends = 0
+	if b.now < b.started+5*s || b.rate[1]*float64(s) < 1 {
+		return
+	}
+	// By Little's law, what is in hand over what is settled is the mean time taken, the unfinished included.
+	usual := b.held[1] / b.rate[1]
+	if b.base == 0 || usual < b.base {
+		b.base = usual
+	} else {
+		b.base *= 1 + span/float64(100*s)
+	}
+	b.best = max(b.best*0.995, b.rate[1])
+	if b.held[0] > crowded*b.base*b.rate[0] {
+		b.room = max(2, 1.15*b.best*b.base, 0.93*min(b.room, float64(b.open)))
+	} else if float64(b.open) > 0.8*b.room {
+		b.room += max(1, 0.03*b.room)
 	}
-	b.ends, b.logs = b.ends*0.8, b.logs*0.8
 }
 
 // estimate reads the live quantile off the window.
