--- a/logic/logic.go
+++ b/logic/logic.go
@@ -30,7 +30,7 @@
 	buckets = 128
 	wins    = 4
 
-	wellAbove = 1.25 // skip an upstream this far above the mean in flight
+	wellAbove = 1.0 // skip an upstream this far above the mean in flight
 	beat      = 200 * ms
 
 	crowded = 1.4 // room shrinks while answers take this many times longer than at best
