--- a/logic/logic.go
+++ b/logic/logic.go
@@ -33,11 +33,9 @@
 	wellAbove = 1.0 // skip an upstream this far above the mean in flight
 	beat      = 200 * ms
 
-	crowded = 1.4 // room shrinks while answers take this many times longer than at best
-
 	setAsideAt = 4.5 // log odds at which an upstream is set aside
 	mostAside  = 0.4 // of the list's weight may be set aside
-	firstAside = 1 * s
+	firstAside = 2500 * ms
 	longAside  = 8 * s
 	probeEvery = 300 * ms
 	probesDue  = 2 // answered probes before a return
@@ -100,10 +98,9 @@
 	room    float64           // transactions in hand at most
 	lines   [2][]*Transaction // waiting for room
 	ends    float64           // settled pushes since the last beat
-	held    [2]float64        // in hand and settled a nanosecond, over a second and over five
-	rate    [2]float64
-	base    float64 // the least mean time taken
-	best    float64 // most settled a nanosecond
+	held    float64           // in hand, and settled a nanosecond, over the last second
+	rate    float64
+	promise float64 // mean contract time of what arrives
 	started int64
 	nextBit int64
 
@@ -634,7 +631,7 @@
 		}
 	}
 	usual := max(0.05, (float64(worse)+0.5)/(float64(all)+10))
-	unusual := (1 + usual) / 2
+	unusual := min(4*usual, (1+usual)/2)
 	if bad {
 		b.doubt[i] += math.Log(unusual / usual)
 	} else {
@@ -679,6 +676,10 @@
 	}
 	if t.rank < 0 {
 		t.rank = b.rank(t)
+		b.promise += (float64(t.contract-t.arrived) - b.promise) / 64
+		if math.IsInf(b.room, 1) {
+			b.room, b.promise = 6*float64(len(b.ready))/float64(b.terms.Balancers)+2, float64(t.contract-t.arrived)
+		}
 	}
 	room := b.room
 	if t.rank > 0 {
@@ -716,7 +717,7 @@
 		}
 		return
 	}
-	if float64(ahead) > b.best*float64(patience) {
+	if float64(ahead) > b.rate*float64(patience)+1 {
 		b.end(t)
 		return
 	}
@@ -801,27 +802,21 @@
 // makeRoom bounds what is in hand by what it does to the time that an answer takes. Danger: upstreams that hold far
 // more than they can work on turn slower and stay so; the line here costs nothing.
 func (b *Balancer) makeRoom(span float64) {
-	short, long := min(1, span/float64(s)), min(1, span/float64(5*s))
-	for k, part := range [2]float64{short, long} {
-		b.held[k] += part * (float64(b.open) - b.held[k])
-		b.rate[k] += part * (b.ends/span - b.rate[k])
+	inHand := 0
+	for i, ready := range b.ready {
+		if ready && b.aside[i] == 0 {
+			inHand += b.flying[i]
+		}
 	}
+	part := min(1, span/float64(s))
+	b.held += part * (float64(inHand) - b.held)
+	b.rate += part * (b.ends/span - b.rate)
 	b.ends = 0
-	if b.now < b.started+5*s || b.rate[1]*float64(s) < 1 {
-		return
-	}
 	// By Little's law, what is in hand over what is settled is the mean time taken, the unfinished included.
-	usual := b.held[1] / b.rate[1]
-	if b.base == 0 || usual < b.base {
-		b.base = usual
-	} else {
-		b.base *= 1 + span/float64(100*s)
-	}
-	b.best = max(b.best*0.995, b.rate[1])
-	if b.held[0] > crowded*b.base*b.rate[0] {
-		b.room = max(2, 1.15*b.best*b.base, 0.93*min(b.room, float64(b.open)))
+	if aim := b.rate * b.promise / 3; b.held > aim && b.now > b.started+2*s {
+		b.room = max(2, min(0.95*b.room, max(aim, 0.8*b.room)))
 	} else if float64(b.open) > 0.8*b.room {
-		b.room += max(1, 0.03*b.room)
+		b.room += max(1, 0.06*b.room)
 	}
 }
 
