--- a/logic/logic.go
+++ b/logic/logic.go
@@ -57,6 +57,7 @@
 	born     []int64 // 0: warm since long ago
 	turn     []float64
 	flying   []int     // pushes out
+	stuck    []int     // of these, those that outran the quantile
 	doubt    []float64 // log odds that it is bad
 	good     []int     // outcomes
 	bad      []int
@@ -95,14 +96,16 @@
 	winTurn   int64
 	allowance float64
 
-	room    float64           // transactions in hand at most
-	lines   [2][]*Transaction // waiting for room
-	ends    float64           // settled pushes since the last beat
-	held    float64           // in hand, and settled a nanosecond, over the last second
-	rate    float64
-	promise float64 // mean contract time of what arrives
-	started int64
-	nextBit int64
+	room     float64           // transactions in hand at most
+	lines    [2][]*Transaction // waiting for room
+	ends     float64           // settled pushes since the last beat
+	stuckAll int
+	best     float64
+	held     float64 // in hand, and settled a nanosecond, over the last second
+	rate     float64
+	promise  float64 // mean contract time of what arrives
+	started  int64
+	nextBit  int64
 
 	wake      int64
 	following bool
@@ -149,7 +152,8 @@
 	i := len(b.known)
 	b.known, b.ready, b.silent = append(b.known, true), append(b.ready, false), append(b.silent, false)
 	b.weight, b.turn, b.doubt = append(b.weight, 1), append(b.turn, 0), append(b.doubt, 0)
-	b.zone, b.cell, b.flying = append(b.zone, 0), append(b.cell, 0), append(b.flying, 0)
+	b.zone, b.cell = append(b.zone, 0), append(b.cell, 0)
+	b.flying, b.stuck = append(b.flying, 0), append(b.stuck, 0)
 	b.good, b.bad, b.trial = append(b.good, 0), append(b.bad, 0), append(b.trial, 0)
 	b.born, b.aside, b.spell = append(b.born, 0), append(b.aside, 0), append(b.spell, 0)
 	b.answered, b.probing, b.dead = append(b.answered, 0), append(b.probing, false), append(b.dead, false)
@@ -216,6 +220,10 @@
 	p.out, p.result = false, r
 	t.out--
 	b.flying[p.upstream]--
+	if p.overdue {
+		b.stuck[p.upstream]--
+		b.stuckAll--
+	}
 	if p.lost {
 		p.lost = false
 		b.losers--
@@ -612,6 +620,8 @@
 func (b *Balancer) overdue(p *Push) {
 	if !p.overdue && p.out {
 		p.overdue = true
+		b.stuck[p.upstream]++
+		b.stuckAll++
 		b.judge(p.upstream, true)
 	}
 }
@@ -685,7 +695,7 @@
 	if t.rank > 0 {
 		room *= 0.85
 	}
-	return float64(b.open) < room
+	return float64(b.open-b.stuckAll) < room
 }
 
 // rank is 0 for what a customer sends within its share and 1 for what goes beyond it.
@@ -805,17 +815,19 @@
 	inHand := 0
 	for i, ready := range b.ready {
 		if ready && b.aside[i] == 0 {
-			inHand += b.flying[i]
+			inHand += b.flying[i] - b.stuck[i]
 		}
 	}
 	part := min(1, span/float64(s))
 	b.held += part * (float64(inHand) - b.held)
 	b.rate += part * (b.ends/span - b.rate)
 	b.ends = 0
+	b.best = max(b.best*0.995, b.rate)
+	least := max(2, 0.4*b.best*b.promise/3)
 	// By Little's law, what is in hand over what is settled is the mean time taken, the unfinished included.
 	if aim := b.rate * b.promise / 3; b.held > aim && b.now > b.started+2*s {
-		b.room = max(2, min(0.95*b.room, max(aim, 0.8*b.room)))
-	} else if float64(b.open) > 0.8*b.room {
+		b.room = max(least, min(0.95*b.room, max(aim, 0.8*b.room)))
+	} else if float64(b.open-b.stuckAll) > 0.8*b.room {
 		b.room += max(1, 0.06*b.room)
 	}
 }
