--- a/logic/logic.go
+++ b/logic/logic.go
@@ -32,6 +32,7 @@
 
 	wellAbove = 1.0 // skip an upstream this far above the mean in flight
 	beat      = 200 * ms
+	crowded   = 1.4 // room shrinks while answers take this many times longer than at best
 
 	setAsideAt = 4.5 // log odds at which an upstream is set aside
 	mostAside  = 0.4 // of the list's weight may be set aside
@@ -57,7 +58,6 @@
 	born     []int64 // 0: warm since long ago
 	turn     []float64
 	flying   []int     // pushes out
-	stuck    []int     // of these, those that outran the quantile
 	doubt    []float64 // log odds that it is bad
 	good     []int     // outcomes
 	bad      []int
@@ -99,11 +99,14 @@
 	room     float64           // transactions in hand at most
 	lines    [2][]*Transaction // waiting for room
 	ends     float64           // settled pushes since the last beat
-	stuckAll int
-	best     float64
-	held     float64 // in hand, and settled a nanosecond, over the last second
-	rate     float64
-	promise  float64 // mean contract time of what arrives
+	stuckAll int               // in hand with a push that outran the quantile
+	inHand   float64           // sum of one over the contract time of all others in hand
+	load     float64           // the same over the last second
+	rate     float64           // and settled a nanosecond
+	longLoad float64           // both over five seconds
+	longRate float64
+	base     float64 // the least share of its contract time that a transaction took
+	best     float64 // the most settled a nanosecond
 	started  int64
 	nextBit  int64
 
@@ -153,7 +156,7 @@
 	b.known, b.ready, b.silent = append(b.known, true), append(b.ready, false), append(b.silent, false)
 	b.weight, b.turn, b.doubt = append(b.weight, 1), append(b.turn, 0), append(b.doubt, 0)
 	b.zone, b.cell = append(b.zone, 0), append(b.cell, 0)
-	b.flying, b.stuck = append(b.flying, 0), append(b.stuck, 0)
+	b.flying = append(b.flying, 0)
 	b.good, b.bad, b.trial = append(b.good, 0), append(b.bad, 0), append(b.trial, 0)
 	b.born, b.aside, b.spell = append(b.born, 0), append(b.aside, 0), append(b.spell, 0)
 	b.answered, b.probing, b.dead = append(b.answered, 0), append(b.probing, false), append(b.dead, false)
@@ -220,10 +223,6 @@
 	p.out, p.result = false, r
 	t.out--
 	b.flying[p.upstream]--
-	if p.overdue {
-		b.stuck[p.upstream]--
-		b.stuckAll--
-	}
 	if p.lost {
 		p.lost = false
 		b.losers--
@@ -232,6 +231,7 @@
 	if final && !t.over {
 		t.streams = false
 		b.close(t)
+		b.ends++
 		if p.copy && r == Settled {
 			b.won[0]++
 		}
@@ -270,12 +270,20 @@
 	}
 }
 
+// share is what a transaction in hand adds to the load: one over its contract time, so that unlike tariffs compare.
+func (t *Transaction) share() float64 { return 1 / float64(max(t.contract-t.arrived, 1)) }
+
 // close ends a transaction; from here on nothing may go out for it.
 func (b *Balancer) close(t *Transaction) {
 	t.over = true
 	if t.held {
 		t.held = false
 		b.open--
+		if t.stuck {
+			b.stuckAll--
+		} else {
+			b.inHand -= t.share()
+		}
 	}
 }
 
@@ -367,6 +375,11 @@
 		outrun = last.sent + b.trigger
 		if b.now >= outrun {
 			b.overdue(last)
+			if !t.stuck {
+				t.stuck = true
+				b.stuckAll++
+				b.inHand -= t.share()
+			}
 			outrun = math.MaxInt64
 			if t.out == 1 && b.terms.SecondCopies && b.repeatable(t) && !b.gated() && b.funded() &&
 				b.chance() < b.allowance {
@@ -428,6 +441,7 @@
 	if !t.held {
 		t.held = true
 		b.open++
+		b.inHand += t.share()
 	}
 	if t.anchor < 0 {
 		t.mayRun = b.now
@@ -599,7 +613,6 @@
 		b.stale = true
 	}
 	if r == Settled {
-		b.ends++
 		if b.warmth(i) == 1 {
 			b.settled++
 		}
@@ -620,8 +633,6 @@
 func (b *Balancer) overdue(p *Push) {
 	if !p.overdue && p.out {
 		p.overdue = true
-		b.stuck[p.upstream]++
-		b.stuckAll++
 		b.judge(p.upstream, true)
 	}
 }
@@ -686,9 +697,8 @@
 	}
 	if t.rank < 0 {
 		t.rank = b.rank(t)
-		b.promise += (float64(t.contract-t.arrived) - b.promise) / 64
 		if math.IsInf(b.room, 1) {
-			b.room, b.promise = 6*float64(len(b.ready))/float64(b.terms.Balancers)+2, float64(t.contract-t.arrived)
+			b.room = 6*float64(len(b.ready))/float64(b.terms.Balancers) + 2
 		}
 	}
 	room := b.room
@@ -812,21 +822,28 @@
 // makeRoom bounds what is in hand by what it does to the time that an answer takes. Danger: upstreams that hold far
 // more than they can work on turn slower and stay so; the line here costs nothing.
 func (b *Balancer) makeRoom(span float64) {
-	inHand := 0
-	for i, ready := range b.ready {
-		if ready && b.aside[i] == 0 {
-			inHand += b.flying[i] - b.stuck[i]
-		}
-	}
-	part := min(1, span/float64(s))
-	b.held += part * (float64(inHand) - b.held)
-	b.rate += part * (b.ends/span - b.rate)
+	short, long := min(1, span/float64(s)), min(1, span/float64(5*s))
+	b.rate += short * (b.ends/span - b.rate)
+	b.load += short * (b.inHand - b.load)
+	b.longRate += long * (b.ends/span - b.longRate)
+	b.longLoad += long * (b.inHand - b.longLoad)
 	b.ends = 0
-	b.best = max(b.best*0.995, b.rate)
-	least := max(2, 0.4*b.best*b.promise/3)
-	// By Little's law, what is in hand over what is settled is the mean time taken, the unfinished included.
-	if aim := b.rate * b.promise / 3; b.held > aim && b.now > b.started+2*s {
-		b.room = max(least, min(0.95*b.room, max(aim, 0.8*b.room)))
+	if b.now < b.started+2*s || b.longRate*float64(s) < 1 {
+		return
+	}
+	// By Little's law, load over rate is the mean share of its contract time that a transaction takes.
+	usual := b.longLoad / b.longRate
+	if b.base == 0 || usual < b.base {
+		b.base = usual
+	} else {
+		b.base *= 1 + span/float64(100*s)
+	}
+	b.best = max(b.best*(1-span/float64(40*s)), b.longRate)
+	// The least room sustains the best rate at the least time taken, counted in transactions as they are mixed now.
+	mix := float64(b.open-b.stuckAll) / max(b.inHand, 1e-9)
+	least := max(2, 0.8*b.best*b.base*mix)
+	if b.load > max(1.0/3, crowded*b.base)*b.rate {
+		b.room = max(least, 0.93*min(b.room, float64(b.open)))
 	} else if float64(b.open-b.stuckAll) > 0.8*b.room {
 		b.room += max(1, 0.06*b.room)
 	}
--- a/logic/types.go
+++ b/logic/types.go
@@ -121,6 +121,7 @@
 	again    bool // a try repeated by its client
 	rank     int  // 0 within its customer's share, 1 beyond, -1 not looked at
 	inLine   bool // waits for room
+	stuck    bool // outran the quantile
 	held     bool // taken into the count of transactions in hand
 	streams  bool // its answer has begun
 	over     bool // has had its final answer
