--- a/logic/logic.go
+++ b/logic/logic.go
@@ -107,6 +107,7 @@
 	longRate float64
 	base     float64 // the least share of its contract time that a transaction took
 	best     float64 // the most settled a nanosecond
+	beats    float64
 	started  int64
 	nextBit  int64
 
@@ -822,7 +823,8 @@
 // makeRoom bounds what is in hand by what it does to the time that an answer takes. Danger: upstreams that hold far
 // more than they can work on turn slower and stay so; the line here costs nothing.
 func (b *Balancer) makeRoom(span float64) {
-	short, long := min(1, span/float64(s)), min(1, span/float64(5*s))
+	b.beats++ // at first the means are over what there is
+	short, long := max(1/b.beats, min(1, span/float64(s))), max(1/b.beats, min(1, span/float64(5*s)))
 	b.rate += short * (b.ends/span - b.rate)
 	b.load += short * (b.inHand - b.load)
 	b.longRate += long * (b.ends/span - b.longRate)
@@ -839,13 +841,13 @@
 		b.base *= 1 + span/float64(100*s)
 	}
 	b.best = max(b.best*(1-span/float64(40*s)), b.longRate)
-	// The least room sustains the best rate at the least time taken, counted in transactions as they are mixed now.
+	// What sustains the best rate at the least time taken, in transactions as they are mixed now.
 	mix := float64(b.open-b.stuckAll) / max(b.inHand, 1e-9)
-	least := max(2, 0.8*b.best*b.base*mix)
-	if b.load > max(1.0/3, crowded*b.base)*b.rate {
-		b.room = max(least, 0.93*min(b.room, float64(b.open)))
+	full := max(2, b.best*b.base*mix)
+	if b.load > crowded*b.base*b.rate {
+		b.room = max(0.8*full, 0.93*min(b.room, float64(b.open)))
 	} else if float64(b.open-b.stuckAll) > 0.8*b.room {
-		b.room += max(1, 0.06*b.room)
+		b.room = min(b.room+max(1, 0.06*b.room), 1.5*full+2)
 	}
 }
 
