--- a/logic/logic.go
+++ b/logic/logic.go
@@ -31,6 +31,7 @@
 	wins    = 4
 
 	wellAbove = 1.0 // skip an upstream this far above the mean in flight
+	ample     = 0.3 // at most this share of its contract time is usual for an uncrowded transaction
 	beat      = 200 * ms
 	crowded   = 1.4 // room shrinks while answers take this many times longer than at best
 
@@ -835,11 +836,10 @@
 	}
 	// By Little's law, load over rate is the mean share of its contract time that a transaction takes.
 	usual := b.longLoad / b.longRate
-	if b.base == 0 || usual < b.base {
-		b.base = usual
-	} else {
-		b.base *= 1 + span/float64(100*s)
+	if b.base == 0 {
+		b.base = ample // a balancer started amid a crowd would take that for usual
 	}
+	b.base = min(ample, usual, b.base*(1+span/float64(300*s)))
 	b.best = max(b.best*(1-span/float64(40*s)), b.longRate)
 	// What sustains the best rate at the least time taken, in transactions as they are mixed now.
 	mix := float64(b.open-b.stuckAll) / max(b.inHand, 1e-9)
