--- a/logic/logic.go
+++ b/logic/logic.go
@@ -416,7 +416,7 @@
 	if harmless {
 		var backoff int64
 		if b.terms.AdviseBackoff {
-			backoff = min(b.terms.MaxBackoff, t.tariff.ContractTime/2)
+			backoff = min(b.terms.MaxBackoff, t.tariff.ContractTime/16)
 		}
 		b.w.Defer(t, backoff)
 	} else {
@@ -713,6 +713,9 @@
 // rank is 0 for what a customer sends within its share and 1 for what goes beyond it.
 func (b *Balancer) rank(t *Transaction) int {
 	c := t.customer
+	if t.again {
+		return 1 // much of its contract time is gone already
+	}
 	if c == nil {
 		return 0
 	}
