--- a/logic/logic.go
+++ b/logic/logic.go
@@ -731,7 +731,7 @@
 
 // queue lets a transaction wait for room, unless the line is so long that the wait would end in a deferral.
 func (b *Balancer) queue(t *Transaction) {
-	patience := (t.contract - t.arrived) / 4
+	patience := (t.contract - t.arrived) / 12
 	ahead := len(b.lines[0])
 	if t.rank > 0 {
 		ahead += len(b.lines[1])
