--- a/logic/logic.go
+++ b/logic/logic.go
@@ -32,6 +32,7 @@
 
 	wellAbove = 1.0 // skip an upstream this far above the mean in flight
 	ample     = 0.3 // at most this share of its contract time is usual for an uncrowded transaction
+	fewHeld   = 4   // transactions in hand for each upstream that crowd nobody
 	beat      = 200 * ms
 	crowded   = 1.4 // room shrinks while answers take this many times longer than at best
 
@@ -846,14 +847,25 @@
 	b.best = max(b.best*(1-span/float64(40*s)), b.longRate)
 	// What sustains the best rate at the least time taken, in transactions as they are mixed now.
 	mix := float64(b.open-b.stuckAll) / max(b.inHand, 1e-9)
-	full := max(2, b.best*b.base*mix)
+	few := 2 + float64(fewHeld*b.serving())/float64(b.terms.Balancers)
+	full := b.best * b.base * mix
 	if b.load > crowded*b.base*b.rate {
-		b.room = max(0.8*full, 0.93*min(b.room, float64(b.open)))
+		b.room = max(few, 0.8*full, 0.93*min(b.room, float64(b.open)))
 	} else if float64(b.open-b.stuckAll) > 0.8*b.room {
-		b.room = min(b.room+max(1, 0.06*b.room), 1.5*full+2)
+		b.room = min(b.room+max(1, 0.06*b.room), max(few, 1.5*full))
 	}
 }
 
+// serving counts the upstreams in service.
+func (b *Balancer) serving() (n int) {
+	for i, ready := range b.ready {
+		if ready && b.aside[i] == 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // estimate reads the live quantile off the window.
 func (b *Balancer) estimate() {
 	b.stale, b.trigger = false, 0
