--- a/logic/logic.go
+++ b/logic/logic.go
@@ -30,9 +30,10 @@
 	buckets = 128
 	wins    = 4
 
-	wellAbove = 1.0 // skip an upstream this far above the mean in flight
-	ample     = 0.3 // at most this share of its contract time is usual for an uncrowded transaction
-	fewHeld   = 4   // transactions in hand for each upstream that crowd nobody
+	wellAbove = 1.0  // skip an upstream this far above the mean in flight
+	ample     = 0.3  // at most this share of its contract time is usual for an uncrowded transaction
+	fewHeld   = 4    // transactions in hand for each upstream that crowd nobody
+	zoneCare  = 40.0 // a crossing priced at a fortieth of the earnings halves the turns
 	beat      = 200 * ms
 	crowded   = 1.4 // room shrinks while answers take this many times longer than at best
 
@@ -504,7 +505,7 @@
 	for i, ready := range b.ready {
 		if ready && b.aside[i] == 0 {
 			flying += float64(b.flying[i])
-			total += b.weight[i] * b.warmth(i)
+			total += b.weight[i] * b.warmth(i) * b.near(i)
 		}
 	}
 	best, spare := -1, -1
@@ -513,7 +514,7 @@
 		if !ready || b.aside[i] != 0 || b.tried(t, i) || !b.within(t, i) {
 			continue
 		}
-		share := b.weight[i]
+		share := b.weight[i] * b.near(i)
 		if warm := b.warmth(i); warm < 1 {
 			share *= warm
 			if b.fill(i) < 1 || len(t.pushes) > 0 {
@@ -553,6 +554,15 @@
 	return spare
 }
 
+// near lessens the turns of upstreams in another zone, the more the dearer crossings are. Clients don't come evenly
+// from all zones, so where they are served turns stay even.
+func (b *Balancer) near(i int) float64 {
+	if b.terms.Layer == 0 || b.zone[i] == b.terms.Zone {
+		return 1
+	}
+	return 1 / (1 + zoneCare*b.terms.CrossZonePrice)
+}
+
 // tried reports whether a transaction went to an upstream already.
 func (b *Balancer) tried(t *Transaction, i int) bool {
 	for n := range t.pushes {
