--- a/logic/logic.go
+++ b/logic/logic.go
@@ -30,10 +30,10 @@
 	buckets = 128
 	wins    = 4
 
-	wellAbove = 1.0  // skip an upstream this far above the mean in flight
-	ample     = 0.3  // at most this share of its contract time is usual for an uncrowded transaction
-	fewHeld   = 4    // transactions in hand for each upstream that crowd nobody
-	zoneCare  = 40.0 // a crossing priced at a fortieth of the earnings halves the turns
+	wellAbove = 1.0   // skip an upstream this far above the mean in flight
+	ample     = 0.3   // at most this share of its contract time is usual for an uncrowded transaction
+	fewHeld   = 4     // transactions in hand for each upstream that crowd nobody
+	zoneCare  = 200.0 // a crossing priced at a two-hundredth of the earnings halves the turns
 	beat      = 200 * ms
 	crowded   = 1.4 // room shrinks while answers take this many times longer than at best
 
