--- a/logic/logic.go
+++ b/logic/logic.go
@@ -235,7 +235,6 @@
 	if final && !t.over {
 		t.streams = false
 		b.close(t)
-		b.ends++
 		if p.copy && r == Settled {
 			b.won[0]++
 		}
@@ -287,6 +286,7 @@
 			b.stuckAll--
 		} else {
 			b.inHand -= t.share()
+			b.ends++
 		}
 	}
 }
@@ -383,6 +383,7 @@
 				t.stuck = true
 				b.stuckAll++
 				b.inHand -= t.share()
+				b.ends++
 			}
 			outrun = math.MaxInt64
 			if t.out == 1 && b.terms.SecondCopies && b.repeatable(t) && !b.gated() && b.funded() &&
