--- a/logic/helpers_test.go
+++ b/logic/helpers_test.go
@@ -107,6 +107,9 @@
 func (w *world) round(step int64) {
 	w.now += step
 	w.b.Round(w.now, w)
+	for i, u := range w.up { // the pace may fall again while what it allowed is still within the span
+		w.best[i] = max(w.best[i], w.b.pace*u.Weight*float64(w.terms.FallSpan))
+	}
 	for _, o := range w.owed {
 		if !o.final && !o.streamed && w.now >= o.stop {
 			w.t.Fatalf("no final answer at the hard stop")
@@ -179,8 +182,6 @@
 		}
 	}
 	share := w.terms.ColdShare + (1-w.terms.ColdShare)*age
-	each := w.b.pace * w.up[i].Weight * float64(w.terms.FallSpan)
-	w.best[i] = max(w.best[i], each) // the pace may have fallen since the first of them
 	if limit := 1.5*share*w.best[i] + 2; float64(recent) > limit {
 		w.t.Fatalf("%d pushes to a cold upstream within the span, %.1f are bearable", recent, limit)
 	}
