--- a/logic/logic.go
+++ b/logic/logic.go
@@ -31,7 +31,7 @@
 	wins    = 4
 
 	wellAbove = 1.0   // skip an upstream this far above the mean in flight
-	ample     = 0.3   // at most this share of its contract time is usual for an uncrowded transaction
+	ample     = 0.35   // at most this share of its contract time is usual for an uncrowded transaction
 	fewHeld   = 4     // transactions in hand for each upstream that crowd nobody
 	zoneCare  = 200.0 // a crossing priced at a two-hundredth of the earnings halves the turns
 	beat      = 200 * ms
@@ -528,7 +528,7 @@
 		if load := (float64(b.flying[i]) + 1) / share; load < least {
 			least, spare = load, i
 		}
-		if float64(b.flying[i]) > wellAbove*flying*share/total+0.5 {
+		if float64(b.flying[i]) > wellAbove*flying*share/total+0.25 {
 			continue
 		}
 		b.turn[i] += share
