--- a/internal/simwire/read.go
+++ b/internal/simwire/read.go
@@ -260,7 +260,7 @@
 		AskForList: string(env.GetStringBytes("registry_mode")) == "ask",
 		ColdShare:  rules.GetFloat64("cold_from"), WarmUp: rules.GetInt64("ramp_time") * microsecond,
 		FallMultiple: rules.GetFloat64("fall_multiple"), FallSpan: rules.GetInt64("overload_for") * microsecond,
-		CrossZonePrice: env.GetFloat64("fees", "cross_zone"),
+		CrossZonePrice: env.GetFloat64("fees", "cross_zone"), BeyondShare: env.GetFloat64("beyond_share_earnings"),
 	}
 	for _, z := range env.GetArray("zones") {
 		in.zone(string(z.GetStringBytes()))
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -8,6 +8,7 @@
 import (
 	"errors"
 	"math"
+	"slices"
 )
 
 const (
@@ -31,7 +32,7 @@
 	wins    = 4
 
 	wellAbove = 1.0   // skip an upstream this far above the mean in flight
-	ample     = 0.35   // at most this share of its contract time is usual for an uncrowded transaction
+	ample     = 0.35  // at most this share of its contract time is usual for an uncrowded transaction
 	fewHeld   = 4     // transactions in hand for each upstream that crowd nobody
 	zoneCare  = 200.0 // a crossing priced at a two-hundredth of the earnings halves the turns
 	beat      = 200 * ms
@@ -99,14 +100,14 @@
 	winTurn   int64
 	allowance float64
 
-	room     float64           // transactions in hand at most
-	lines    [2][]*Transaction // waiting for room
-	ends     float64           // settled pushes since the last beat
-	stuckAll int               // in hand with a push that outran the quantile
-	inHand   float64           // sum of one over the contract time of all others in hand
-	load     float64           // the same over the last second
-	rate     float64           // and settled a nanosecond
-	longLoad float64           // both over five seconds
+	room     float64        // transactions in hand at most
+	line     []*Transaction // waiting for room, what earns most first
+	ends     float64        // settled pushes since the last beat
+	stuckAll int            // in hand with a push that outran the quantile
+	inHand   float64        // sum of one over the contract time of all others in hand
+	load     float64        // the same over the last second
+	rate     float64        // and settled a nanosecond
+	longLoad float64        // both over five seconds
 	longRate float64
 	base     float64 // the least share of its contract time that a transaction took
 	best     float64 // the most settled a nanosecond
@@ -208,7 +209,7 @@
 // Arrive takes a transaction; one final answer is owed for it from now on.
 func (b *Balancer) Arrive(t *Transaction, tariff, customer int, work, left int64, again bool, now int64) {
 	f := b.terms.Tariffs[tariff]
-	t.tariff, t.arrived, t.slot, t.anchor, t.rank, t.again = f, now, -1, -1, -1, again
+	t.tariff, t.arrived, t.slot, t.anchor, t.again = f, now, -1, -1, again
 	t.stop = now + left
 	t.contract = min(now+f.ContractTime+int64(f.Stretch*float64(work)), t.stop)
 	if customer >= 0 {
@@ -344,6 +345,9 @@
 
 	// The first push, to the next in turn.
 	if len(t.pushes) == 0 {
+		if !t.inLine {
+			b.appraise(t)
+		}
 		if !b.admit(t) {
 			b.queue(t)
 			return
@@ -704,76 +708,69 @@
 	}
 }
 
-// admit reports whether there is room for a client's transaction now; rank orders the line for it.
+// admit reports whether there is room for a client's transaction now.
 func (b *Balancer) admit(t *Transaction) bool {
 	if b.terms.Layer > 0 {
 		return true // work is already in it: turned away here, all of that is lost
 	}
-	if t.rank < 0 {
-		t.rank = b.rank(t)
-		if math.IsInf(b.room, 1) {
-			b.room = 6*float64(len(b.ready))/float64(b.terms.Balancers) + 2
-		}
+	if math.IsInf(b.room, 1) {
+		b.room = 6*float64(len(b.ready))/float64(b.terms.Balancers) + 2
 	}
 	room := b.room
-	if t.rank > 0 {
+	if t.value < t.tariff.Earnings {
 		room *= 0.85
 	}
 	return float64(b.open-b.stuckAll) < room
 }
 
-// rank is 0 for what a customer sends within its share and 1 for what goes beyond it.
-func (b *Balancer) rank(t *Transaction) int {
-	c := t.customer
+// appraise sets what a transaction may earn, by which the line is ordered.
+func (b *Balancer) appraise(t *Transaction) {
+	t.value = t.tariff.Earnings
 	if t.again {
-		return 1 // much of its contract time is gone already
-	}
-	if c == nil {
-		return 0
-	}
-	rate := c.Rate / float64(b.terms.Balancers)
-	c.purse = min(2*rate, c.purse+rate*float64(b.now-c.filled)/float64(s))
-	c.filled = b.now
-	if c.purse < 1 {
-		return 1
+		t.value /= 10 // much of its contract time is gone already
+	}
+	if c := t.customer; c != nil {
+		rate := c.Rate / float64(b.terms.Balancers)
+		c.purse = min(2*rate, c.purse+rate*float64(b.now-c.filled)/float64(s))
+		c.filled = b.now
+		if c.purse < 1 {
+			t.value *= b.terms.BeyondShare
+		} else {
+			c.purse--
+		}
 	}
-	c.purse--
-	return 0
 }
 
 // queue lets a transaction wait for room, unless the line is so long that the wait would end in a deferral.
 func (b *Balancer) queue(t *Transaction) {
 	patience := (t.contract - t.arrived) / 12
-	ahead := len(b.lines[0])
-	if t.rank > 0 {
-		ahead += len(b.lines[1])
-	}
 	if t.inLine {
 		if b.now >= t.arrived+patience {
 			b.end(t)
 		}
 		return
 	}
-	if float64(ahead) > b.rate*float64(patience)+1 {
+	place := len(b.line)
+	for place > 0 && b.line[place-1].value < t.value {
+		place--
+	}
+	if float64(place) > b.rate*float64(patience)+1 {
 		b.end(t)
 		return
 	}
 	t.inLine = true
-	b.lines[t.rank] = append(b.lines[t.rank], t)
+	b.line = slices.Insert(b.line, place, t)
 	b.schedule(t, t.arrived+patience)
 }
 
-// serve takes from the lines while there is room, what is within a share first.
+// serve takes from the line while there is room, what earns most first.
 func (b *Balancer) serve() {
-	for r := range b.lines {
-		n := 0
-		for n < len(b.lines[r]) && (b.lines[r][n].over || b.admit(b.lines[r][n])) {
-			t := b.lines[r][n]
-			n++
-			b.decide(t)
-		}
-		b.lines[r] = b.lines[r][:copy(b.lines[r], b.lines[r][n:])]
+	b.line = slices.DeleteFunc(b.line, func(t *Transaction) bool { return t.over })
+	n := 0
+	for ; n < len(b.line) && b.admit(b.line[n]); n++ {
+		b.decide(b.line[n])
 	}
+	b.line = slices.Delete(b.line, 0, n)
 }
 
 func (b *Balancer) busy() bool {
--- a/logic/types.go
+++ b/logic/types.go
@@ -116,15 +116,15 @@
 	pushes   []Push
 	out      int // pushes without a result
 	mayRun   int64
-	anchor   int  // first upstream on which it may have run, -1 if none
-	queued   bool // among those to look at in this round
-	again    bool // a try repeated by its client
-	rank     int  // 0 within its customer's share, 1 beyond, -1 not looked at
-	inLine   bool // waits for room
-	stuck    bool // outran the quantile
-	held     bool // taken into the count of transactions in hand
-	streams  bool // its answer has begun
-	over     bool // has had its final answer
+	anchor   int     // first upstream on which it may have run, -1 if none
+	queued   bool    // among those to look at in this round
+	again    bool    // a try repeated by its client
+	value    float64 // what it may earn, for its place in line
+	inLine   bool    // waits for room
+	stuck    bool    // outran the quantile
+	held     bool    // taken into the count of transactions in hand
+	streams  bool    // its answer has begun
+	over     bool    // has had its final answer
 }
 
 // Closed reports whether nothing more can come in for the transaction.
