--- a/logic/logic.go
+++ b/logic/logic.go
@@ -691,7 +691,8 @@
 			}
 		}
 	}
-	if out > mostAside*total {
+	// Danger: a cut between zones puts half out of reach; what can't be reached carries nothing and needs no sparing.
+	if out > mostAside*total && !b.dead[i] {
 		b.doubt[i] = setAsideAt // the rest could not carry the work
 		return
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -282,6 +282,24 @@
 	}
 }
 
+func TestCutZoneIsSetAsideWhole(t *testing.T) {
+	w := newWorld(t, terms(tariff(Repeatable, Everywhere)), 4, 1)
+	for range 200 { // half of the upstreams can't be reached
+		o := w.arrive(0, 2*s)
+		w.round(5 * ms)
+		for n := 0; n < len(o.pushes); n++ {
+			if o.pushes[n].done {
+				continue
+			}
+			w.result(o, n, []Result{Unreachable, Settled}[o.pushes[n].upstream%2])
+			w.round(5 * ms)
+		}
+	}
+	if w.b.aside[0] == 0 || w.b.aside[2] == 0 || w.b.aside[1] != 0 {
+		t.Errorf("set aside: %v, want 0 and 2", w.b.aside)
+	}
+}
+
 func TestReturnFromTheDeadIsCold(t *testing.T) {
 	w := newWorld(t, terms(tariff(Repeatable, Everywhere)), 3, 1)
 	w.b.dead[1] = true
