--- a/logic/logic.go
+++ b/logic/logic.go
@@ -110,7 +110,8 @@
 	longLoad float64        // both over five seconds
 	longRate float64
 	base     float64 // the least share of its contract time that a transaction took
-	best     float64 // the most settled a nanosecond
+	strength float64 // of what is in service, over five seconds
+	best     float64 // the most settled a nanosecond and unit of strength
 	beats    float64
 	started  int64
 	nextBit  int64
@@ -843,6 +844,8 @@
 	b.load += short * (b.inHand - b.load)
 	b.longRate += long * (b.ends/span - b.longRate)
 	b.longLoad += long * (b.inHand - b.longLoad)
+	n, strength := b.serving()
+	b.strength += long * (strength - b.strength)
 	b.ends = 0
 	if b.now < b.started+2*s || b.longRate*float64(s) < 1 {
 		return
@@ -853,11 +856,11 @@
 		b.base = ample // a balancer started amid a crowd would take that for usual
 	}
 	b.base = min(ample, usual, b.base*(1+span/float64(300*s)))
-	b.best = max(b.best*(1-span/float64(40*s)), b.longRate)
+	b.best = max(b.best*(1-span/float64(40*s)), b.longRate/b.strength)
 	// What sustains the best rate at the least time taken, in transactions as they are mixed now.
 	mix := float64(b.open-b.stuckAll) / max(b.inHand, 1e-9)
-	few := 2 + float64(fewHeld*b.serving())/float64(b.terms.Balancers)
-	full := b.best * b.base * mix
+	few := 2 + float64(fewHeld*n)/float64(b.terms.Balancers)
+	full := b.best * strength * b.base * mix // danger: what is left must not be sent what the whole bore
 	if b.load > crowded*b.base*b.rate {
 		b.room = max(few, 0.8*full, 0.93*min(b.room, float64(b.open)))
 	} else if float64(b.open-b.stuckAll) > 0.8*b.room {
@@ -865,14 +868,15 @@
 	}
 }
 
-// serving counts the upstreams in service.
-func (b *Balancer) serving() (n int) {
+// serving counts the upstreams in service, and what they can do now in units of weight.
+func (b *Balancer) serving() (n int, strength float64) {
 	for i, ready := range b.ready {
 		if ready && b.aside[i] == 0 {
 			n++
+			strength += b.weight[i] * b.warmth(i)
 		}
 	}
-	return n
+	return n, strength
 }
 
 // estimate reads the live quantile off the window.
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -269,7 +269,7 @@
 			}
 		}
 	}
-	if n := w.b.serving(); n < 4 {
+	if n, _ := w.b.serving(); n < 4 {
 		t.Errorf("%d of 5 in service though all fail alike", n)
 	}
 }
@@ -327,6 +327,22 @@
 	}
 }
 
+func TestRoomFollowsWhatIsInService(t *testing.T) {
+	w := newWorld(t, terms(tariff(Repeatable, Everywhere)), 8, 1)
+	w.feed(400, 18*ms) // 50 a second for eight seconds
+	w.b.base, w.b.best, w.b.room = 0.3, 100/float64(s)/8, 1000
+	for i := range 6 {
+		w.b.Drain(i)
+	}
+	for range 200 {
+		w.arrive(0, 3*s)
+	}
+	w.until(w.now + 3*beat)
+	if w.b.room > 20 {
+		t.Errorf("room %.0f for two upstreams of eight, which settled 100 a second together", w.b.room)
+	}
+}
+
 func TestTermsThatCannotWork(t *testing.T) {
 	for n, spoil := range []func(*Terms){
 		func(t *Terms) { t.Balancers = 0 }, func(t *Terms) { t.Tariffs = nil },
