--- a/logic/logic.go
+++ b/logic/logic.go
@@ -864,9 +864,8 @@
 	if b.load > crowded*b.base*b.rate {
 		b.room = max(few, 0.8*full, 0.93*min(b.room, float64(b.open)))
 	} else if float64(b.open-b.stuckAll) > 0.8*b.room {
-		b.room += max(1, 0.06*b.room)
+		b.room = min(b.room+max(1, 0.06*b.room), max(few, 2*full))
 	}
-	b.room = min(b.room, max(few, 2*full))
 }
 
 // serving counts the upstreams in service, and what they can do now in units of weight.
