--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -1,4 +1,5 @@
-// Command adapter runs balancers on the bench's wire: frames in on standard input, replies out on standard output.
+// Command adapter runs balancers on the bench's wire: frames in on standard input, replies out on standard
+// output.
 package main
 
 import (
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -50,7 +50,8 @@
 	calls     map[string]*logic.Transaction
 }
 
-// Serve answers every frame of in on out until in ends. What it can't make sense of it names on complain and skips.
+// Serve answers every frame of in on out until in ends. What it can't make sense of it names on complain and
+// skips.
 func Serve(in io.Reader, out, complain io.Writer) error {
 	s := &server{complain: complain, instances: map[int]*instance{}}
 	lines := bufio.NewReaderSize(in, 1<<20)
--- a/logic/helpers_test.go
+++ b/logic/helpers_test.go
@@ -5,8 +5,8 @@
 	"testing"
 )
 
-// world plays a legal caller of one balancer and checks the four rules at every decision. It is no simulator: its
-// answers are drawn, not served.
+// world plays a legal caller of one balancer and checks the four rules at every decision. It is no simulator:
+// its answers are drawn, not served.
 type world struct {
 	t     *testing.T
 	b     *Balancer
@@ -24,6 +24,7 @@
 	up     []Upstream
 	wake   int64
 	copies int
+	most   float64 // the largest bucket that recent first sends ever allowed
 	finals map[string]int
 	pushed []int // upstreams in the order of the pushes
 }
@@ -48,14 +49,13 @@
 func terms(tariffs ...*Tariff) *Terms {
 	return &Terms{
 		Seed: 7, Balancers: 2, Tariffs: tariffs, MaxPushes: 4, SecondCopies: true, Cancelling: true, Probing: true,
-		DrainGrace: 500 * ms, ColdShare: 0.2, WarmUp: 10 * s, FallMultiple: 3, FallSpan: 2 * s, MaxBackoff: s,
+		ColdShare: 0.2, WarmUp: 10 * s, FallMultiple: 3, FallSpan: 2 * s, MaxBackoff: s,
 	}
 }
 
 func tariff(repeat Repeat, group Group) *Tariff {
 	return &Tariff{
-		Repeat: repeat, Group: group, Remembered: 200 * ms, ContractTime: s, HardStop: 3 * s, Earnings: 1,
-		LateEarnings: 0.5,
+		Repeat: repeat, Group: group, Remembered: 200 * ms, ContractTime: s, Earnings: 1, LateEarnings: 0.5,
 	}
 }
 
@@ -63,7 +63,8 @@
 	t.Helper()
 	w := &world{
 		t: t, terms: terms, now: 100 * s, rand: rand.New(rand.NewPCG(seed, 1)), of: map[*Transaction]*owed{},
-		told: map[int]int64{}, born: map[int]int64{}, sent: map[int][]int64{}, best: map[int]float64{}, probes: map[int]int64{},
+		told: map[int]int64{}, born: map[int]int64{}, sent: map[int][]int64{}, best: map[int]float64{},
+		probes: map[int]int64{},
 		finals: map[string]int{},
 	}
 	b, err := New(terms, w.now)
@@ -107,6 +108,7 @@
 func (w *world) round(step int64) {
 	w.now += step
 	w.b.Round(w.now, w)
+	w.most = max(w.most, 1, bucketPart*float64(sum(w.b.sends[:])))
 	for i, u := range w.up { // the pace may fall again while what it allowed is still within the span
 		w.best[i] = max(w.best[i], w.b.pace*u.Weight*float64(w.terms.FallSpan))
 	}
@@ -141,7 +143,7 @@
 		w.t.Fatalf("a push after the final answer")
 	case until > o.stop:
 		w.t.Fatalf("a push may run past the hard stop")
-	case w.told[i] != 0 && w.now > w.told[i]+w.terms.DrainGrace:
+	case w.told[i] != 0:
 		w.t.Fatalf("new work for an upstream that was told to be leaving")
 	case len(o.pushes) >= w.terms.MaxPushes:
 		w.t.Fatalf("more pushes than allowed")
@@ -172,7 +174,8 @@
 	return g == Everywhere || w.up[a].Zone == w.up[b].Zone && (g == SameZone || w.up[a].Cell == w.up[b].Cell)
 }
 
-// cold checks the budget of a cold upstream: no more than its warmth's part of what warm ones of its weight settle.
+// cold checks the budget of a cold upstream: no more than its warmth's part of what warm ones of its weight
+// settle.
 func (w *world) cold(i int, age float64) {
 	w.sent[i] = append(w.sent[i], w.now)
 	recent := 0
@@ -208,7 +211,7 @@
 
 func (w *world) Defer(t *Transaction, backoff int64) {
 	o := w.end(t, "deferred")
-	if o.bound() != nil && o.tariff.Repeat != Repeatable && (o.tariff.Repeat == OnceOnly || o.tariff.Group != Everywhere) {
+	if f := o.tariff; o.bound() != nil && (f.Repeat == OnceOnly || f.Repeat == Tagged && f.Group != Everywhere) {
 		w.t.Fatalf("a deferral though the work may have run")
 	}
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,11 +1,12 @@
 // Package logic decides, for one balancer, where each transaction goes and how it ends.
 //
-// How it is called: New once with the Terms; then, for each round, the calls that tell what came in (List, Leave,
-// Arrive, Outcome, Began, Vanish, Probed), in order, and one Round(now, w), which writes all decisions into w.
-// The interface, Writer, and all types stand in types.go; why it decides so is in docs/design.md.
+// How it is called: New once with the Terms; then, for each round, the calls that tell what came in (List,
+// Leave, Arrive, Outcome, Began, Vanish, Probed), in order, and one Round(now, w), which writes all decisions
+// into w. The interface, Writer, and all types stand in types.go; why it decides so is in docs/design.md.
 package logic
 
 import (
+	"container/heap"
 	"errors"
 	"math"
 	"slices"
@@ -31,7 +32,7 @@
 	buckets = 128
 	wins    = 4
 
-	wellAbove = 1.0   // skip an upstream this far above the mean in flight
+	wellAbove = 0.25  // skip an upstream with this many pushes more in flight than its part of the mean
 	ample     = 0.35  // at most this share of its contract time is usual for an uncrowded transaction
 	fewHeld   = 4     // transactions in hand for each upstream that crowd nobody
 	zoneCare  = 200.0 // a crossing priced at a two-hundredth of the earnings halves the turns
@@ -46,82 +47,6 @@
 	probesDue  = 2 // answered probes before a return
 )
 
-// Balancer is the decision logic of one instance. It is not safe for concurrent use.
-type Balancer struct {
-	terms *Terms
-	w     Writer
-	now   int64
-	carry uint64
-
-	// Upstreams under their index.
-	known    []bool // slot in use
-	ready    []bool // listed and not draining
-	weight   []float64
-	zone     []int
-	cell     []int
-	born     []int64 // 0: warm since long ago
-	turn     []float64
-	flying   []int     // pushes out
-	doubt    []float64 // log odds that it is bad
-	good     []int     // outcomes
-	bad      []int
-	aside    []int64 // set aside: next probe or return; 0 in service
-	spell    []int64 // length of the last time aside
-	answered []int   // probes answered while aside
-	probing  []bool
-	trial    []int // good outcomes still owed after a return
-	silent   []bool
-	dead     []bool // set aside as unreachable, so it may come back cold
-	purse    []float64
-	filled   []int64
-	settled  int // outcomes of warm upstreams since the last beat
-	pace     float64
-
-	touched []*Transaction
-	dues    []*Transaction
-	open    int // transactions in hand
-	first   int64
-
-	latency [panes][buckets]int32
-	samples [panes]int
-	sends   [panes]int
-	results [panes]int
-	faults  [panes]int
-	pane    int
-	turnsAt int64
-	trigger int64 // 0 while there are too few samples
-	stale   bool
-
-	bucket float64
-	losers int // cancelled pushes still running
-
-	copies    [wins]int
-	won       [wins]int
-	winTurn   int64
-	allowance float64
-
-	room     float64        // transactions in hand at most
-	line     []*Transaction // waiting for room, what earns most first
-	ends     float64        // settled pushes since the last beat
-	stuckAll int            // in hand with a push that outran the quantile
-	inHand   float64        // sum of one over the contract time of all others in hand
-	load     float64        // the same over the last second
-	rate     float64        // and settled a nanosecond
-	longLoad float64        // both over five seconds
-	longRate float64
-	base     float64 // the least share of its contract time that a transaction took
-	strength float64 // of what is in service, over five seconds
-	best     float64 // the most settled a nanosecond and unit of strength
-	beats    float64
-	started  int64
-	nextBit  int64
-
-	wake      int64
-	following bool
-	follow    int64 // when to ask for the list again
-	refusals  int
-}
-
 // New starts a balancer; it refuses terms that it cannot work with.
 func New(terms *Terms, now int64) (*Balancer, error) {
 	switch {
@@ -159,7 +84,7 @@
 		}
 	}
 	i := len(b.known)
-	b.known, b.ready, b.silent = append(b.known, true), append(b.ready, false), append(b.silent, false)
+	b.known, b.ready = append(b.known, true), append(b.ready, false)
 	b.weight, b.turn, b.doubt = append(b.weight, 1), append(b.turn, 0), append(b.doubt, 0)
 	b.zone, b.cell = append(b.zone, 0), append(b.cell, 0)
 	b.flying = append(b.flying, 0)
@@ -174,7 +99,7 @@
 // reset forgets what was learnt of an upstream.
 func (b *Balancer) reset(i int) {
 	b.doubt[i], b.good[i], b.bad[i], b.trial[i] = 0, 0, 0, 0
-	b.aside[i], b.spell[i], b.answered[i], b.dead[i], b.silent[i] = 0, 0, 0, false, false
+	b.aside[i], b.spell[i], b.answered[i], b.dead[i] = 0, 0, 0, false
 	b.turn[i], b.purse[i], b.filled[i] = b.chance(), b.chance(), b.now
 }
 
@@ -184,7 +109,8 @@
 	if u.Born > b.born[i] && b.ready[i] {
 		b.reset(i) // the same machine, started anew: nothing known of it holds, and it is cold
 	}
-	// A later start than the one listed may have been guessed from a return after a spell of refused connections.
+	// A later start than the one listed may have been guessed from a return after a spell of refused
+	// connections.
 	b.ready[i], b.weight[i], b.zone[i], b.cell[i] = true, math.Max(u.Weight, 1e-6), u.Zone, u.Cell
 	b.born[i] = max(b.born[i], u.Born)
 }
@@ -193,7 +119,7 @@
 func (b *Balancer) Drain(i int) { b.ready[i] = false }
 
 // Leave says that an upstream is gone; its index may be used again once nothing of it is out.
-func (b *Balancer) Leave(i int) { b.ready[i], b.known[i] = false, false }
+func (b *Balancer) Leave(i int) { b.ready[i], b.known[i], b.aside[i] = false, false, 0 }
 
 // Listed says how a question to the list ended, or that a report of it came.
 func (b *Balancer) Listed(ok bool, now int64) {
@@ -233,9 +159,9 @@
 		p.lost = false
 		b.losers--
 	}
-	b.learn(t, p, r, took)
+	b.learn(p, r, took)
 	if final && !t.over {
-		t.streams = false
+		t.streams = nil
 		b.close(t)
 		if p.copy && r == Settled {
 			b.won[0]++
@@ -246,7 +172,7 @@
 
 // Began says that a streamed answer has started: the client has it, and no time-out holds any more.
 func (b *Balancer) Began(t *Transaction, n int) {
-	t.streams = true
+	t.streams = &t.pushes[n]
 	b.touch(t)
 }
 
@@ -275,7 +201,8 @@
 	}
 }
 
-// share is what a transaction in hand adds to the load: one over its contract time, so that unlike tariffs compare.
+// share is what a transaction in hand adds to the load: one over its contract time, so that unlike tariffs
+// compare.
 func (t *Transaction) share() float64 { return 1 / float64(max(t.contract-t.arrived, 1)) }
 
 // close ends a transaction; from here on nothing may go out for it.
@@ -316,7 +243,7 @@
 	b.touched = b.touched[:0]
 	b.serve()
 	next := b.nextBit
-	if b.open == 0 && !b.busy() {
+	if b.open == 0 && !slices.ContainsFunc(b.aside, func(at int64) bool { return at != 0 }) {
 		next = math.MaxInt64 // nothing to watch over: sleep until something comes in
 	}
 	if len(b.dues) > 0 {
@@ -334,7 +261,7 @@
 
 // decide is the way of one transaction, from its arrival to its final answer.
 func (b *Balancer) decide(t *Transaction) {
-	if t.over || t.streams {
+	if t.over || t.streams != nil {
 		b.callOff(t)
 		b.unschedule(t)
 		return
@@ -383,13 +310,7 @@
 	if b.trigger > 0 {
 		outrun = last.sent + b.trigger
 		if b.now >= outrun {
-			b.overdue(last)
-			if !t.stuck {
-				t.stuck = true
-				b.stuckAll++
-				b.inHand -= t.share()
-				b.ends++
-			}
+			b.overdue(t, last)
 			outrun = math.MaxInt64
 			if t.out == 1 && b.terms.SecondCopies && b.repeatable(t) && !b.gated() && b.funded() &&
 				b.chance() < b.allowance {
@@ -433,13 +354,10 @@
 	b.callOff(t)
 }
 
-// callOff cancels what is still out for a transaction that has ended, but for a streamed answer.
+// callOff cancels what is still out for a transaction that has its answer, but for the push that streams it.
 func (b *Balancer) callOff(t *Transaction) {
-	if !b.terms.Cancelling || t.streams && !t.over {
-		return
-	}
 	for n := range t.pushes {
-		if p := &t.pushes[n]; p.out && !p.lost {
+		if p := &t.pushes[n]; p.out && !p.lost && p != t.streams && b.terms.Cancelling {
 			p.lost = true
 			b.losers++
 			b.w.Cancel(t, n)
@@ -533,7 +451,7 @@
 		if load := (float64(b.flying[i]) + 1) / share; load < least {
 			least, spare = load, i
 		}
-		if float64(b.flying[i]) > wellAbove*flying*share/total+0.25 {
+		if float64(b.flying[i]) > flying*share/total+wellAbove {
 			continue
 		}
 		b.turn[i] += share
@@ -560,8 +478,8 @@
 	return spare
 }
 
-// near lessens the turns of upstreams in another zone, the more the dearer crossings are. Clients don't come evenly
-// from all zones, so where they are served turns stay even.
+// near lessens the turns of upstreams in another zone, the more the dearer crossings are. Clients don't come
+// evenly from all zones, so where they are served turns stay even.
 func (b *Balancer) near(i int) float64 {
 	if b.terms.Layer == 0 || b.zone[i] == b.terms.Zone {
 		return 1
@@ -588,11 +506,12 @@
 	return b.terms.ColdShare + (1-b.terms.ColdShare)*float64(max(age, 0))/float64(b.terms.WarmUp)
 }
 
-// fill pays a cold upstream what this balancer may send it. Danger: a cold upstream sent too much by all balancers
-// falls over for good. Each sends no faster than warm ones of its weight now settle, cut to its present warmth;
-// as warm ones can't settle more than their capacity, all together stay below it, and fall_multiple is the margin.
+// fill pays a cold upstream what this balancer may send it. Danger: a cold upstream sent too much by all
+// balancers falls over for good. Each sends no faster than warm ones of its weight now settle, cut to its
+// present warmth. Warm ones can't settle more than their capacity, so all together stay below it, and what
+// the terms bear is the margin.
 func (b *Balancer) fill(i int) float64 {
-	rate := b.pace * b.weight[i] * b.warmth(i)
+	rate := b.pace * b.weight[i] * b.warmth(i) * min(1, b.terms.FallMultiple/2)
 	if b.pace == 0 {
 		rate = 1 / float64(b.terms.FallSpan) // no warm one to learn from
 	}
@@ -612,7 +531,7 @@
 }
 
 // learn takes what an outcome tells of the tier and of its upstream.
-func (b *Balancer) learn(t *Transaction, p *Push, r Result, took int64) {
+func (b *Balancer) learn(p *Push, r Result, took int64) {
 	i := p.upstream
 	if r == Unsent {
 		return
@@ -648,15 +567,23 @@
 	b.judge(i, r.fault())
 }
 
-// overdue counts silence as evidence before any time-out. Danger: an upstream that takes work and answers none.
-func (b *Balancer) overdue(p *Push) {
+// overdue counts silence as evidence before any time-out. Danger: an upstream that takes work and answers
+// none. What waits there is no sign of a crowd: it leaves the load, but not the count that is owed an answer.
+func (b *Balancer) overdue(t *Transaction, p *Push) {
 	if !p.overdue && p.out {
 		p.overdue = true
 		b.judge(p.upstream, true)
 	}
+	if !t.stuck {
+		t.stuck = true
+		b.stuckAll++
+		b.inHand -= t.share()
+		b.ends++
+	}
 }
 
-// judge is a sequential test of one upstream against its peers: is it as bad as they are, or half-way to all bad?
+// judge is a sequential test of one upstream against its peers: is it as bad as they are, or half-way to all
+// bad?
 func (b *Balancer) judge(i int, bad bool) {
 	if bad {
 		b.bad[i]++
@@ -692,7 +619,8 @@
 			}
 		}
 	}
-	// Danger: a cut between zones puts half out of reach; what can't be reached carries nothing and needs no sparing.
+	// Danger: a cut between zones puts half out of reach; what can't be reached carries nothing and needs no
+	// sparing.
 	if out > mostAside*total && !b.dead[i] {
 		b.doubt[i] = setAsideAt // the rest could not carry the work
 		return
@@ -702,7 +630,8 @@
 	b.answered[i] = 0
 }
 
-// restore takes an upstream back on trial. Danger: one that was dead may have started anew and cold, unannounced.
+// restore takes an upstream back on trial. Danger: one that was dead may have started anew and cold,
+// unannounced.
 func (b *Balancer) restore(i int) {
 	b.aside[i], b.doubt[i], b.trial[i] = 0, setAsideAt/2, 3
 	if b.dead[i] {
@@ -775,15 +704,6 @@
 	b.line = slices.Delete(b.line, 0, n)
 }
 
-func (b *Balancer) busy() bool {
-	for i, at := range b.aside {
-		if at != 0 && b.ready[i] {
-			return true
-		}
-	}
-	return false
-}
-
 // tick does what the clock asks for: window panes, the quantile, the win-rate loop, room, probes.
 func (b *Balancer) tick() {
 	for b.now >= b.turnsAt {
@@ -835,8 +755,8 @@
 	b.nextBit = b.now + beat
 }
 
-// makeRoom bounds what is in hand by what it does to the time that an answer takes. Danger: upstreams that hold far
-// more than they can work on turn slower and stay so; the line here costs nothing.
+// makeRoom bounds what is in hand by what it does to the time that an answer takes. Danger: upstreams that
+// hold far more than they can work on turn slower and stay so; the line here costs nothing.
 func (b *Balancer) makeRoom(span float64) {
 	b.beats++ // at first the means are over what there is
 	short, long := max(1/b.beats, min(1, span/float64(s))), max(1/b.beats, min(1, span/float64(5*s)))
@@ -898,52 +818,22 @@
 	}
 }
 
-// The due times are a heap; each transaction stands in it once.
+// schedule sets when a transaction is looked at again, unless something comes in for it before.
 func (b *Balancer) schedule(t *Transaction, due int64) {
-	b.unschedule(t)
-	t.due, t.slot = due, len(b.dues)
-	b.dues = append(b.dues, t)
-	b.rise(t.slot)
-}
-
-func (b *Balancer) unschedule(t *Transaction) {
-	k, last := t.slot, len(b.dues)-1
-	if k < 0 {
-		return
-	}
-	t.slot = -1
-	moved := b.dues[last]
-	b.dues[last], b.dues = nil, b.dues[:last]
-	if k == last {
-		return
-	}
-	b.dues[k], moved.slot = moved, k
-	b.rise(k)
-	for k = moved.slot; 2*k+1 < last; {
-		c := 2*k + 1
-		if c+1 < last && b.dues[c+1].due < b.dues[c].due {
-			c++
-		}
-		if b.dues[k].due <= b.dues[c].due {
-			break
-		}
-		b.swap(k, c)
-		k = c
+	t.due = due
+	if t.slot < 0 {
+		heap.Push(&b.dues, t)
+	} else {
+		heap.Fix(&b.dues, t.slot)
 	}
 }
 
-func (b *Balancer) rise(k int) {
-	for k > 0 && b.dues[k].due < b.dues[(k-1)/2].due {
-		b.swap(k, (k-1)/2)
-		k = (k - 1) / 2
+func (b *Balancer) unschedule(t *Transaction) {
+	if t.slot >= 0 {
+		heap.Remove(&b.dues, t.slot)
 	}
 }
 
-func (b *Balancer) swap(k, c int) {
-	b.dues[k], b.dues[c] = b.dues[c], b.dues[k]
-	b.dues[k].slot, b.dues[c].slot = k, c
-}
-
 func sum(counts []int) (all int) {
 	for _, n := range counts {
 		all += n
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -17,7 +17,8 @@
 	return t
 }
 
-// FuzzRules plays random legal rounds; the world checks the rules at every decision, the end that all was answered.
+// FuzzRules plays random legal rounds; the world checks the rules at every decision, the end that all was
+// answered.
 func FuzzRules(f *testing.F) {
 	for seed := range uint64(24) {
 		f.Add(seed)
@@ -122,8 +123,8 @@
 	if held != w.b.open {
 		w.t.Fatalf("in hand %d, counted %d", held, w.b.open)
 	}
-	if limit := max(1, bucketPart*float64(sum(w.b.sends[:]))) + bucketPart; w.b.bucket < 0 || w.b.bucket > limit+1e3 {
-		w.t.Fatalf("bucket %.1f out of bounds", w.b.bucket)
+	if b := w.b.bucket; b < 0 || b > w.most {
+		w.t.Fatalf("bucket %.1f, at most %.1f were ever allowed", b, w.most)
 	}
 	for k, t := range w.b.dues {
 		if t.slot != k || k > 0 && t.due < w.b.dues[(k-1)/2].due {
--- a/logic/types.go
+++ b/logic/types.go
@@ -25,7 +25,6 @@
 	Remembered   int64   // how long the group knows a repeat, from the first push that may have run
 	ContractTime int64   // an answer within this time earns all
 	Stretch      float64 // ContractTime grows by this multiple of the transaction's own work
-	HardStop     int64
 	Earnings     float64
 	LateEarnings float64 // the part earned by an answer after ContractTime
 }
@@ -55,7 +54,6 @@
 	MaxBackoff     int64
 	AskForList     bool
 	CrossZonePrice float64
-	DrainGrace     int64
 	ColdShare      float64 // an upstream starts at no less than this share of its capacity
 	WarmUp         int64   // and is warm no later than this
 	FallMultiple   float64 // it falls over when sent this multiple of its present capacity
@@ -123,13 +121,87 @@
 	inLine   bool    // waits for room
 	stuck    bool    // outran the quantile
 	held     bool    // taken into the count of transactions in hand
-	streams  bool    // its answer has begun
+	streams  *Push   // whose answer has begun
 	over     bool    // has had its final answer
 }
 
 // Closed reports whether nothing more can come in for the transaction.
 func (t *Transaction) Closed() bool { return t.over && t.out == 0 }
 
+// Balancer is the decision logic of one instance. It is not safe for concurrent use.
+type Balancer struct {
+	terms *Terms
+	w     Writer
+	now   int64
+	carry uint64
+
+	// Upstreams under their index.
+	known    []bool // slot in use
+	ready    []bool // listed and not draining
+	weight   []float64
+	zone     []int
+	cell     []int
+	born     []int64 // 0: warm since long ago
+	turn     []float64
+	flying   []int     // pushes out
+	doubt    []float64 // log odds that it is bad
+	good     []int     // outcomes
+	bad      []int
+	aside    []int64 // set aside: next probe or return; 0 in service
+	spell    []int64 // length of the last time aside
+	answered []int   // probes answered while aside
+	probing  []bool
+	trial    []int  // good outcomes still owed after a return
+	dead     []bool // set aside as unreachable, so it may come back cold
+	purse    []float64
+	filled   []int64
+	settled  int // outcomes of warm upstreams since the last beat
+	pace     float64
+
+	touched []*Transaction // to look at in this round
+	dues    dueTimes
+	open    int // transactions in hand
+
+	latency [panes][buckets]int32
+	samples [panes]int
+	sends   [panes]int
+	results [panes]int
+	faults  [panes]int
+	pane    int
+	turnsAt int64
+	trigger int64 // 0 while there are too few samples
+	stale   bool
+
+	bucket float64
+	losers int // cancelled pushes still running
+
+	copies    [wins]int
+	won       [wins]int
+	winTurn   int64
+	allowance float64
+
+	room     float64        // transactions in hand at most
+	line     []*Transaction // waiting for room, what earns most first
+	ends     float64        // settled pushes since the last beat
+	stuckAll int            // in hand with a push that outran the quantile
+	inHand   float64        // sum of one over the contract time of all others in hand
+	load     float64        // the same over the last second
+	rate     float64        // and settled a nanosecond
+	longLoad float64        // both over five seconds
+	longRate float64
+	base     float64 // the least share of its contract time that a transaction took
+	strength float64 // of what is in service, over five seconds
+	best     float64 // the most settled a nanosecond and unit of strength
+	beats    float64
+	started  int64
+	nextBit  int64
+
+	wake      int64
+	following bool
+	follow    int64 // when to ask for the list again
+	refusals  int
+}
+
 // Writer receives the decisions of one round, in order.
 type Writer interface {
 	Push(t *Transaction, upstream int, until int64) // until: when the push is abandoned
@@ -144,3 +216,26 @@
 
 // Pushes is the number of pushes so far.
 func (t *Transaction) Pushes() int { return len(t.pushes) }
+
+// dueTimes is a heap (container/heap) of transactions by due time; each stands in it once and knows its
+// place.
+type dueTimes []*Transaction
+
+func (d dueTimes) Len() int           { return len(d) }
+func (d dueTimes) Less(i, j int) bool { return d[i].due < d[j].due }
+func (d dueTimes) Swap(i, j int) {
+	d[i], d[j] = d[j], d[i]
+	d[i].slot, d[j].slot = i, j
+}
+
+func (d *dueTimes) Push(t any) {
+	t.(*Transaction).slot = len(*d)
+	*d = append(*d, t.(*Transaction))
+}
+
+func (d *dueTimes) Pop() any {
+	last := len(*d) - 1
+	t := (*d)[last]
+	t.slot, (*d)[last], *d = -1, nil, (*d)[:last]
+	return t
+}
