--- a/logic/logic.go
+++ b/logic/logic.go
@@ -35,7 +35,8 @@
 	wellAbove = 0.25  // skip an upstream with this many pushes more in flight than its part of the mean
 	ample     = 0.35  // at most this share of its contract time is usual for an uncrowded transaction
 	fewHeld   = 4     // transactions in hand for each upstream that crowd nobody
-	zoneCare  = 200.0 // a crossing priced at a two-hundredth of the earnings halves the turns
+	zoneCare  = 200.0 // between tiers a crossing priced at a two-hundredth of the earnings halves the turns
+	frontCare = 10.0  // and at the front one priced at a tenth
 	beat      = 200 * ms
 	crowded   = 1.4 // room shrinks while answers take this many times longer than at best
 
@@ -479,12 +480,16 @@
 }
 
 // near lessens the turns of upstreams in another zone, the more the dearer crossings are. Clients don't come
-// evenly from all zones, so where they are served turns stay even.
+// evenly from all zones, so at the front it weighs far less.
 func (b *Balancer) near(i int) float64 {
-	if b.terms.Layer == 0 || b.zone[i] == b.terms.Zone {
+	care := zoneCare
+	if b.terms.Layer == 0 {
+		care = frontCare
+	}
+	if b.zone[i] == b.terms.Zone {
 		return 1
 	}
-	return 1 / (1 + zoneCare*b.terms.CrossZonePrice)
+	return 1 / (1 + care*b.terms.CrossZonePrice)
 }
 
 // tried reports whether a transaction went to an upstream already.
