--- a/logic/logic.go
+++ b/logic/logic.go
@@ -37,6 +37,7 @@
 	fewHeld   = 4     // transactions in hand for each upstream that crowd nobody
 	zoneCare  = 200.0 // between tiers a crossing priced at a two-hundredth of the earnings halves the turns
 	frontCare = 10.0  // and at the front one priced at a tenth
+	longFor   = 5     // silence for this many usual times is long, whatever the quantile says
 	beat      = 200 * ms
 	crowded   = 1.4 // room shrinks while answers take this many times longer than at best
 
@@ -309,9 +310,12 @@
 	last := &t.pushes[len(t.pushes)-1]
 	outrun := int64(math.MaxInt64)
 	if b.trigger > 0 {
-		outrun = last.sent + b.trigger
+		outrun = last.sent + b.patient
 		if b.now >= outrun {
 			b.overdue(t, last)
+			outrun = last.sent + b.trigger
+		}
+		if b.now >= last.sent+b.trigger {
 			outrun = math.MaxInt64
 			if t.out == 1 && b.terms.SecondCopies && b.repeatable(t) && !b.gated() && b.funded() &&
 				b.chance() < b.allowance {
@@ -807,20 +811,26 @@
 // estimate reads the live quantile off the window.
 func (b *Balancer) estimate() {
 	b.stale, b.trigger = false, 0
-	all := sum(b.samples[:])
-	if all < minSamples {
+	if sum(b.samples[:]) < minSamples {
 		return
 	}
-	above := int(float64(all) * (1 - quantile))
+	b.trigger = max(minDelay, b.reach(quantile))
+	// Danger: where many pushes hang, the quantile is as long as their time-outs and calls none of them late.
+	b.patient = min(b.trigger, max(minDelay, longFor*b.reach(0.5)))
+}
+
+// reach is the time within which a part of the window's pushes was answered.
+func (b *Balancer) reach(part float64) int64 {
+	above := int(float64(sum(b.samples[:])) * (1 - part))
 	for k := buckets - 1; k >= 0; k-- {
 		for p := range b.latency {
 			above -= int(b.latency[p][k])
 		}
 		if above < 0 {
-			b.trigger = max(minDelay, int64(float64(ms)*math.Pow(1.1, float64(k+1))))
-			return
+			return int64(float64(ms) * math.Pow(1.1, float64(k+1)))
 		}
 	}
+	return 0
 }
 
 // schedule sets when a transaction is looked at again, unless something comes in for it before.
--- a/logic/types.go
+++ b/logic/types.go
@@ -170,6 +170,7 @@
 	pane    int
 	turnsAt int64
 	trigger int64 // 0 while there are too few samples
+	patient int64 // silence for longer speaks against an upstream
 	stale   bool
 
 	bucket float64
