--- a/logic/logic.go
+++ b/logic/logic.go
@@ -450,8 +450,8 @@
 				continue
 			}
 		}
-		if b.trial[i] > 0 && (t.tariff.Repeat == OnceOnly || b.flying[i] > 0) {
-			continue // what may not run twice isn't tried out on an upstream in doubt
+		if b.trial[i] > 0 && b.flying[i] > 0 {
+			continue // on trial: one at a time
 		}
 		if load := (float64(b.flying[i]) + 1) / share; load < least {
 			least, spare = load, i
