--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,8 +1,9 @@
 // Package logic decides, for one balancer, where each transaction goes and how it ends.
 //
-// How it is called: New once with the Terms; then, for each round, the calls that tell what came in (List,
-// Leave, Arrive, Outcome, Began, Vanish, Probed), in order, and one Round(now, w), which writes all decisions
-// into w. The interface, Writer, and all types stand in types.go; why it decides so is in docs/design.md.
+// How it is called: New once with the Terms. Then, for each round, the calls that tell what came in, in order
+// (Join, List, Drain, Leave and Listed for the list; Arrive, Outcome, Began and Vanish for transactions; Probed),
+// and one Round(now, w), which writes all decisions into w. The interface, Writer, and all types and state stand
+// in types.go; why it decides so is in docs/design.md.
 package logic
 
 import (
@@ -591,8 +592,8 @@
 	}
 }
 
-// judge is a sequential test of one upstream against its peers: is it as bad as they are, or half-way to all
-// bad?
+// judge is a sequential test of one upstream against its peers: is it as bad as they are, or several times as
+// bad? Where all are alike, nobody stands out.
 func (b *Balancer) judge(i int, bad bool) {
 	if bad {
 		b.bad[i]++
