--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,9 +1,9 @@
 // Package logic decides, for one balancer, where each transaction goes and how it ends.
 //
 // How it is called: New once with the Terms. Then, for each round, the calls that tell what came in, in order
-// (Join, List, Drain, Leave, Listed for the list; Arrive, Outcome, Began, Vanish for transactions; Probed), and
-// one Round(now, w), which writes all decisions into w. The interface, Writer, and all types and state are in
-// types.go; why it decides so is in docs/design.md.
+// (Join, List, Drain, Leave, Listed for the list; Arrive, Outcome, Began, Vanish for transactions; Probed),
+// and one Round(now, w), which writes all decisions into w. The interface, Writer, and all types and state
+// are in types.go; why it decides so is in docs/design.md.
 package logic
 
 import (
