--- a/logic/helpers_test.go
+++ b/logic/helpers_test.go
@@ -40,6 +40,7 @@
 
 type sending struct {
 	upstream int
+	listed   Upstream // as it was when sent
 	at       int64
 	due      int64 // when its result comes
 	result   Result
@@ -151,7 +152,7 @@
 		w.t.Fatalf("once-only work sent again though it may have run")
 	case first != nil && o.tariff.Repeat == Tagged && w.now > first.at+o.tariff.Remembered:
 		w.t.Fatalf("tagged work sent again after its mark is forgotten")
-	case first != nil && o.tariff.Repeat == Tagged && !w.grouped(o.tariff.Group, first.upstream, i):
+	case first != nil && o.tariff.Repeat == Tagged && !grouped(o.tariff.Group, first.listed, w.up[i]):
 		w.t.Fatalf("tagged work sent again outside its group")
 	}
 	for _, p := range o.pushes {
@@ -166,12 +167,12 @@
 	if age := w.now - w.born[i]; w.born[i] != 0 && age < w.terms.WarmUp {
 		w.cold(i, float64(age)/float64(w.terms.WarmUp))
 	}
-	o.pushes = append(o.pushes, &sending{upstream: i, at: w.now, due: w.now + w.rand.Int64N(400*ms)})
+	o.pushes = append(o.pushes, &sending{upstream: i, listed: w.up[i], at: w.now, due: w.now + w.rand.Int64N(400*ms)})
 	w.pushed = append(w.pushed, i)
 }
 
-func (w *world) grouped(g Group, a, b int) bool {
-	return g == Everywhere || w.up[a].Zone == w.up[b].Zone && (g == SameZone || w.up[a].Cell == w.up[b].Cell)
+func grouped(g Group, a, b Upstream) bool {
+	return g == Everywhere || a.Zone == b.Zone && (g == SameZone || a.Cell == b.Cell)
 }
 
 // cold checks the budget of a cold upstream: no more than its warmth's part of what warm ones of its weight
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -377,18 +377,13 @@
 		b.open++
 		b.inHand += t.share()
 	}
-	if t.anchor < 0 {
-		t.mayRun = b.now
-	}
-	t.pushes = append(t.pushes, Push{upstream: i, sent: b.now, out: true, copy: copied})
+	p := Push{upstream: i, zone: b.zone[i], cell: b.cell[i], sent: b.now, out: true, copy: copied}
+	t.pushes = append(t.pushes, p)
 	t.out++
 	b.flying[i]++
 	if b.warmth(i) < 1 {
 		b.purse[i]--
 	}
-	if t.anchor < 0 {
-		t.anchor = i
-	}
 	b.w.Push(t, i, t.stop)
 }
 
@@ -402,7 +397,7 @@
 	case t.anchor < 0 || t.tariff.Repeat == Repeatable:
 		return true
 	case t.tariff.Repeat == Tagged:
-		return b.now < t.mayRun+t.tariff.Remembered
+		return b.now < t.pushes[t.anchor].sent+t.tariff.Remembered
 	}
 	return false
 }
@@ -412,7 +407,7 @@
 	t.anchor = -1
 	for n := range t.pushes {
 		if p := &t.pushes[n]; p.out || !p.result.NeverRan() {
-			t.anchor, t.mayRun = p.upstream, p.sent
+			t.anchor = n
 			return
 		}
 	}
@@ -423,10 +418,8 @@
 	if t.anchor < 0 || t.tariff.Repeat != Tagged || t.tariff.Group == Everywhere {
 		return true
 	}
-	if t.tariff.Group == SameZone {
-		return b.zone[i] == b.zone[t.anchor]
-	}
-	return b.cell[i] == b.cell[t.anchor] && b.zone[i] == b.zone[t.anchor]
+	bound := &t.pushes[t.anchor]
+	return b.zone[i] == bound.zone && (t.tariff.Group == SameZone || b.cell[i] == bound.cell)
 }
 
 // next takes the next upstream by smooth weighted round robin, skipping those well above the mean in flight.
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -349,6 +349,22 @@
 	}
 }
 
+func TestIndexWithANewOwnerIsNotTheOldGroup(t *testing.T) {
+	w := newWorld(t, terms(tariff(Tagged, SameCell)), 2, 1)
+	w.list(1, Upstream{Weight: 1, Cell: 1})
+	w.b.bucket, w.b.turn[0] = 10, 10
+	o := w.arrive(0, 2*s)
+	w.round(ms)
+	w.told[0] = w.now
+	w.b.Leave(0)
+	w.result(o, 0, Errored) // may have run in cell 0
+	w.list(w.b.Join(), Upstream{Weight: 1, Cell: 1})
+	w.round(ms)
+	if len(o.pushes) != 1 || w.finals["forfeited"] != 1 {
+		t.Errorf("%d pushes, answers %v: want one push and a forfeit", len(o.pushes), w.finals)
+	}
+}
+
 func TestTermsThatCannotWork(t *testing.T) {
 	for n, spoil := range []func(*Terms){
 		func(t *Terms) { t.Balancers = 0 }, func(t *Terms) { t.Tariffs = nil },
--- a/logic/types.go
+++ b/logic/types.go
@@ -92,6 +92,8 @@
 // Push is one sending of a transaction to an upstream.
 type Push struct {
 	upstream int
+	zone     int // of the upstream when it was sent: its index may have a new owner since
+	cell     int
 	sent     int64
 	result   Result
 	out      bool // no result yet
@@ -112,9 +114,8 @@
 	due      int64 // next moment to look at it
 	slot     int   // place among the due times, -1 if none
 	pushes   []Push
-	out      int // pushes without a result
-	mayRun   int64
-	anchor   int     // first upstream on which it may have run, -1 if none
+	out      int     // pushes without a result
+	anchor   int     // first push that may have run, -1 if none
 	queued   bool    // among those to look at in this round
 	again    bool    // a try repeated by its client
 	value    float64 // what it may earn, for its place in line
