Cleared up after a reading: zone factor worked out once, room only kept at the front, dead test state out

The factor for away zones was computed for each upstream twice a pick, though it never changes; inner tiers kept a bound on what is in hand that they never ask for. recall and tried need no balancer, what counts against room has one name, and comments say what the figures count now.

--- a/logic/helpers_test.go
+++ b/logic/helpers_test.go
@@ -22,20 +22,17 @@
 	best   map[int]float64
 	probes map[int]int64
 	up     []Upstream
-	wake   int64
-	copies int
 	most   float64 // the largest bucket that recent first sends ever allowed
 	finals map[string]int
 	pushed []int // upstreams in the order of the pushes
 }
 
 type owed struct {
-	t        *Transaction
-	tariff   *Tariff
-	stop     int64
-	final    bool
-	streamed bool
-	pushes   []*sending
+	t      *Transaction
+	tariff *Tariff
+	stop   int64
+	final  bool
+	pushes []*sending
 }
 
 type sending struct {
@@ -114,7 +111,7 @@
 		w.best[i] = max(w.best[i], w.b.pace*u.Weight*float64(w.terms.FallSpan))
 	}
 	for _, o := range w.owed {
-		if !o.final && !o.streamed && w.now >= o.stop {
+		if !o.final && w.now >= o.stop {
 			w.t.Fatalf("no final answer at the hard stop")
 		}
 	}
@@ -157,7 +154,6 @@
 	}
 	for _, p := range o.pushes {
 		if !p.done {
-			w.copies++
 			if !w.terms.SecondCopies {
 				w.t.Fatalf("two pushes out though second copies are forbidden")
 			}
@@ -220,5 +216,5 @@
 func (w *world) Forfeit(t *Transaction) { w.end(t, "forfeited") }
 func (w *world) Probe(i int)            { w.probes[i] = w.now + 20*ms }
 func (w *world) Follow()                { w.finals["followed"]++ }
-func (w *world) Wake(at int64)          { w.wake = at }
+func (w *world) Wake(at int64)          {}
 func (w *world) Note(string)            {}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -64,6 +64,13 @@
 	}
 	b := &Balancer{terms: terms, now: now, carry: terms.Seed<<1 | 1, allowance: 1, bucket: 1, room: math.Inf(1),
 		started: now}
+	// The dearer crossings are, the fewer turns go to another zone. Clients don't come evenly from all zones, so
+	// at the front it weighs far less.
+	care := zoneCare
+	if terms.Layer == 0 {
+		care = frontCare
+	}
+	b.away = 1 / (1 + care*terms.CrossZonePrice)
 	b.turnsAt, b.winTurn, b.nextBit = now+window/panes, now+winWindow/wins, now+beat
 	for _, c := range terms.Customers {
 		c.purse, c.filled = c.Rate/float64(terms.Balancers), now
@@ -344,7 +351,7 @@
 // end gives the final answer: a deferral if it is certain that trying again is harmless, else a forfeit.
 func (b *Balancer) end(t *Transaction) {
 	b.unschedule(t)
-	b.recall(t)
+	t.recall()
 	harmless := t.anchor < 0 || t.tariff.Repeat == Repeatable ||
 		t.tariff.Repeat == Tagged && t.tariff.Group == Everywhere
 	b.close(t)
@@ -392,7 +399,7 @@
 	if len(t.pushes) >= b.terms.MaxPushes {
 		return false
 	}
-	b.recall(t)
+	t.recall()
 	switch {
 	case t.anchor < 0 || t.tariff.Repeat == Repeatable:
 		return true
@@ -403,7 +410,7 @@
 }
 
 // recall finds the first push that may have run: pushes that provably never ran bind nothing.
-func (b *Balancer) recall(t *Transaction) {
+func (t *Transaction) recall() {
 	t.anchor = -1
 	for n := range t.pushes {
 		if p := &t.pushes[n]; p.out || !p.result.NeverRan() {
@@ -434,7 +441,7 @@
 	best, spare := -1, -1
 	sum, least := 0.0, math.Inf(1)
 	for i, ready := range b.ready {
-		if !ready || b.aside[i] != 0 || b.tried(t, i) || !b.within(t, i) {
+		if !ready || b.aside[i] != 0 || t.tried(i) || !b.within(t, i) {
 			continue
 		}
 		share := b.weight[i] * b.near(i)
@@ -468,7 +475,7 @@
 	}
 	// All in service are out of the question: one set aside is better than none, if it may be sent anything.
 	for i, ready := range b.ready {
-		if ready && b.aside[i] != 0 && !b.tried(t, i) && b.within(t, i) && (b.warmth(i) == 1 || b.fill(i) >= 1) {
+		if ready && b.aside[i] != 0 && !t.tried(i) && b.within(t, i) && (b.warmth(i) == 1 || b.fill(i) >= 1) {
 			if spare < 0 || b.flying[i] < b.flying[spare] {
 				spare = i
 			}
@@ -477,21 +484,16 @@
 	return spare
 }
 
-// near lessens the turns of upstreams in another zone, the more the dearer crossings are. Clients don't come
-// evenly from all zones, so at the front it weighs far less.
+// near lessens the turns of upstreams in another zone.
 func (b *Balancer) near(i int) float64 {
-	care := zoneCare
-	if b.terms.Layer == 0 {
-		care = frontCare
-	}
 	if b.zone[i] == b.terms.Zone {
 		return 1
 	}
-	return 1 / (1 + care*b.terms.CrossZonePrice)
+	return b.away
 }
 
 // tried reports whether a transaction went to an upstream already.
-func (b *Balancer) tried(t *Transaction, i int) bool {
+func (t *Transaction) tried(i int) bool {
 	for n := range t.pushes {
 		if t.pushes[n].upstream == i {
 			return true
@@ -654,9 +656,12 @@
 	if t.value < t.tariff.Earnings {
 		room *= 0.85
 	}
-	return float64(b.open-b.stuckAll) < room
+	return b.counted() < room
 }
 
+// counted is what is in hand and takes up room: what hangs does not.
+func (b *Balancer) counted() float64 { return float64(b.open - b.stuckAll) }
+
 // appraise sets what a transaction may earn, by which the line is ordered.
 func (b *Balancer) appraise(t *Transaction) {
 	t.value = t.tariff.Earnings
@@ -754,7 +759,9 @@
 		b.pace += min(1, span/float64(4*s)) * (float64(b.settled)/span/total - b.pace)
 	}
 	b.settled = 0
-	b.makeRoom(span)
+	if b.terms.Layer == 0 {
+		b.makeRoom(span)
+	}
 	b.nextBit = b.now + beat
 }
 
@@ -781,12 +788,12 @@
 	b.base = min(ample, usual, b.base*(1+span/float64(300*s)))
 	b.best = max(b.best*(1-span/float64(40*s)), b.longRate/b.strength)
 	// What sustains the best rate at the least time taken, in transactions as they are mixed now.
-	mix := float64(b.open-b.stuckAll) / max(b.inHand, 1e-9)
+	mix := b.counted() / max(b.inHand, 1e-9)
 	few := 2 + float64(fewHeld*n)/float64(b.terms.Balancers)
 	full := b.best * strength * b.base * mix // danger: what is left must not be sent what the whole bore
 	if b.load > crowded*b.base*b.rate {
 		b.room = max(few, 0.8*full, 0.93*min(b.room, float64(b.open)))
-	} else if float64(b.open-b.stuckAll) > 0.8*b.room {
+	} else if b.counted() > 0.8*b.room {
 		b.room = min(b.room+max(1, 0.06*b.room), max(few, 2*full))
 	}
 }
--- a/logic/types.go
+++ b/logic/types.go
@@ -99,7 +99,7 @@
 	out      bool // no result yet
 	copy     bool
 	lost     bool // cancelled, result not in yet
-	overdue  bool // outran the quantile; evidence already counted
+	overdue  bool // late: evidence already counted
 }
 
 // Transaction is one piece of work for a client, owed exactly one final answer.
@@ -120,7 +120,7 @@
 	again    bool    // a try repeated by its client
 	value    float64 // what it may earn, for its place in line
 	inLine   bool    // waits for room
-	stuck    bool    // outran the quantile
+	stuck    bool    // has had a late push
 	held     bool    // taken into the count of transactions in hand
 	streams  *Push   // whose answer has begun
 	over     bool    // has had its final answer
@@ -142,6 +142,7 @@
 	weight   []float64
 	zone     []int
 	cell     []int
+	away     float64 // what turns in another zone are cut to
 	born     []int64 // 0: warm since long ago
 	turn     []float64
 	flying   []int     // pushes out
@@ -184,16 +185,16 @@
 
 	room     float64        // transactions in hand at most
 	line     []*Transaction // waiting for room, what earns most first
-	ends     float64        // settled pushes since the last beat
-	stuckAll int            // in hand with a push that outran the quantile
+	ends     float64        // left the load since the last beat, settled or not
+	stuckAll int            // in hand with a late push
 	inHand   float64        // sum of one over the contract time of all others in hand
 	load     float64        // the same over the last second
-	rate     float64        // and settled a nanosecond
+	rate     float64        // and what left it a nanosecond
 	longLoad float64        // both over five seconds
 	longRate float64
 	base     float64 // the least share of its contract time that a transaction took
 	strength float64 // of what is in service, over five seconds
-	best     float64 // the most settled a nanosecond and unit of strength
+	best     float64 // the most that left a nanosecond and unit of strength
 	beats    float64
 	started  int64
 	nextBit  int64
