--- a/logic/logic.go
+++ b/logic/logic.go
@@ -110,7 +110,7 @@
 func (b *Balancer) reset(i int) {
 	b.doubt[i], b.good[i], b.bad[i], b.trial[i] = 0, 0, 0, 0
 	b.aside[i], b.spell[i], b.answered[i], b.dead[i] = 0, 0, 0, false
-	b.turn[i], b.purse[i], b.filled[i] = b.chance(), b.chance(), b.now
+	b.turn[i], b.purse[i], b.filled[i] = math.NaN(), b.chance(), b.now
 }
 
 // List says that an upstream takes work, and how the list describes it.
@@ -444,6 +444,11 @@
 		if !ready || b.aside[i] != 0 || t.tried(i) || !b.within(t, i) {
 			continue
 		}
+		// A start anywhere in the round. Danger: balancers that start with a small part of it all pick the
+		// heavy ones first, and over a long list that fills the first seconds.
+		if math.IsNaN(b.turn[i]) {
+			b.turn[i] = b.chance() * total
+		}
 		share := b.weight[i] * b.near(i)
 		if warm := b.warmth(i); warm < 1 {
 			share *= warm
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -377,3 +377,20 @@
 		}
 	}
 }
+
+func TestBalancersTogetherStartAnywhereInTheRound(t *testing.T) {
+	heavy := 0
+	for seed := range uint64(300) {
+		terms := terms(tariff(Repeatable, Everywhere))
+		terms.Seed = seed * 0x9e3779b97f4a7c15 >> 32
+		w := newWorld(t, terms, 40, seed)
+		for i := range w.up {
+			w.list(i, Upstream{Weight: float64(1 + i%2*2)})
+		}
+		w.feed(1, ms)
+		heavy += w.pushed[0] % 2
+	}
+	if heavy < 195 || heavy > 255 {
+		t.Errorf("%d of 300 first pushes go to the heavy half, which has three quarters of the weight", heavy)
+	}
+}
