--- a/logic/logic.go
+++ b/logic/logic.go
@@ -33,14 +33,15 @@
 	buckets = 128
 	wins    = 4
 
-	wellAbove = 0.25  // skip an upstream with this many pushes more in flight than its part of the mean
-	ample     = 0.35  // at most this share of its contract time is usual for an uncrowded transaction
-	fewHeld   = 4     // transactions in hand for each upstream that crowd nobody
-	zoneCare  = 200.0 // between tiers a crossing priced at a two-hundredth of the earnings halves the turns
-	frontCare = 10.0  // and at the front one priced at a tenth
-	longFor   = 5     // silence for this many usual times is long, whatever the quantile says
-	beat      = 200 * ms
-	crowded   = 1.4 // room shrinks while answers take this many times longer than at best
+	wellAbove  = 0.25  // skip an upstream with this many pushes more in flight than its part of the mean
+	ample      = 0.35  // at most this share of its contract time is usual for an uncrowded transaction
+	fewHeld    = 4     // transactions in hand for each upstream that crowd nobody
+	zoneCare   = 200.0 // between tiers a crossing priced at a two-hundredth of the earnings halves the turns
+	frontCare  = 10.0  // and at the front one priced at a tenth
+	chanceCome = 4     // transactions of a customer that may come at once by chance
+	longFor    = 5     // silence for this many usual times is long, whatever the quantile says
+	beat       = 200 * ms
+	crowded    = 1.4 // room shrinks while answers take this many times longer than at best
 
 	setAsideAt = 4.5 // log odds at which an upstream is set aside
 	mostAside  = 0.4 // of the list's weight may be set aside
@@ -73,7 +74,7 @@
 	b.away = 1 / (1 + care*terms.CrossZonePrice)
 	b.turnsAt, b.winTurn, b.nextBit = now+window/panes, now+winWindow/wins, now+beat
 	for _, c := range terms.Customers {
-		c.purse, c.filled = c.Rate/float64(terms.Balancers), now
+		c.purse, c.filled = c.Rate/float64(terms.Balancers)+chanceCome, now
 	}
 	return b, nil
 }
@@ -675,7 +676,8 @@
 	}
 	if c := t.customer; c != nil {
 		rate := c.Rate / float64(b.terms.Balancers)
-		c.purse = min(2*rate, c.purse+rate*float64(b.now-c.filled)/float64(s))
+		// Danger: a part of under one transaction a second, and all that a customer sends is beyond its share.
+		c.purse = min(2*rate+chanceCome, c.purse+rate*float64(b.now-c.filled)/float64(s))
 		c.filled = b.now
 		if c.purse < 1 {
 			t.value *= b.terms.BeyondShare
