--- a/logic/logic.go
+++ b/logic/logic.go
@@ -43,6 +43,8 @@
 	beat       = 200 * ms
 	crowded    = 1.4 // room shrinks while answers take this many times longer than at best
 
+	meanOver = 500 * ms
+
 	setAsideAt = 4.5 // log odds at which an upstream is set aside
 	mostAside  = 0.4 // of the list's weight may be set aside
 	firstAside = 2500 * ms
@@ -64,7 +66,7 @@
 		return nil, errors.New("terms: the cold share is not within 0 to 1")
 	}
 	b := &Balancer{terms: terms, now: now, carry: terms.Seed<<1 | 1, allowance: 1, bucket: 1, room: math.Inf(1),
-		started: now}
+		started: now, last: now}
 	// The dearer crossings are, the fewer turns go to another zone. Clients don't come evenly from all zones, so
 	// at the front it weighs far less.
 	care := zoneCare
@@ -233,7 +235,8 @@
 
 // Round decides on all that came in. Calls off losers, starts pushes and copies, and gives final answers.
 func (b *Balancer) Round(now int64, w Writer) {
-	b.now, b.w = now, w
+	b.mean += (1 - math.Exp(-float64(now-b.last)/float64(meanOver))) * (b.stood - b.mean)
+	b.now, b.w, b.last = now, w, now
 	if b.terms.AskForList && !b.following && now >= b.follow {
 		b.following = true
 		w.Follow()
@@ -267,7 +270,7 @@
 		b.wake = max(next, now+1)
 		w.Wake(b.wake)
 	}
-	b.w = nil
+	b.w, b.stood = nil, b.counted()
 }
 
 // decide is the way of one transaction, from its arrival to its final answer.
@@ -662,7 +665,9 @@
 	if t.value < t.tariff.Earnings {
 		room *= 0.85
 	}
-	return b.counted() < room
+	// Danger: with few in hand chance alone fills a fixed bound, while all balancers together have room. So the
+	// bound holds for the mean, and what comes by chance may stand above it for a while.
+	return b.mean < room && b.counted() < room+2*math.Sqrt(room)
 }
 
 // counted is what is in hand and takes up room: what hangs does not.
--- a/logic/types.go
+++ b/logic/types.go
@@ -184,6 +184,9 @@
 	allowance float64
 
 	room     float64        // transactions in hand at most
+	stood    float64        // transactions in hand at the end of the last round
+	last     int64          // when that was
+	mean     float64        // of those in hand
 	line     []*Transaction // waiting for room, what earns most first
 	ends     float64        // left the load since the last beat, settled or not
 	stuckAll int            // in hand with a late push
