--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -327,8 +327,8 @@
 		t.Errorf("%d of 3 deferred by a quarter of the contract time", w.finals["deferred"])
 	}
 	w.until(w.now + s/4)
-	w.result(w.owed[0], 0, Settled)
-	w.result(w.owed[1], 0, Settled)
+	w.result(w.owed[2], 0, Settled)
+	w.result(w.owed[3], 0, Settled)
 	w.arrive(0, 3*s)
 	if w.round(ms); w.b.open != 3 {
 		t.Errorf("%d in hand, the mean was over room for 2", w.b.open)
