--- a/logic/logic.go
+++ b/logic/logic.go
@@ -7,6 +7,7 @@
 package logic
 
 import (
+	"cmp"
 	"container/heap"
 	"errors"
 	"math"
@@ -43,6 +44,8 @@
 	beat       = 200 * ms
 	crowded    = 1.4 // room shrinks while answers take this many times longer than at best
 
+	metBy    = 8 // balancers, at the least, that meet an upstream
+	fewOwn   = 4 // upstreams, at the least, for one balancer
 	meanOver = 500 * ms
 
 	setAsideAt = 4.5 // log odds at which an upstream is set aside
@@ -99,6 +102,7 @@
 	i := len(b.known)
 	b.known, b.ready = append(b.known, true), append(b.ready, false)
 	b.weight, b.turn, b.doubt = append(b.weight, 1), append(b.turn, 0), append(b.doubt, 0)
+	b.number, b.part = append(b.number, 0), append(b.part, 0)
 	b.zone, b.cell = append(b.zone, 0), append(b.cell, 0)
 	b.flying = append(b.flying, 0)
 	b.good, b.bad, b.trial = append(b.good, 0), append(b.bad, 0), append(b.trial, 0)
@@ -112,6 +116,7 @@
 // reset forgets what was learnt of an upstream.
 func (b *Balancer) reset(i int) {
 	b.doubt[i], b.good[i], b.bad[i], b.trial[i] = 0, 0, 0, 0
+	b.moved = true
 	b.aside[i], b.spell[i], b.answered[i], b.dead[i] = 0, 0, 0, false
 	b.turn[i], b.purse[i], b.filled[i] = math.NaN(), b.chance(), b.now
 }
@@ -122,6 +127,8 @@
 	if u.Born > b.born[i] && b.ready[i] {
 		b.reset(i) // the same machine, started anew: nothing known of it holds, and it is cold
 	}
+	b.moved = b.moved || !b.ready[i] || u.Weight != b.weight[i] || u.Zone != b.zone[i] || u.Number != b.number[i]
+	b.number[i] = u.Number
 	// A later start than the one listed may have been guessed from a return after a spell of refused
 	// connections.
 	b.ready[i], b.weight[i], b.zone[i], b.cell[i] = true, math.Max(u.Weight, 1e-6), u.Zone, u.Cell
@@ -129,10 +136,10 @@
 }
 
 // Drain says that an upstream drains: nothing new goes there from this round on, well within any grace.
-func (b *Balancer) Drain(i int) { b.ready[i] = false }
+func (b *Balancer) Drain(i int) { b.ready[i], b.moved = false, true }
 
 // Leave says that an upstream is gone; its index may be used again once nothing of it is out.
-func (b *Balancer) Leave(i int) { b.ready[i], b.known[i], b.aside[i] = false, false, 0 }
+func (b *Balancer) Leave(i int) { b.ready[i], b.known[i], b.aside[i], b.moved = false, false, 0, true }
 
 // Listed says how a question to the list ended, or that a report of it came.
 func (b *Balancer) Listed(ok bool, now int64) {
@@ -237,6 +244,9 @@
 func (b *Balancer) Round(now int64, w Writer) {
 	b.mean += (1 - math.Exp(-float64(now-b.last)/float64(meanOver))) * (b.stood - b.mean)
 	b.now, b.w, b.last = now, w, now
+	if b.moved {
+		b.divide()
+	}
 	if b.terms.AskForList && !b.following && now >= b.follow {
 		b.following = true
 		w.Follow()
@@ -436,16 +446,16 @@
 // next takes the next upstream by smooth weighted round robin, skipping those well above the mean in flight.
 func (b *Balancer) next(t *Transaction) int {
 	flying, total := 0.0, 0.0
-	for i, ready := range b.ready {
-		if ready && b.aside[i] == 0 {
+	for _, i := range b.own {
+		if b.aside[i] == 0 {
 			flying += float64(b.flying[i])
-			total += b.weight[i] * b.warmth(i) * b.near(i)
+			total += b.part[i] * b.warmth(i) * b.near(i)
 		}
 	}
 	best, spare := -1, -1
 	sum, least := 0.0, math.Inf(1)
-	for i, ready := range b.ready {
-		if !ready || b.aside[i] != 0 || t.tried(i) || !b.within(t, i) {
+	for _, i := range b.own {
+		if b.aside[i] != 0 || t.tried(i) || !b.within(t, i) {
 			continue
 		}
 		// A start anywhere in the round. Danger: balancers that start with a small part of it all pick the
@@ -453,7 +463,7 @@
 		if math.IsNaN(b.turn[i]) {
 			b.turn[i] = b.chance() * total
 		}
-		share := b.weight[i] * b.near(i)
+		share := b.part[i] * b.near(i)
 		if warm := b.warmth(i); warm < 1 {
 			share *= warm
 			if b.fill(i) < 1 || len(t.pushes) > 0 {
@@ -482,17 +492,69 @@
 	if spare >= 0 {
 		return spare
 	}
-	// All in service are out of the question: one set aside is better than none, if it may be sent anything.
-	for i, ready := range b.ready {
-		if ready && b.aside[i] != 0 && !t.tried(i) && b.within(t, i) && (b.warmth(i) == 1 || b.fill(i) >= 1) {
-			if spare < 0 || b.flying[i] < b.flying[spare] {
-				spare = i
-			}
+	// All of its own in service are out of the question: another's, or one set aside, is better than none, if
+	// it may be sent anything. Danger: all balancers turn to the same one; so they look from anywhere on.
+	from := int(b.chance() * float64(len(b.ready)))
+	for k := range b.ready {
+		i := (from + k) % len(b.ready)
+		if !b.ready[i] || t.tried(i) || !b.within(t, i) || b.warmth(i) < 1 && (b.part[i] == 0 || b.fill(i) < 1) {
+			continue
+		}
+		if load := float64(b.flying[i]); b.aside[i] == 0 && load < least {
+			least, spare = load, i
+		} else if load += 1e6; load < least {
+			least, spare = load, i
 		}
 	}
 	return spare
 }
 
+// divide gives this balancer its part of a long list. Danger: hundreds that each go round all of it meet an
+// upstream too seldom to know it, and pay a connection for every push. So the balancers are dealt out to a few
+// rounds; those of a round share all upstreams out among them, in an order of its own, each zone for itself.
+func (b *Balancer) divide() {
+	b.moved, b.own = false, b.own[:0]
+	for i, ready := range b.ready {
+		b.part[i] = 0
+		if ready {
+			b.own = append(b.own, i)
+		}
+	}
+	rounds := metBy // each upstream is met by one balancer of every round
+	for len(b.own) > 0 && rounds*len(b.own) < fewOwn*b.terms.Balancers {
+		rounds *= 2
+	}
+	round := b.terms.Index % rounds
+	parts := float64((b.terms.Balancers-1-round)/rounds + 1)
+	from := float64(b.terms.Index / rounds)
+	slices.SortStableFunc(b.own, func(i, j int) int {
+		if b.zone[i] != b.zone[j] {
+			return b.zone[i] - b.zone[j]
+		}
+		return cmp.Compare(shuffled(b.number[i], round), shuffled(b.number[j], round))
+	})
+	for first := 0; first < len(b.own); {
+		next, total, at := first, 0.0, 0.0
+		for ; next < len(b.own) && b.zone[b.own[next]] == b.zone[b.own[first]]; next++ {
+			total += b.weight[b.own[next]]
+		}
+		for _, i := range b.own[first:next] {
+			to := at + b.weight[i]*parts/total
+			b.part[i] = max(0, min(to, from+1)-max(at, from)) * total / parts
+			at = to
+		}
+		first = next
+	}
+	b.own = slices.DeleteFunc(b.own, func(i int) bool { return b.part[i] < 1e-6*b.weight[i] })
+	slices.Sort(b.own)
+}
+
+// shuffled puts numbers in an order that is the same at every balancer and another one for each round.
+func shuffled(number uint32, round int) uint64 {
+	x := (uint64(number)<<16 | uint64(round)) * 0x9e3779b97f4a7c15
+	return (x ^ x>>29) * 0xbf58476d1ce4e5b9
+}
+
 // near lessens the turns of upstreams in another zone.
 func (b *Balancer) near(i int) float64 {
 	if b.zone[i] == b.terms.Zone {
@@ -525,7 +587,7 @@
 // present warmth. Warm ones can't settle more than their capacity, so all together stay below it, and what
 // the terms bear is the margin.
 func (b *Balancer) fill(i int) float64 {
-	rate := b.pace * b.weight[i] * b.warmth(i) * min(1, b.terms.FallMultiple/2)
+	rate := b.pace * b.part[i] * b.warmth(i) * min(1, b.terms.FallMultiple/2)
 	if b.pace == 0 {
 		rate = 1 / float64(b.terms.FallSpan) // no warm one to learn from
 	}
@@ -624,13 +686,11 @@
 }
 
 func (b *Balancer) setAside(i int) {
-	out, total := b.weight[i], 0.0
-	for j, ready := range b.ready {
-		if ready {
-			total += b.weight[j]
-			if b.aside[j] != 0 {
-				out += b.weight[j]
-			}
+	out, total := b.part[i], 0.0
+	for _, j := range b.own {
+		total += b.part[j]
+		if b.aside[j] != 0 {
+			out += b.part[j]
 		}
 	}
 	// Danger: a cut between zones puts half out of reach; what can't be reached carries nothing and needs no
@@ -754,7 +814,7 @@
 	total := 0.0
 	for i, ready := range b.ready {
 		if ready && b.aside[i] == 0 && b.warmth(i) == 1 {
-			total += b.weight[i]
+			total += b.part[i]
 		}
 		if ready && b.aside[i] != 0 && b.now >= b.aside[i] {
 			if !b.terms.Probing {
@@ -815,7 +875,7 @@
 	for i, ready := range b.ready {
 		if ready && b.aside[i] == 0 {
 			n++
-			strength += b.weight[i] * b.warmth(i)
+			strength += b.part[i] * b.warmth(i)
 		}
 	}
 	return n, strength
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 )
@@ -14,6 +15,7 @@
 	t.SecondCopies, t.Cancelling, t.Probing = seed%4 != 0, seed%5 != 0, seed%7 != 0
 	t.AskForList, t.MaxPushes = seed%2 == 0, 1+int(seed%6)
 	t.Tariffs[0].LateEarnings = float64(seed % 2)
+	t.Balancers, t.Index = []int{2, 30, 400}[seed/4%3], int(seed%2)
 	return t
 }
 
@@ -401,3 +403,49 @@
 		t.Errorf("%d of 300 first pushes go to the heavy half, which has three quarters of the weight", heavy)
 	}
 }
+
+// FuzzDivision deals lists of any make out to balancers of any number: each upstream's weight falls to them
+// in full, and a few balancers each have the whole list.
+func FuzzDivision(f *testing.F) {
+	for _, n := range []uint16{1, 2, 7, 8, 9, 23, 64, 310, 1000} {
+		f.Add(n, uint8(n%90+1))
+	}
+	f.Fuzz(func(t *testing.T, balancers uint16, upstreams uint8) {
+		all, list := int(balancers%1024)+1, make([]Upstream, upstreams)
+		got, met := make([]float64, len(list)), make([]int, len(list))
+		for i := range list {
+			list[i] = Upstream{Number: uint32(i * i * 977), Weight: float64(1 + i%3), Zone: i % 2, Cell: i / 4}
+		}
+		for index := range all {
+			terms := terms(tariff(Repeatable, Everywhere))
+			terms.Balancers, terms.Index = all, index
+			w := newWorld(t, terms, 0, 1)
+			for k := range list { // the list comes to each in another order
+				i := (k + index) % len(list)
+				w.list(w.b.Join(), list[i])
+			}
+			w.round(ms)
+			for k, part := range w.b.part {
+				i := (k + index) % len(list)
+				got[i] += part
+				if part > 0 {
+					met[i]++
+				}
+				if all <= metBy && len(list)*metBy >= fewOwn*all && part < list[i].Weight-1e-9 {
+					t.Errorf("%d of %d balancers has %.2f of weight %.0f", index, all, part, list[i].Weight)
+				}
+			}
+			if len(list) > 0 && len(w.b.own) == 0 {
+				t.Errorf("%d of %d balancers has no upstream of its own", index, all)
+			}
+		}
+		for i, u := range list {
+			if want := got[0] / list[0].Weight * u.Weight; math.Abs(got[i]-want) > 1e-6*want {
+				t.Errorf("%d balancers turn to upstream %d with %.3f in all, want %.3f", all, i, got[i], want)
+			}
+			if met[i] < min(metBy, all) {
+				t.Errorf("upstream %d is met by %d of %d balancers", i, met[i], all)
+			}
+		}
+	})
+}
--- a/logic/types.go
+++ b/logic/types.go
@@ -41,6 +41,7 @@
 type Terms struct {
 	Seed      uint64
 	Balancers int // balancers of this tier, this one included
+	Index     int // the place of this one among them
 	Layer     int // 0 where clients are served
 	Zone      int
 	Tariffs   []*Tariff
@@ -63,6 +64,7 @@
 
 // Upstream describes one entry of the list.
 type Upstream struct {
+	Number uint32 // the same at every balancer; it tells nothing else
 	Weight float64
 	Zone   int
 	Cell   int
@@ -139,7 +141,11 @@
 	// Upstreams under their index.
 	known    []bool // slot in use
 	ready    []bool // listed and not draining
+	number   []uint32
 	weight   []float64
+	part     []float64 // of its weight, that falls to this balancer
+	own      []int     // those with a part, by index
+	moved    bool      // the list has changed since they were chosen
 	zone     []int
 	cell     []int
 	away     float64 // what turns in another zone are cut to
