--- a/logic/helpers_test.go
+++ b/logic/helpers_test.go
@@ -81,7 +81,9 @@
 		w.up = append(w.up, Upstream{})
 	}
 	w.up[i] = u
-	w.born[i] = u.Born
+	if u.Born != w.born[i] {
+		w.born[i], w.sent[i] = u.Born, nil
+	}
 	delete(w.told, i)
 	w.b.List(i, u, w.now)
 }
@@ -107,7 +109,7 @@
 	w.now += step
 	w.b.Round(w.now, w)
 	w.most = max(w.most, 1, bucketPart*float64(sum(w.b.sends[:])))
-	for i, u := range w.up { // the pace may fall again while what it allowed is still within the span
+	for i := range w.up { // the pace may fall again while what it allowed is still within the span
 		w.best[i] = max(w.best[i], w.b.pace*w.b.part[i]*float64(w.terms.FallSpan))
 	}
 	for _, o := range w.owed {
@@ -181,6 +183,7 @@
 			recent++
 		}
 	}
+	w.best[i] = max(w.best[i], w.b.pace*w.b.part[i]*float64(w.terms.FallSpan))
 	share := w.terms.ColdShare + (1-w.terms.ColdShare)*age
 	if limit := 1.5*share*w.best[i] + 2; float64(recent) > limit {
 		w.t.Fatalf("%d pushes to a cold upstream within the span, %.1f are bearable", recent, limit)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -515,6 +515,9 @@
 func (b *Balancer) divide() {
 	b.moved, b.own = false, b.own[:0]
 	for i, ready := range b.ready {
+		if b.part[i] == 0 { // Danger: what fell to another until now would bring a full purse
+			b.purse[i], b.filled[i] = b.chance(), b.now
+		}
 		b.part[i] = 0
 		if ready {
 			b.own = append(b.own, i)
@@ -524,6 +527,7 @@
 	for len(b.own) > 0 && rounds*len(b.own) < fewOwn*b.terms.Balancers {
 		rounds *= 2
 	}
+	b.met = min(rounds, b.terms.Balancers)
 	round := b.terms.Index % rounds
 	parts := float64((b.terms.Balancers-1-round)/rounds + 1)
 	from := float64(b.terms.Index / rounds)
@@ -589,7 +593,7 @@
 func (b *Balancer) fill(i int) float64 {
 	rate := b.pace * b.part[i] * b.warmth(i) * min(1, b.terms.FallMultiple/2)
 	if b.pace == 0 {
-		rate = 1 / float64(b.terms.FallSpan) // no warm one to learn from
+		rate = min(1, 2/float64(b.met)) / float64(b.terms.FallSpan) // no warm one to learn from
 	}
 	hold := 1 + rate*float64(b.terms.FallSpan)/4
 	b.purse[i] = min(hold, b.purse[i]+rate*float64(b.now-b.filled[i]))
--- a/logic/types.go
+++ b/logic/types.go
@@ -145,6 +145,7 @@
 	weight   []float64
 	part     []float64 // of its weight, that falls to this balancer
 	own      []int     // those with a part, by index
+	met      int       // balancers that meet an upstream
 	moved    bool      // the list has changed since they were chosen
 	zone     []int
 	cell     []int
