--- a/logic/logic.go
+++ b/logic/logic.go
@@ -730,8 +730,9 @@
 		room *= 0.85
 	}
 	// Danger: with few in hand chance alone fills a fixed bound, while all balancers together have room. So the
-	// bound holds for the mean, and what comes by chance may stand above it for a while.
-	return b.mean < room && b.counted() < room+2*math.Sqrt(room)
+	// bound holds for the mean, and the more balancers there are, the more may stand above it for a while.
+	chance := 2 * math.Sqrt(room) * (1 - 1/math.Sqrt(float64(b.terms.Balancers)))
+	return b.mean < room && b.counted() < room+chance
 }
 
 // counted is what is in hand and takes up room: what hangs does not.
