--- a/logic/logic.go
+++ b/logic/logic.go
@@ -523,7 +523,13 @@
 			b.own = append(b.own, i)
 		}
 	}
-	rounds := metBy // each upstream is met by one balancer of every round
+	zones := map[int]bool{}
+	for _, i := range b.own {
+		zones[b.zone[i]] = true
+	}
+	// Each upstream is met by one balancer of every round. What is nearer weighs more, so that where crossings
+	// are dear those of its own zone must be enough.
+	rounds := int(metBy*float64(len(zones))/(1+b.away*float64(len(zones)-1)) + 0.5)
 	for len(b.own) > 0 && rounds*len(b.own) < fewOwn*b.terms.Balancers {
 		rounds *= 2
 	}
