--- a/logic/logic.go
+++ b/logic/logic.go
@@ -34,13 +34,13 @@
 	buckets = 128
 	wins    = 4
 
-	wellAbove  = 0.25  // skip an upstream with this many pushes more in flight than its part of the mean
-	ample      = 0.35  // at most this share of its contract time is usual for an uncrowded transaction
-	fewHeld    = 4     // transactions in hand for each upstream that crowd nobody
-	zoneCare   = 200.0 // between tiers a crossing priced at a two-hundredth of the earnings halves the turns
-	frontCare  = 10.0  // and at the front one priced at a tenth
-	chanceCome = 4     // transactions of a customer that may come at once by chance
-	longFor    = 5     // silence for this many usual times is long, whatever the quantile says
+	wellAbove  = 0.25   // skip an upstream with this many pushes more in flight than its part of the mean
+	ample      = 0.35   // at most this share of its contract time is usual for an uncrowded transaction
+	firstHeld  = 6.0    // transactions in hand for each upstream at first, where no customer's share tells more
+	fewHeld    = 2. / 3 // of these crowd nobody
+	zoneCare   = 200.0  // between tiers a crossing priced at a two-hundredth of the earnings halves the turns
+	frontCare  = 10.0   // and at the front one priced at a tenth
+	chanceCome = 4      // transactions of a customer that may come at once by chance
 	beat       = 200 * ms
 	crowded    = 1.4 // room shrinks while answers take this many times longer than at best
 
@@ -78,8 +78,13 @@
 	}
 	b.away = 1 / (1 + care*terms.CrossZonePrice)
 	b.turnsAt, b.winTurn, b.nextBit = now+window/panes, now+winWindow/wins, now+beat
+	time := 0.0
+	for _, f := range terms.Tariffs {
+		time += ample * float64(f.ContractTime) / float64(len(terms.Tariffs))
+	}
 	for _, c := range terms.Customers {
 		c.purse, c.filled = c.Rate/float64(terms.Balancers)+chanceCome, now
+		b.shares += c.Rate / float64(s) * time
 	}
 	return b, nil
 }
@@ -242,7 +247,8 @@
 
 // Round decides on all that came in. Calls off losers, starts pushes and copies, and gives final answers.
 func (b *Balancer) Round(now int64, w Writer) {
-	b.mean += (1 - math.Exp(-float64(now-b.last)/float64(meanOver))) * (b.stood - b.mean)
+	over := max(float64(meanOver), 10/max(b.longRate, 1/float64(s)))
+	b.mean += (1 - math.Exp(-float64(now-b.last)/over)) * (b.stood - b.mean)
 	b.now, b.w, b.last = now, w, now
 	if b.moved {
 		b.divide()
@@ -332,13 +338,9 @@
 	last := &t.pushes[len(t.pushes)-1]
 	outrun := int64(math.MaxInt64)
 	if b.trigger > 0 {
-		outrun = last.sent + b.patient
-		if b.now >= outrun {
-			b.overdue(t, last)
-			outrun = last.sent + b.trigger
-		}
-		if b.now >= last.sent+b.trigger {
+		if outrun = last.sent + b.trigger; b.now >= outrun {
 			outrun = math.MaxInt64
+			b.overdue(t, last)
 			if t.out == 1 && b.terms.SecondCopies && b.repeatable(t) && !b.gated() && b.funded() &&
 				b.chance() < b.allowance {
 				if i := b.next(t); i >= 0 {
@@ -500,9 +502,11 @@
 		if !b.ready[i] || t.tried(i) || !b.within(t, i) || b.warmth(i) < 1 && (b.part[i] == 0 || b.fill(i) < 1) {
 			continue
 		}
-		if load := float64(b.flying[i]); b.aside[i] == 0 && load < least {
-			least, spare = load, i
-		} else if load += 1e6; load < least {
+		load := float64(b.flying[i])
+		if b.aside[i] != 0 {
+			load += 1e6
+		}
+		if load < least {
 			least, spare = load, i
 		}
 	}
@@ -529,7 +533,8 @@
 	}
 	// Each upstream is met by one balancer of every round. What is nearer weighs more, so that where crossings
 	// are dear those of its own zone must be enough.
-	rounds := int(metBy*float64(len(zones))/(1+b.away*float64(len(zones)-1)) + 0.5)
+	n := float64(len(zones))
+	rounds := int(metBy*n/(1+b.away*(n-1)) + 0.5)
 	for len(b.own) > 0 && rounds*len(b.own) < fewOwn*b.terms.Balancers {
 		rounds *= 2
 	}
@@ -698,8 +703,7 @@
 func (b *Balancer) setAside(i int) {
 	out, total := b.part[i], 0.0
 	for _, j := range b.own {
-		total += b.part[j]
-		if b.aside[j] != 0 {
+		if total += b.part[j]; b.aside[j] != 0 {
 			out += b.part[j]
 		}
 	}
@@ -729,7 +733,7 @@
 		return true // work is already in it: turned away here, all of that is lost
 	}
 	if math.IsInf(b.room, 1) {
-		b.room = 6*float64(len(b.ready))/float64(b.terms.Balancers) + 2
+		b.expect()
 	}
 	room := b.room
 	if t.value < t.tariff.Earnings {
@@ -741,6 +745,19 @@
 	return b.mean < room && b.counted() < room+chance
 }
 
+// expect sets the bound that holds until more is known: a few for each upstream and balancer, but no more than
+// what the customers may send in all, each for the time that is usual at most. Danger: two for each of
+// hundreds of balancers are more than a short list bears.
+func (b *Balancer) expect() {
+	n, _ := b.serving()
+	held := firstHeld*float64(n) + 2*float64(b.terms.Balancers)
+	if b.shares > 0 {
+		held = min(held, b.shares)
+	}
+	b.each = held / float64(max(n, 1))
+	b.room = held / float64(b.terms.Balancers)
+}
+
 // counted is what is in hand and takes up room: what hangs does not.
 func (b *Balancer) counted() float64 { return float64(b.open - b.stuckAll) }
 
@@ -852,7 +869,11 @@
 // hold far more than they can work on turn slower and stay so; the line here costs nothing.
 func (b *Balancer) makeRoom(span float64) {
 	b.beats++ // at first the means are over what there is
-	short, long := max(1/b.beats, min(1, span/float64(s))), max(1/b.beats, min(1, span/float64(5*s)))
+	// Danger: where few come in, what takes long by chance looks like a crowd, and the least of such means is
+	// far too low. So the means are over time enough for as many as tell.
+	seen := max(b.longRate, 1/float64(10*s))
+	short := max(1/b.beats, min(1, span/max(float64(s), 20/seen)))
+	long := max(1/b.beats, min(1, span/max(float64(5*s), 100/seen)))
 	b.rate += short * (b.ends/span - b.rate)
 	b.load += short * (b.inHand - b.load)
 	b.longRate += long * (b.ends/span - b.longRate)
@@ -872,12 +893,12 @@
 	b.best = max(b.best*(1-span/float64(40*s)), b.longRate/b.strength)
 	// What sustains the best rate at the least time taken, in transactions as they are mixed now.
 	mix := b.counted() / max(b.inHand, 1e-9)
-	few := 2 + float64(fewHeld*n)/float64(b.terms.Balancers)
+	least := fewHeld * b.each * float64(n) / float64(b.terms.Balancers)
 	full := b.best * strength * b.base * mix // danger: what is left must not be sent what the whole bore
 	if b.load > crowded*b.base*b.rate {
-		b.room = max(few, 0.8*full, 0.93*min(b.room, float64(b.open)))
+		b.room = max(least, 0.8*full, 0.93*min(b.room, float64(b.open)))
 	} else if b.counted() > 0.8*b.room {
-		b.room = min(b.room+max(1, 0.06*b.room), max(few, 2*full))
+		b.room = min(b.room+max(1, 0.06*b.room), max(least, 2*full))
 	}
 }
 
@@ -899,8 +920,6 @@
 		return
 	}
 	b.trigger = max(minDelay, b.reach(quantile))
-	// Danger: where many pushes hang, the quantile is as long as their time-outs and calls none of them late.
-	b.patient = min(b.trigger, max(minDelay, longFor*b.reach(0.5)))
 }
 
 // reach is the time within which a part of the window's pushes was answered.
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -333,6 +333,7 @@
 	w.until(w.now + s/4)
 	w.result(w.owed[2], 0, Settled)
 	w.result(w.owed[3], 0, Settled)
+	w.b.mean = 2.1
 	w.arrive(0, 3*s)
 	if w.round(ms); w.b.open != 3 {
 		t.Errorf("%d in hand, the mean was over room for 2", w.b.open)
--- a/logic/types.go
+++ b/logic/types.go
@@ -179,7 +179,6 @@
 	pane    int
 	turnsAt int64
 	trigger int64 // 0 while there are too few samples
-	patient int64 // silence for longer speaks against an upstream
 	stale   bool
 
 	bucket float64
@@ -191,6 +190,8 @@
 	allowance float64
 
 	room     float64        // transactions in hand at most
+	shares   float64        // in hand at all balancers, if all customers send their shares; 0 if none have any
+	each     float64        // for each upstream, in hand at all balancers, before more is known
 	stood    float64        // transactions in hand at the end of the last round
 	last     int64          // when that was
 	mean     float64        // of those in hand
