--- a/internal/simwire/read.go
+++ b/internal/simwire/read.go
@@ -264,6 +264,7 @@
 		ColdShare:  rules.GetFloat64("cold_from"), WarmUp: rules.GetInt64("ramp_time") * microsecond,
 		FallMultiple: rules.GetFloat64("fall_multiple"), FallSpan: rules.GetInt64("overload_for") * microsecond,
 		CrossZonePrice: env.GetFloat64("fees", "cross_zone"), BeyondShare: env.GetFloat64("beyond_share_earnings"),
+		Punctual: env.GetFloat64("result_mix", "tail"), Resolution: env.GetInt64("resolution") * microsecond,
 	}
 	for _, z := range env.GetArray("zones") {
 		in.zone(string(z.GetStringBytes()))
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -110,7 +110,7 @@
 	b.number, b.part = append(b.number, 0), append(b.part, 0)
 	b.zone, b.cell = append(b.zone, 0), append(b.cell, 0)
 	b.flying = append(b.flying, 0)
-	b.good, b.bad, b.trial = append(b.good, 0), append(b.bad, 0), append(b.trial, 0)
+	b.good, b.bad = append(b.good, 0), append(b.bad, 0)
 	b.born, b.aside, b.spell = append(b.born, 0), append(b.aside, 0), append(b.spell, 0)
 	b.answered, b.probing, b.dead = append(b.answered, 0), append(b.probing, false), append(b.dead, false)
 	b.purse, b.filled = append(b.purse, 0), append(b.filled, 0)
@@ -120,7 +120,7 @@
 
 // reset forgets what was learnt of an upstream.
 func (b *Balancer) reset(i int) {
-	b.doubt[i], b.good[i], b.bad[i], b.trial[i] = 0, 0, 0, 0
+	b.doubt[i], b.good[i], b.bad[i] = 0, 0, 0
 	b.moved = true
 	b.aside[i], b.spell[i], b.answered[i], b.dead[i] = 0, 0, 0, false
 	b.turn[i], b.purse[i], b.filled[i] = math.NaN(), b.chance(), b.now
@@ -296,7 +296,7 @@
 		b.unschedule(t)
 		return
 	}
-	if b.now >= t.giveUp(b.terms.Layer) {
+	if b.now >= b.giveUp(t) {
 		b.end(t)
 		return
 	}
@@ -352,26 +352,35 @@
 		}
 	}
 
-	b.schedule(t, min(t.giveUp(b.terms.Layer), outrun))
+	b.schedule(t, min(b.giveUp(t), outrun))
 }
 
 // giveUp is when waiting on is worth nothing: a client's answer after the contract time, where lateness earns
-// nothing, else at the hard stop. Within the service the caller judges, not the call.
-func (t *Transaction) giveUp(layer int) int64 {
-	if layer == 0 && t.tariff.LateEarnings == 0 {
+// nothing, else at the hard stop. Within the service the caller judges, not the call. Where late answers cost
+// more than they earn, a client is told in time to come back, if that is harmless.
+func (b *Balancer) giveUp(t *Transaction) int64 {
+	switch {
+	case b.terms.Layer > 0:
+		return t.stop
+	case t.tariff.LateEarnings == 0:
 		return t.contract
+	case t.tariff.LateEarnings < b.terms.Punctual && t.harmless():
+		return t.contract - 2*b.terms.Resolution
 	}
 	return t.stop
 }
 
+// harmless reports whether the client may try again whatever became of the pushes.
+func (t *Transaction) harmless() bool {
+	return t.tariff.Repeat == Repeatable || t.tariff.Repeat == Tagged && t.tariff.Group == Everywhere
+}
+
 // end gives the final answer: a deferral if it is certain that trying again is harmless, else a forfeit.
 func (b *Balancer) end(t *Transaction) {
 	b.unschedule(t)
 	t.recall()
-	harmless := t.anchor < 0 || t.tariff.Repeat == Repeatable ||
-		t.tariff.Repeat == Tagged && t.tariff.Group == Everywhere
 	b.close(t)
-	if harmless {
+	if t.anchor < 0 || t.harmless() {
 		var backoff int64
 		if b.terms.AdviseBackoff {
 			backoff = min(b.terms.MaxBackoff, t.tariff.ContractTime/16)
@@ -472,9 +481,6 @@
 				continue
 			}
 		}
-		if b.trial[i] > 0 && b.flying[i] > 0 {
-			continue // on trial: one at a time
-		}
 		if load := (float64(b.flying[i]) + 1) / share; load < least {
 			least, spare = load, i
 		}
@@ -514,8 +520,8 @@
 }
 
 // divide gives this balancer its part of a long list. Danger: hundreds that each go round all of it meet an
-// upstream too seldom to know it, and pay a connection for every push. So the balancers are dealt out to a few
-// rounds; those of a round share all upstreams out among them, in an order of its own, each zone for itself.
+// upstream too seldom to know it, and pay a connection for every push. So the balancers are dealt out to some
+// rounds; those of a round share out all upstreams in an order of its own, each zone for itself.
 func (b *Balancer) divide() {
 	b.moved, b.own = false, b.own[:0]
 	for i, ready := range b.ready {
@@ -641,11 +647,8 @@
 		b.samples[b.pane]++
 		b.stale = true
 	}
-	if r == Settled {
-		if b.warmth(i) == 1 {
-			b.settled++
-		}
-		b.trial[i] = max(0, b.trial[i]-1)
+	if r == Settled && b.warmth(i) == 1 {
+		b.settled++
 	}
 	if p.overdue && !r.fault() || r == Cancelled {
 		return
@@ -718,10 +721,10 @@
 	b.answered[i] = 0
 }
 
-// restore takes an upstream back on trial. Danger: one that was dead may have started anew and cold,
-// unannounced.
+// restore takes an upstream back under half the doubt. Danger: one that was dead may have started anew and
+// cold, unannounced.
 func (b *Balancer) restore(i int) {
-	b.aside[i], b.doubt[i], b.trial[i] = 0, setAsideAt/2, 3
+	b.aside[i], b.doubt[i] = 0, setAsideAt/2
 	if b.dead[i] {
 		b.born[i], b.dead[i], b.purse[i], b.filled[i] = b.now, false, b.chance(), b.now
 	}
@@ -745,9 +748,9 @@
 	return b.mean < room && b.counted() < room+chance
 }
 
-// expect sets the bound that holds until more is known: a few for each upstream and balancer, but no more than
-// what the customers may send in all, each for the time that is usual at most. Danger: two for each of
-// hundreds of balancers are more than a short list bears.
+// expect sets the bound until more is known: some for each upstream and balancer, but no more than what the
+// customers may send in all, each for the time that is usual at most. Danger: two for each of hundreds of
+// balancers are more than a short list bears.
 func (b *Balancer) expect() {
 	n, _ := b.serving()
 	held := firstHeld*float64(n) + 2*float64(b.terms.Balancers)
--- a/logic/types.go
+++ b/logic/types.go
@@ -60,6 +60,8 @@
 	FallMultiple   float64 // it falls over when sent this multiple of its present capacity
 	FallSpan       int64   // for this long
 	BeyondShare    float64
+	Punctual       float64 // part of the result that falls away as more than a few answers are late
+	Resolution     int64   // rounds are at least this far apart
 }
 
 // Upstream describes one entry of the list.
@@ -160,7 +162,6 @@
 	spell    []int64 // length of the last time aside
 	answered []int   // probes answered while aside
 	probing  []bool
-	trial    []int  // good outcomes still owed after a return
 	dead     []bool // set aside as unreachable, so it may come back cold
 	purse    []float64
 	filled   []int64
