--- a/internal/simwire/read.go
+++ b/internal/simwire/read.go
@@ -274,7 +274,8 @@
 		in.tariffs[string(c.GetStringBytes("name"))] = n
 		f := &logic.Tariff{
 			Remembered: c.GetInt64("dedup_window") * microsecond, ContractTime: c.GetInt64("contract_time") * microsecond,
-			Stretch: c.GetFloat64("aim_stretch"), Earnings: c.GetFloat64("earnings"),
+			HardStop: c.GetInt64("hard_stop") * microsecond,
+			Stretch:  c.GetFloat64("aim_stretch"), Earnings: c.GetFloat64("earnings"),
 			LateEarnings: c.GetFloat64("late_earnings"),
 		}
 		switch string(c.GetStringBytes("effect")) {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -50,8 +50,7 @@
 
 	setAsideAt = 4.5 // log odds at which an upstream is set aside
 	mostAside  = 0.4 // of the list's weight may be set aside
-	firstAside = 2500 * ms
-	longAside  = 8 * s
+	asideFor   = 4 * s
 	probeEvery = 300 * ms
 	probesDue  = 2 // answered probes before a return
 )
@@ -68,8 +67,7 @@
 	case !(terms.ColdShare > 0 && terms.ColdShare <= 1):
 		return nil, errors.New("terms: the cold share is not within 0 to 1")
 	}
-	b := &Balancer{terms: terms, now: now, carry: terms.Seed<<1 | 1, allowance: 1, bucket: 1, room: math.Inf(1),
-		started: now, last: now}
+	b := &Balancer{terms: terms, now: now, last: now, carry: terms.Seed<<1 | 1, allowance: 1, bucket: 1}
 	// The dearer crossings are, the fewer turns go to another zone. Clients don't come evenly from all zones, so
 	// at the front it weighs far less.
 	care := zoneCare
@@ -111,7 +109,7 @@
 	b.zone, b.cell = append(b.zone, 0), append(b.cell, 0)
 	b.flying = append(b.flying, 0)
 	b.good, b.bad = append(b.good, 0), append(b.bad, 0)
-	b.born, b.aside, b.spell = append(b.born, 0), append(b.aside, 0), append(b.spell, 0)
+	b.born, b.aside = append(b.born, 0), append(b.aside, 0)
 	b.answered, b.probing, b.dead = append(b.answered, 0), append(b.probing, false), append(b.dead, false)
 	b.purse, b.filled = append(b.purse, 0), append(b.filled, 0)
 	b.reset(i)
@@ -122,7 +120,7 @@
 func (b *Balancer) reset(i int) {
 	b.doubt[i], b.good[i], b.bad[i] = 0, 0, 0
 	b.moved = true
-	b.aside[i], b.spell[i], b.answered[i], b.dead[i] = 0, 0, 0, false
+	b.aside[i], b.answered[i], b.dead[i] = 0, 0, false
 	b.turn[i], b.purse[i], b.filled[i] = math.NaN(), b.chance(), b.now
 }
 
@@ -164,6 +162,12 @@
 	t.tariff, t.arrived, t.slot, t.anchor, t.again = f, now, -1, -1, again
 	t.stop = now + left
 	t.contract = min(now+f.ContractTime+int64(f.Stretch*float64(work)), t.stop)
+	t.load = 1 / float64(max(t.contract-now, 1))
+	if !again {
+		f.longest = max(f.longest, left)
+	} else if left < f.longest {
+		t.contract = min(t.contract, t.stop-f.HardStop+f.ContractTime) // what is left tells when its first try came
+	}
 	if customer >= 0 {
 		t.customer = b.terms.Customers[customer]
 	}
@@ -226,10 +230,6 @@
 	}
 }
 
-// share is what a transaction in hand adds to the load: one over its contract time, so that unlike tariffs
-// compare.
-func (t *Transaction) share() float64 { return 1 / float64(max(t.contract-t.arrived, 1)) }
-
 // close ends a transaction; from here on nothing may go out for it.
 func (b *Balancer) close(t *Transaction) {
 	t.over = true
@@ -239,7 +239,7 @@
 		if t.stuck {
 			b.stuckAll--
 		} else {
-			b.inHand -= t.share()
+			b.inHand -= t.load
 			b.ends++
 		}
 	}
@@ -407,7 +407,7 @@
 	if !t.held {
 		t.held = true
 		b.open++
-		b.inHand += t.share()
+		b.inHand += t.load
 	}
 	p := Push{upstream: i, zone: b.zone[i], cell: b.cell[i], sent: b.now, out: true, copy: copied}
 	t.pushes = append(t.pushes, p)
@@ -671,7 +671,7 @@
 	if !t.stuck {
 		t.stuck = true
 		b.stuckAll++
-		b.inHand -= t.share()
+		b.inHand -= t.load
 		b.ends++
 	}
 }
@@ -716,8 +716,7 @@
 		b.doubt[i] = setAsideAt // the rest could not carry the work
 		return
 	}
-	b.spell[i] = min(max(firstAside, 2*b.spell[i]), longAside)
-	b.aside[i] = b.now + int64(float64(b.spell[i])*(0.75+b.chance()/2))
+	b.aside[i] = b.now + int64(float64(asideFor)*(0.75+b.chance()/2))
 	b.answered[i] = 0
 }
 
@@ -735,7 +734,7 @@
 	if b.terms.Layer > 0 {
 		return true // work is already in it: turned away here, all of that is lost
 	}
-	if math.IsInf(b.room, 1) {
+	if b.each == 0 {
 		b.expect()
 	}
 	room := b.room
@@ -884,7 +883,7 @@
 	n, strength := b.serving()
 	b.strength += long * (strength - b.strength)
 	b.ends = 0
-	if b.now < b.started+2*s || b.longRate*float64(s) < 1 {
+	if b.beats < 10 || b.longRate*float64(s) < 1 {
 		return
 	}
 	// By Little's law, load over rate is the mean share of its contract time that a transaction takes.
--- a/logic/types.go
+++ b/logic/types.go
@@ -23,10 +23,13 @@
 	Repeat       Repeat
 	Group        Group
 	Remembered   int64   // how long the group knows a repeat, from the first push that may have run
+	HardStop     int64   // a client waits so long in all, over all its tries
 	ContractTime int64   // an answer within this time earns all
 	Stretch      float64 // ContractTime grows by this multiple of the transaction's own work
 	Earnings     float64
 	LateEarnings float64 // the part earned by an answer after ContractTime
+
+	longest int64 // that a client's first try was seen to wait
 }
 
 // Customer is one of those who share the service.
@@ -113,10 +116,11 @@
 	tariff   *Tariff
 	customer *Customer
 	arrived  int64
-	contract int64 // when the contract time is up
-	stop     int64 // when the hard stop is reached
-	due      int64 // next moment to look at it
-	slot     int   // place among the due times, -1 if none
+	load     float64 // what it adds to the load in hand: one over its contract time, so that unlike tariffs compare
+	contract int64   // when the contract time is up
+	stop     int64   // when the hard stop is reached
+	due      int64   // next moment to look at it
+	slot     int     // place among the due times, -1 if none
 	pushes   []Push
 	out      int     // pushes without a result
 	anchor   int     // first push that may have run, -1 if none
@@ -159,7 +163,6 @@
 	good     []int     // outcomes
 	bad      []int
 	aside    []int64 // set aside: next probe or return; 0 in service
-	spell    []int64 // length of the last time aside
 	answered []int   // probes answered while aside
 	probing  []bool
 	dead     []bool // set aside as unreachable, so it may come back cold
@@ -208,7 +211,6 @@
 	strength float64 // of what is in service, over five seconds
 	best     float64 // the most that left a nanosecond and unit of strength
 	beats    float64
-	started  int64
 	nextBit  int64
 
 	wake      int64
