--- a/logic/logic.go
+++ b/logic/logic.go
@@ -247,7 +247,7 @@
 
 // Round decides on all that came in. Calls off losers, starts pushes and copies, and gives final answers.
 func (b *Balancer) Round(now int64, w Writer) {
-	over := max(float64(meanOver), 10/max(b.longRate, 1/float64(s)))
+	over := max(float64(meanOver), min(10/b.longRate, b.beats*float64(beat)))
 	b.mean += (1 - math.Exp(-float64(now-b.last)/over)) * (b.stood - b.mean)
 	b.now, b.w, b.last = now, w, now
 	if b.moved {
