--- a/logic/logic.go
+++ b/logic/logic.go
@@ -545,9 +545,9 @@
 		rounds *= 2
 	}
 	b.met = min(rounds, b.terms.Balancers)
-	round := b.terms.Index % rounds
+	place := b.terms.Index % b.terms.Balancers // one more than there should be shares another's part
+	round, from := place%rounds, float64(place/rounds)
 	parts := float64((b.terms.Balancers-1-round)/rounds + 1)
-	from := float64(b.terms.Index / rounds)
 	slices.SortStableFunc(b.own, func(i, j int) int {
 		if b.zone[i] != b.zone[j] {
 			return b.zone[i] - b.zone[j]
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -421,7 +421,7 @@
 		}
 		for index := range all {
 			terms := terms(tariff(Repeatable, Everywhere))
-			terms.Balancers, terms.Index = all, index
+			terms.Balancers, terms.Index = all, index+index%2*all // a number beyond the last counts from the first
 			w := newWorld(t, terms, 0, 1)
 			for k := range list { // the list comes to each in another order
 				i := (k + index) % len(list)
