--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -486,3 +486,37 @@
 		t.Error("half of the contract time was left")
 	}
 }
+
+func TestSharesOverManyBalancers(t *testing.T) {
+	terms := terms(tariff(Repeatable, Everywhere))
+	terms.Balancers, terms.Customers = 300, []*Customer{{Rate: 90}} // 0.3 a second here
+	w := newWorld(t, terms, 20, 1)
+	within := 0
+	for range 60 { // a quarter a second, two at a time
+		for range 2 {
+			o := &Transaction{tariff: terms.Tariffs[0], customer: terms.Customers[0]}
+			w.b.now = w.now
+			if w.b.appraise(o); o.value == 1 {
+				within++
+			}
+		}
+		w.now += 8 * s
+	}
+	if within < 110 {
+		t.Errorf("%d of 120 within a share that is not used up", within)
+	}
+	if w.b.expect(); w.b.room*300 > 90*ample+1e-6 {
+		t.Errorf("first room of all is %.1f, the shares come to %.1f", w.b.room*300, 90*ample)
+	}
+}
+
+func TestMeanInHandHoldsFromTheStart(t *testing.T) {
+	w := newWorld(t, terms(tariff(Repeatable, Everywhere)), 8, 1)
+	for range 10 {
+		w.arrive(0, 3*s)
+	}
+	w.until(w.now + 3*s/2)
+	if w.b.mean < 8 {
+		t.Errorf("a mean of %.1f after a second and a half with ten in hand", w.b.mean)
+	}
+}
