Outcomes of all peers are kept as sums; an upstream's number is kept once; no division at a mere restart

The adapter's list entry held the number beside the Upstream that has it. reset asked for a division that List asks for already where the list has changed. Comments on room's means say how long these are.

--- a/internal/simwire/read.go
+++ b/internal/simwire/read.go
@@ -141,9 +141,10 @@
 			continue
 		}
 		list = append(list, entry{
-			id: uint32(e.GetUint64("upstream")), zone: string(e.GetStringBytes("site")),
+			zone: string(e.GetStringBytes("site")),
 			up: logic.Upstream{
-				Number: uint32(e.GetUint64("upstream")), Weight: weight, Cell: e.GetInt("pod"), Born: e.GetInt64("born") * microsecond,
+				Number: uint32(e.GetUint64("upstream")), Weight: weight, Cell: e.GetInt("pod"),
+				Born: e.GetInt64("born") * microsecond,
 			},
 			gone: state == "Gone", ends: state == "Terminating",
 		})
@@ -165,8 +166,8 @@
 	}
 	here := map[uint32]bool{}
 	for _, e := range in.server.sheets[n] {
-		here[e.id] = true
-		i, known := in.index[e.id]
+		here[e.up.Number] = true
+		i, known := in.index[e.up.Number]
 		if e.gone {
 			if known {
 				in.logic.Leave(i)
@@ -174,7 +175,7 @@
 			continue
 		}
 		if !known || !in.logic.Known(i) {
-			i = in.join(e.id)
+			i = in.join(e.up.Number)
 		}
 		e.up.Zone = in.zone(e.zone)
 		in.logic.List(i, e.up, in.server.now)
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -17,7 +17,6 @@
 
 // entry is one line of a list, as the wire has it.
 type entry struct {
-	id   uint32
 	zone string
 	up   logic.Upstream
 	gone bool
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -118,8 +118,8 @@
 
 // reset forgets what was learnt of an upstream.
 func (b *Balancer) reset(i int) {
+	b.allGood, b.allBad = b.allGood-b.good[i], b.allBad-b.bad[i]
 	b.doubt[i], b.good[i], b.bad[i] = 0, 0, 0
-	b.moved = true
 	b.aside[i], b.answered[i], b.dead[i] = 0, 0, false
 	b.turn[i], b.purse[i], b.filled[i] = math.NaN(), b.chance(), b.now
 }
@@ -681,16 +681,13 @@
 func (b *Balancer) judge(i int, bad bool) {
 	if bad {
 		b.bad[i]++
+		b.allBad++
 	} else {
 		b.good[i]++
+		b.allGood++
 	}
-	worse, all := 0, 0
-	for j := range b.ready {
-		if j != i {
-			worse += b.bad[j]
-			all += b.bad[j] + b.good[j]
-		}
-	}
+	worse := b.allBad - b.bad[i]
+	all := worse + b.allGood - b.good[i]
 	usual := max(0.05, (float64(worse)+0.5)/(float64(all)+10))
 	unusual := min(4*usual, (1+usual)/2)
 	if bad {
@@ -824,6 +821,7 @@
 		for i := range b.good {
 			b.good[i], b.bad[i] = b.good[i]*3/4, b.bad[i]*3/4
 		}
+		b.allGood, b.allBad = sum(b.good), sum(b.bad)
 		b.stale = true
 	}
 	for b.now >= b.winTurn {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -122,6 +122,9 @@
 	if !slices.Equal(out, w.b.flying) {
 		w.t.Fatalf("in flight %v, counted %v", out, w.b.flying)
 	}
+	if w.b.allGood != sum(w.b.good) || w.b.allBad != sum(w.b.bad) {
+		w.t.Fatalf("outcomes %d good, %d bad, counted %d and %d", sum(w.b.good), sum(w.b.bad), w.b.allGood, w.b.allBad)
+	}
 	if held != w.b.open {
 		w.t.Fatalf("in hand %d, counted %d", held, w.b.open)
 	}
--- a/logic/types.go
+++ b/logic/types.go
@@ -162,6 +162,8 @@
 	doubt    []float64 // log odds that it is bad
 	good     []int     // outcomes
 	bad      []int
+	allGood  int // sums of these
+	allBad   int
 	aside    []int64 // set aside: next probe or return; 0 in service
 	answered []int   // probes answered while aside
 	probing  []bool
@@ -203,14 +205,14 @@
 	ends     float64        // left the load since the last beat, settled or not
 	stuckAll int            // in hand with a late push
 	inHand   float64        // sum of one over the contract time of all others in hand
-	load     float64        // the same over the last second
+	load     float64        // the same over the last second, or longer where few come in
 	rate     float64        // and what left it a nanosecond
-	longLoad float64        // both over five seconds
+	longLoad float64        // both over five times that
 	longRate float64
 	base     float64 // the least share of its contract time that a transaction took
-	strength float64 // of what is in service, over five seconds
+	strength float64 // of what is in service, as long
 	best     float64 // the most that left a nanosecond and unit of strength
-	beats    float64
+	beats    float64 // since the start
 	nextBit  int64
 
 	wake      int64
