--- /dev/null
+++ b/cmd/ottershift/main.go
@@ -0,0 +1,67 @@
+// Command ottershift is a load balancer between services: it takes transactions on one address and sends each to
+// an upstream that discovery lists. Its settings tell it which tier it stands before.
+package main
+
+import (
+	"log"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"ottershift/internal/desk"
+	"ottershift/internal/discovery"
+	"ottershift/internal/httpwire"
+)
+
+func main() {
+	log.SetFlags(log.Ldate | log.Lmicroseconds | log.LUTC)
+	if err := run(); err != nil {
+		log.Fatalf("event=stop fault=%q", err)
+	}
+}
+
+func run() error {
+	o, err := readOrders(os.Getenv("PROXY_CONFIG"))
+	if err != nil {
+		return err
+	}
+	runtime.GOMAXPROCS(1) // one core, which others share
+	if o.memory > 0 {
+		debug.SetMemoryLimit(o.memory * 6 / 10) // Danger: over the limit the process is killed
+	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+
+	d, err := desk.New(o.book)
+	if err != nil {
+		return err
+	}
+	front := httpwire.New(d, o.book, o.sockets)
+	if len(o.known.Entries) > 0 {
+		d.List(o.known.Entries, true)
+		front.Stands()
+	}
+	l, err := net.Listen("tcp", o.listen)
+	if err != nil {
+		return err
+	}
+	dial := time.Duration(o.book.DialTimeout)
+	watch := discovery.New(d, o.discovery, o.book.Terms.AskForList, o.known.Index, dial, front.Stands)
+	go watch.Run()
+	go front.Probe()
+	ended := make(chan error, 1)
+	go func() { ended <- front.Serve(l) }()
+	log.Printf("event=start name=%s listen=%s discovery=%s tier=%d known=%d index=%d",
+		o.name, o.listen, o.discovery, o.book.Terms.Layer, len(o.known.Entries), o.known.Index)
+	select {
+	case err := <-ended:
+		return err
+	case <-stop:
+		front.Drain()
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/desk/desk.go
@@ -0,0 +1,248 @@
+// Package desk is the sole owner of the module's Balancer in a real balancer. It is where the doors (transactions,
+// the list, probes) meet the decisions: each call takes the lock, tells the module what happened, has it decide,
+// and lets go. Decisions leave by channels with room for them, so nothing under the lock ever waits.
+package desk
+
+import (
+	"context"
+	"log"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"ottershift/internal/roster"
+	"ottershift/internal/terms"
+	"ottershift/logic"
+)
+
+// Ending is how a transaction ended.
+type Ending uint8
+
+const (
+	Settled Ending = iota
+	Deferred
+	Forfeited
+)
+
+// Answer is the one final answer of a transaction.
+type Answer struct {
+	Ending  Ending
+	Push    int           // whose reply settled it
+	Backoff time.Duration // advice to a deferred client, 0 for none
+}
+
+// Push is the order to send a transaction to an upstream. Its context ends when the push is called off or its
+// time is up; who carries the push gives it back by Outcome, always once.
+type Push struct {
+	Context context.Context
+	Number  int
+	Address string
+	Until   time.Time
+
+	end  context.CancelFunc
+	sent int64
+}
+
+// Probe is the order to probe an upstream; who carries it out tells by Probed how it ended.
+type Probe struct {
+	Upstream int
+	Address  string
+}
+
+// Case is a transaction in the hands of a door.
+type Case struct {
+	Pushes <-chan *Push
+	Answer <-chan Answer
+
+	t      logic.Transaction
+	pushes chan *Push
+	answer chan Answer
+	sent   []*Push
+	over   bool // has its answer, or its client is gone
+}
+
+// Desk serialises all that is said to one Balancer. Its lock's order settles races.
+type Desk struct {
+	mu     sync.Mutex
+	b      *logic.Balancer
+	roster *roster.Roster[string]
+	epoch  time.Time // with its monotonic reading, from which all times are taken
+	wake   *time.Timer
+	room   int // pushes that a case's channel holds
+	open   map[*Case]struct{}
+	closed bool
+
+	follow chan struct{}
+	probes chan Probe
+}
+
+// New starts the module.
+func New(book *terms.Book) (*Desk, error) {
+	d := &Desk{
+		epoch: time.Now(), follow: make(chan struct{}, 1), probes: make(chan Probe, 256),
+		open: map[*Case]struct{}{}, room: min(book.Terms.MaxPushes, 64),
+	}
+	b, err := logic.New(book.Terms, d.now())
+	if err != nil {
+		return nil, err
+	}
+	d.b, d.roster = b, roster.New[string](b, book.Zones)
+	d.wake = time.AfterFunc(time.Hour, d.woken) // the module sets the time
+	return d, nil
+}
+
+// now is the time in Unix nanoseconds, and never runs backwards.
+func (d *Desk) now() int64 { return d.epoch.UnixNano() + int64(time.Since(d.epoch)) }
+
+// tell is the one way to the module.
+func (d *Desk) tell(what func(now int64)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.now()
+	what(now)
+	d.b.Round(now, (*writer)(d))
+}
+
+func (d *Desk) woken() {
+	defer func() {
+		if fault := recover(); fault != nil {
+			log.Printf("event=panic where=wake fault=%q stack=%q", fault, debug.Stack())
+		}
+	}()
+	d.tell(func(int64) {})
+}
+
+// Probes are the orders to probe.
+func (d *Desk) Probes() <-chan Probe { return d.probes }
+
+// Follow tells when the module wants the list followed.
+func (d *Desk) Follow() <-chan struct{} { return d.follow }
+
+// List takes a report of the list.
+func (d *Desk) List(entries []roster.Entry[string], whole bool) {
+	d.tell(func(now int64) { d.roster.Apply(entries, whole, now) })
+}
+
+// Unlisted says that the list could not be had, or that following it has ended.
+func (d *Desk) Unlisted() {
+	d.tell(func(now int64) { d.b.Listed(false, now) })
+}
+
+// Probed tells how a probe ended.
+func (d *Desk) Probed(upstream int, ok bool) {
+	d.tell(func(int64) { d.b.Probed(upstream, ok) })
+}
+
+// Arrive takes a transaction. Its answer will come; so will orders to push it.
+func (d *Desk) Arrive(tariff, customer int, work, left time.Duration, again bool) *Case {
+	c := &Case{pushes: make(chan *Push, d.room), answer: make(chan Answer, 1)}
+	c.Pushes, c.Answer = c.pushes, c.answer
+	c.t.Mark = c
+	d.tell(func(now int64) {
+		d.open[c] = struct{}{}
+		d.b.Arrive(&c.t, tariff, customer, int64(work), int64(left), again, now)
+		if d.closed {
+			d.finish(c, Answer{Ending: Forfeited})
+		}
+	})
+	return c
+}
+
+// Outcome tells how a push ended. The first that settles its transaction makes the answer.
+func (d *Desk) Outcome(c *Case, p *Push, r logic.Result) {
+	p.end()
+	d.tell(func(now int64) {
+		d.b.Outcome(&c.t, p.Number, r, now-p.sent, c.over || r == logic.Settled, now)
+		if r == logic.Settled {
+			d.finish(c, Answer{Ending: Settled, Push: p.Number})
+		}
+	})
+}
+
+// Vanish says that the client is gone; after an answer it says nothing.
+func (d *Desk) Vanish(c *Case) {
+	d.tell(func(int64) {
+		if !c.over {
+			c.over = true
+			delete(d.open, c)
+			d.b.Vanish(&c.t)
+		}
+	})
+}
+
+// Close forfeits all that is still open and whatever comes after: the process is about to be killed, and an
+// answer without a promise is better than none.
+func (d *Desk) Close() (ended int) {
+	d.tell(func(int64) {
+		d.closed = true
+		ended = len(d.open)
+		for c := range d.open {
+			d.finish(c, Answer{Ending: Forfeited})
+		}
+	})
+	return ended
+}
+
+// finish gives the answer, unless the case is over.
+func (d *Desk) finish(c *Case, a Answer) {
+	if c.over {
+		return
+	}
+	c.over = true
+	delete(d.open, c)
+	c.answer <- a // has room for the one
+	d.b.Vanish(&c.t)
+}
+
+// writer takes the decisions of a round, under the lock.
+type writer Desk
+
+// Push implements logic.Writer, as do the methods below.
+func (w *writer) Push(t *logic.Transaction, upstream int, until int64) {
+	c, d := t.Mark.(*Case), (*Desk)(w)
+	now := d.now()
+	p := &Push{
+		Number: t.Pushes() - 1, Address: d.roster.Address(upstream), sent: now,
+		Until: d.epoch.Add(time.Duration(until - d.epoch.UnixNano())),
+	}
+	p.Context, p.end = context.WithDeadline(context.Background(), p.Until)
+	c.sent = append(c.sent, p)
+	select {
+	case c.pushes <- p:
+	default: // Danger: waiting here would stop every transaction; a push that finds no room never left
+		go d.Outcome(c, p, logic.Unsent)
+	}
+}
+
+func (w *writer) Cancel(t *logic.Transaction, push int) {
+	t.Mark.(*Case).sent[push].end()
+}
+
+func (w *writer) Defer(t *logic.Transaction, backoff int64) {
+	(*Desk)(w).finish(t.Mark.(*Case), Answer{Ending: Deferred, Backoff: time.Duration(backoff)})
+}
+
+func (w *writer) Forfeit(t *logic.Transaction) {
+	(*Desk)(w).finish(t.Mark.(*Case), Answer{Ending: Forfeited})
+}
+
+func (w *writer) Probe(upstream int) {
+	select {
+	case w.probes <- Probe{upstream, w.roster.Address(upstream)}:
+	default: // Danger: as with pushes; a probe that is never answered would hold its upstream for good
+		go (*Desk)(w).Probed(upstream, false)
+	}
+}
+
+func (w *writer) Follow() {
+	select {
+	case w.follow <- struct{}{}:
+	default: // asked already
+	}
+}
+
+func (w *writer) Wake(at int64) {
+	w.wake.Reset(time.Duration(at - (*Desk)(w).now()))
+}
+
+func (w *writer) Note(text string) { log.Printf("event=note text=%q", text) }
--- /dev/null
+++ b/internal/discovery/discovery.go
@@ -0,0 +1,190 @@
+// Package discovery follows the list of upstreams and tells the desk of each change.
+package discovery
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"log"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fastjson"
+
+	"ottershift/internal/desk"
+	"ottershift/internal/roster"
+	"ottershift/logic"
+)
+
+const (
+	beat     = 2 * time.Second         // an empty line comes at least so often
+	silence  = 2*beat + beat/10        // after which a watch is broken
+	mostLine = 16 << 20                // bytes of one report
+	path     = "/catalog/members"      // of the list
+	millisec = int64(time.Millisecond) // of since_ms, in nanoseconds
+	soonest  = 250 * time.Millisecond  // until a broken watch is opened anew, where the module doesn't say
+	latest   = 4 * time.Second         // and after many failures
+)
+
+// Report is the list, or what changed of it.
+type Report struct {
+	Index   int64
+	Whole   bool
+	Entries []roster.Entry[string]
+}
+
+// Read decodes one report. Entries that make no sense are left out and counted.
+func Read(v *fastjson.Value) (r Report, odd int, err error) {
+	if v.Type() != fastjson.TypeObject || v.Get("endpoints").Type() != fastjson.TypeArray {
+		return r, 0, errors.New("not a list of endpoints")
+	}
+	r.Index, r.Whole = v.GetInt64("index"), v.GetBool("snapshot")
+	for _, e := range v.GetArray("endpoints") {
+		name, address := string(e.GetStringBytes("name")), string(e.GetStringBytes("address"))
+		status := string(e.GetStringBytes("status"))
+		if name == "" || address == "" && status != "DELETED" ||
+			status != "SERVING" && status != "DRAINING" && status != "DELETED" {
+			odd++
+			continue
+		}
+		weight := 1.0
+		if e.Exists("weight") {
+			weight = e.GetFloat64("weight")
+		}
+		// The number is the same at every balancer, as the name is.
+		number := fnv.New32a()
+		number.Write([]byte(name))
+		r.Entries = append(r.Entries, roster.Entry[string]{
+			Name: name, Zone: string(e.GetStringBytes("zone")), Address: address,
+			Up: logic.Upstream{
+				Number: number.Sum32(), Weight: weight, Cell: e.GetInt("group"),
+				Born: e.GetInt64("since_ms") * millisec,
+			},
+			Gone: status == "DELETED", Ends: status == "DRAINING",
+		})
+	}
+	return r, odd, nil
+}
+
+// Watch follows discovery at one address.
+type Watch struct {
+	desk      *desk.Desk
+	address   string
+	asked     bool // only when the module asks
+	index     int64
+	came      func() // called with each report
+	transport *http.Transport
+}
+
+// New makes a watch that goes on after the version that is known already.
+func New(d *desk.Desk, address string, asked bool, index int64, dial time.Duration, came func()) *Watch {
+	return &Watch{
+		desk: d, address: address, asked: asked, index: index, came: came,
+		transport: &http.Transport{
+			DisableKeepAlives: true, DisableCompression: true,
+			DialContext: (&net.Dialer{Timeout: dial}).DialContext,
+		},
+	}
+}
+
+// Run follows until the process ends.
+func (w *Watch) Run() {
+	for pause := soonest; ; {
+		if w.asked {
+			<-w.desk.Follow()
+		}
+		heard, err := w.follow()
+		log.Printf("event=watch step=broken heard=%t fault=%q", heard, err)
+		w.desk.Unlisted()
+		if w.asked {
+			continue // the module says when to ask again
+		}
+		if heard {
+			pause = soonest
+		}
+		time.Sleep(pause/2 + rand.N(pause))
+		pause = min(2*pause, latest)
+	}
+}
+
+// follow opens one watch and reads it to its end.
+func (w *Watch) follow() (heard bool, err error) {
+	ctx, end := context.WithCancelCause(context.Background())
+	defer end(nil)
+	// Danger: a machine that is cut off says nothing, and the connection stays open.
+	silent := time.AfterFunc(silence, func() { end(errors.New("silent for two beats")) })
+	defer silent.Stop()
+	query := "watch=1&after=" + strconv.FormatInt(w.index, 10)
+	answer, err := w.transport.RoundTrip((&http.Request{
+		Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: w.address, Path: path, RawQuery: query},
+		Header: http.Header{"User-Agent": {""}},
+	}).WithContext(ctx))
+	if err != nil {
+		return false, cause(ctx, err)
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		return false, fmt.Errorf("status %d", answer.StatusCode)
+	}
+	lines := bufio.NewReaderSize(answer.Body, 64<<10)
+	var parser fastjson.Parser
+	var line []byte
+	for {
+		part, err := lines.ReadSlice('\n')
+		if err != nil && err != bufio.ErrBufferFull {
+			if err == io.EOF {
+				err = errors.New("ended")
+			}
+			return heard, cause(ctx, err)
+		}
+		silent.Reset(silence)
+		if line = append(line, part...); len(line) > mostLine {
+			return heard, errors.New("a report is too long")
+		}
+		if err != nil {
+			continue
+		}
+		if text := bytes.TrimSpace(line); len(text) > 0 {
+			v, err := parser.ParseBytes(text)
+			if err != nil {
+				return heard, err
+			}
+			if err := w.take(v); err != nil {
+				return heard, err
+			}
+			heard = true
+		}
+		line = line[:0]
+	}
+}
+
+func (w *Watch) take(v *fastjson.Value) error {
+	r, odd, err := Read(v)
+	if err != nil {
+		return err
+	}
+	if odd > 0 {
+		log.Printf("event=watch step=odd entries=%d", odd)
+	}
+	// Danger: after a restart of discovery its versions may start anew; the last one told counts, not the highest.
+	w.index = r.Index
+	w.desk.List(r.Entries, r.Whole)
+	w.came()
+	return nil
+}
+
+// cause prefers why we ended a watch to how the library put it.
+func cause(ctx context.Context, err error) error {
+	if why := context.Cause(ctx); why != nil {
+		return why
+	}
+	return err
+}
--- /dev/null
+++ b/internal/httpwire/push.go
@@ -0,0 +1,141 @@
+package httpwire
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"log"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"runtime/debug"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"ottershift/internal/desk"
+	"ottershift/logic"
+)
+
+// once is a body that can't be rewound. Danger: http.Transport sends a GET without a body, and a POST with
+// Idempotency-Key whose body it can have anew, a second time by itself when a kept connection breaks.
+type once struct{ *bytes.Reader }
+
+func (once) Close() error { return nil }
+
+// push carries one push to its outcome.
+func (f *Front) push(c *desk.Case, p *desk.Push, q *request, into *reply) {
+	result := logic.Broken // it may have run, unless it is known better
+	defer func() {
+		if fault := recover(); fault != nil {
+			log.Printf("event=panic where=push fault=%q stack=%q", fault, debug.Stack())
+		}
+		f.desk.Outcome(c, p, result)
+	}()
+	result = f.carry(p, q, into)
+}
+
+// strike gives back the pushes that were ordered and not begun when the transaction ended.
+func (f *Front) strike(c *desk.Case) {
+	for {
+		select {
+		case p := <-c.Pushes:
+			f.desk.Outcome(c, p, logic.Unsent)
+		default:
+			return
+		}
+	}
+}
+
+// carry sends the request once and takes what comes back.
+func (f *Front) carry(p *desk.Push, q *request, into *reply) logic.Result {
+	var reached, written atomic.Bool
+	ctx := httptrace.WithClientTrace(p.Context, &httptrace.ClientTrace{
+		GotConn:      func(httptrace.GotConnInfo) { reached.Store(true) },
+		WroteRequest: func(i httptrace.WroteRequestInfo) { written.Store(i.Err == nil) },
+	})
+	header := make(http.Header, len(q.header)+2)
+	for name, values := range q.header {
+		header[name] = values
+	}
+	header["X-Remaining"] = []string{strconv.FormatFloat(max(0, time.Until(p.Until).Seconds()), 'f', 6, 64)}
+	if header["User-Agent"] == nil {
+		header["User-Agent"] = []string{""} // none, instead of the library's
+	}
+	to := *q.url
+	to.Scheme, to.Host, to.User, to.Fragment = "http", p.Address, nil, ""
+	r := (&http.Request{
+		Method: q.method, URL: &to, Host: q.host, Header: header,
+		Body: once{bytes.NewReader(q.body)}, ContentLength: int64(len(q.body)),
+	}).WithContext(ctx)
+
+	answer, err := f.transport.RoundTrip(r)
+	if err != nil {
+		return ended(ctx, err, reached.Load(), written.Load())
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		io.CopyN(io.Discard, answer.Body, mostBody) // so that the connection can be kept
+		refused := answer.StatusCode == http.StatusServiceUnavailable || answer.StatusCode == http.StatusGatewayTimeout
+		if refused && answer.Header.Get("X-Turned-Away") == "1" {
+			return logic.TurnedAway
+		}
+		return logic.Errored
+	}
+	body, err := io.ReadAll(io.LimitReader(answer.Body, mostBody+1))
+	if err != nil {
+		return ended(ctx, err, true, true)
+	}
+	if len(body) > mostBody {
+		return logic.Errored
+	}
+	into.header, into.body = endToEnd(answer.Header), body
+	return logic.Settled
+}
+
+// ended names the outcome of a push without a whole answer. Only what provably never left whole is said not to
+// have run.
+func ended(ctx context.Context, err error, reached, written bool) logic.Result {
+	switch {
+	case errors.Is(err, errFull):
+		return logic.Unsent
+	case errors.Is(ctx.Err(), context.Canceled):
+		return logic.Cancelled
+	case !reached:
+		return logic.Unreachable
+	case ctx.Err() != nil:
+		return logic.TimedOut
+	case !written:
+		return logic.Unreachable
+	}
+	return logic.Broken
+}
+
+// Probe carries out the module's probes until the process ends.
+func (f *Front) Probe() {
+	for p := range f.desk.Probes() {
+		go func() {
+			ok := false
+			defer func() { f.desk.Probed(p.Upstream, ok) }()
+			ok = f.ping(p.Address)
+		}()
+	}
+}
+
+// ping asks an upstream for a sign of life, which may take as long as two connections to it.
+func (f *Front) ping(address string) bool {
+	ctx, end := context.WithTimeout(context.Background(), 2*time.Duration(f.book.DialTimeout))
+	defer end()
+	r := (&http.Request{
+		Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: address, Path: "/ping"},
+		Header: http.Header{"User-Agent": {""}}, Body: once{bytes.NewReader(nil)},
+	}).WithContext(ctx)
+	answer, err := f.transport.RoundTrip(r)
+	if err != nil {
+		return false
+	}
+	defer answer.Body.Close()
+	_, err = io.CopyN(io.Discard, answer.Body, mostBody)
+	return answer.StatusCode == http.StatusOK && (err == nil || err == io.EOF)
+}
--- /dev/null
+++ b/internal/httpwire/request.go
@@ -0,0 +1,137 @@
+package httpwire
+
+import (
+	"errors"
+	"io"
+	"math"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"ottershift/internal/terms"
+	"ottershift/logic"
+)
+
+const (
+	mostBody  = 64 << 10
+	mostWait  = time.Hour       // what a client may ask for
+	bodyLimit = 5 * time.Second // within which a body has come
+)
+
+// request is a transaction as a client sent it.
+type request struct {
+	tariff   int
+	customer int // -1 for none
+	left     time.Duration
+	work     time.Duration
+	again    bool
+
+	method string
+	host   string
+	url    *url.URL
+	header http.Header // end to end
+	body   []byte
+}
+
+// refusal of a message that can't be a transaction; it never reaches the module.
+type refusal struct {
+	status int
+	text   string
+}
+
+func (e *refusal) Error() string { return e.text }
+
+func bad(text string) error { return &refusal{http.StatusBadRequest, text} }
+
+// read decodes what a client sent, its body included.
+func read(w http.ResponseWriter, r *http.Request, book *terms.Book) (*request, error) {
+	q := &request{method: r.Method, host: r.Host, url: r.URL, customer: -1}
+	if r.Method != http.MethodGet && r.Method != http.MethodPost {
+		return nil, bad("the method is neither GET nor POST")
+	}
+	if r.Header.Get("X-Txn") == "" {
+		return nil, bad("no X-Txn")
+	}
+	first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	name := r.Header.Get("X-Lane")
+	if name == "" {
+		name = first
+	} else if name != first {
+		return nil, bad("X-Lane and path differ")
+	}
+	known := false
+	if q.tariff, known = book.Tariffs[name]; !known {
+		return nil, &refusal{http.StatusNotFound, "unknown tariff"}
+	}
+	tariff := book.Terms.Tariffs[q.tariff]
+	if tariff.Repeat == logic.Tagged && r.Header.Get("Idempotency-Key") == "" {
+		return nil, bad("a tagged transaction without Idempotency-Key") // Danger: its repeats would be unknown
+	}
+	if org := r.Header.Get("X-Org"); org != "" && len(book.Customers) > 0 {
+		if q.customer, known = book.Customers[org]; !known {
+			return nil, bad("unknown customer")
+		}
+	}
+	q.left = time.Duration(tariff.HardStop)
+	var err error
+	if text := r.Header.Get("X-Remaining"); text != "" {
+		if q.left, err = seconds(text); err != nil {
+			return nil, bad("X-Remaining is not a time")
+		}
+	}
+	if text := r.Header.Get("X-Estimate"); text != "" {
+		if q.work, err = seconds(text); err != nil {
+			return nil, bad("X-Estimate is not a time")
+		}
+	}
+	q.again = r.Header.Get("X-Resent") == "1"
+	q.header = endToEnd(r.Header)
+
+	// Danger: a body that trickles in holds a connection; it is no transaction before its last byte has come.
+	deadline := http.NewResponseController(w)
+	deadline.SetReadDeadline(time.Now().Add(bodyLimit))
+	if q.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, mostBody)); err != nil {
+		var large *http.MaxBytesError
+		if errors.As(err, &large) {
+			return nil, &refusal{http.StatusRequestEntityTooLarge, "the body is over 64 KiB"}
+		}
+		return nil, bad("the body is cut or malformed")
+	}
+	// Danger: the server watches the connection from here on; a deadline left behind looks like a client gone.
+	deadline.SetReadDeadline(time.Time{})
+	return q, nil
+}
+
+// seconds reads a time as the wire writes it, decimals allowed.
+func seconds(text string) (time.Duration, error) {
+	s, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(s) || s < 0 {
+		return 0, errors.New("not a time")
+	}
+	return time.Duration(min(s, mostWait.Seconds()) * float64(time.Second)), nil
+}
+
+// hop are the headers that concern one connection only.
+var hop = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
+}
+
+// endToEnd copies the headers that go on.
+func endToEnd(h http.Header) http.Header {
+	on := make(http.Header, len(h)+2)
+	for name, values := range h {
+		on[name] = values
+	}
+	for _, list := range h["Connection"] {
+		for _, name := range strings.Split(list, ",") {
+			on.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hop {
+		delete(on, name)
+	}
+	return on
+}
--- /dev/null
+++ b/internal/httpwire/serve.go
@@ -0,0 +1,89 @@
+// Package httpwire serves transactions over HTTP/1.1: net/http's server towards clients, http.Transport towards
+// upstreams. Its files follow a transaction: request.go reads it, serve.go lives its life, push.go carries one
+// push, reply.go writes the answer, drain.go ends the process; sockets.go keeps count of connections. It decides
+// nothing: the desk is asked at each point of choice.
+package httpwire
+
+import (
+	"log"
+	"net/http"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"ottershift/internal/desk"
+	"ottershift/internal/terms"
+)
+
+// Front is the door for transactions.
+type Front struct {
+	desk      *desk.Desk
+	book      *terms.Book
+	sockets   *sockets
+	transport *http.Transport
+	server    *http.Server
+	stands    atomic.Bool // the list does
+	closing   atomic.Bool
+}
+
+// New makes a front that holds no more than limit descriptors.
+func New(d *desk.Desk, book *terms.Book, limit int) *Front {
+	f := &Front{desk: d, book: book, sockets: &sockets{limit: int64(limit)}}
+	f.transport = f.sockets.transport(book)
+	f.server = &http.Server{Handler: f, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 60 * time.Second}
+	return f
+}
+
+// Stands says that there is a list to work with.
+func (f *Front) Stands() { f.stands.Store(true) }
+
+// ServeHTTP is the life of one transaction.
+func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var c *desk.Case
+	defer func() {
+		if fault := recover(); fault != nil {
+			log.Printf("event=panic where=serve fault=%q stack=%q", fault, debug.Stack())
+			if c != nil {
+				f.desk.Vanish(c)
+			}
+			refuse(w, http.StatusInternalServerError, "internal error")
+		}
+	}()
+	if f.closing.Load() || f.sockets.many() {
+		w.Header().Set("Connection", "close")
+	}
+	if r.URL.Path == "/_health" {
+		f.health(w)
+		return
+	}
+
+	q, err := read(w, r, f.book)
+	if err != nil {
+		refuse(w, err.(*refusal).status, err.Error())
+		return
+	}
+	c = f.desk.Arrive(q.tariff, q.customer, q.work, q.left, q.again)
+	defer f.strike(c)
+	var replies []*reply
+	for {
+		select {
+		case p := <-c.Pushes:
+			replies = append(replies, &reply{})
+			go f.push(c, p, q, replies[p.Number])
+		case a := <-c.Answer:
+			write(w, a, replies)
+			return
+		case <-r.Context().Done():
+			f.desk.Vanish(c)
+			return
+		}
+	}
+}
+
+func (f *Front) health(w http.ResponseWriter) {
+	if !f.stands.Load() || f.closing.Load() {
+		refuse(w, http.StatusServiceUnavailable, "no list of upstreams")
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
--- /dev/null
+++ b/internal/roster/roster.go
@@ -0,0 +1,100 @@
+// Package roster turns lists of named upstreams into the module's indexes: who joins, who changes, who leaves.
+package roster
+
+import "ottershift/logic"
+
+// Entry is one line of a list.
+type Entry[Name comparable] struct {
+	Name    Name
+	Zone    string
+	Address string // where it is reached, if the door reaches it by address
+	Up      logic.Upstream
+	Ends    bool // drains: it finishes what it has
+	Gone    bool
+}
+
+// Roster knows which index stands for which upstream of one balancer.
+type Roster[Name comparable] struct {
+	b       *logic.Balancer
+	zones   map[string]int
+	index   map[Name]int
+	names   []Name
+	address []string
+}
+
+// New starts an empty roster; zones are numbered by their place.
+func New[Name comparable](b *logic.Balancer, zones []string) *Roster[Name] {
+	r := &Roster[Name]{b: b, zones: map[string]int{}, index: map[Name]int{}}
+	for _, z := range zones {
+		r.zone(z)
+	}
+	return r
+}
+
+// Apply hands a report of the list on, entry by entry. Who is missing from a whole list has left.
+func (r *Roster[Name]) Apply(entries []Entry[Name], whole bool, now int64) {
+	here := map[Name]bool{}
+	for _, e := range entries {
+		here[e.Name] = true
+		i, known := r.index[e.Name]
+		if e.Gone {
+			if known {
+				r.b.Leave(i)
+			}
+			continue
+		}
+		if !known || !r.b.Known(i) {
+			i = r.join(e.Name)
+		}
+		r.address[i] = e.Address
+		e.Up.Zone = r.zone(e.Zone)
+		r.b.List(i, e.Up, now)
+		if e.Ends {
+			r.b.Drain(i)
+		}
+	}
+	if whole {
+		for i, name := range r.names {
+			if !here[name] {
+				r.b.Leave(i)
+			}
+		}
+	}
+	r.b.Listed(true, now)
+}
+
+// Index finds an upstream by its name.
+func (r *Roster[Name]) Index(name Name) (i int, known bool) {
+	i, known = r.index[name]
+	return i, known
+}
+
+// Name is the upstream behind an index.
+func (r *Roster[Name]) Name(i int) Name { return r.names[i] }
+
+// Address is where the upstream behind an index is reached.
+func (r *Roster[Name]) Address(i int) string { return r.address[i] }
+
+// join gives an upstream an index; an index used before is taken from the one that had it.
+func (r *Roster[Name]) join(name Name) int {
+	i := r.b.Join()
+	if i == len(r.names) {
+		r.names, r.address = append(r.names, name), append(r.address, "")
+	} else {
+		if r.index[r.names[i]] == i {
+			delete(r.index, r.names[i])
+		}
+		r.names[i] = name
+	}
+	r.index[name] = i
+	return i
+}
+
+func (r *Roster[Name]) zone(name string) int {
+	z, known := r.zones[name]
+	if !known {
+		z = len(r.zones)
+		r.zones[name] = z
+	}
+	return z
+}
--- a/internal/simwire/read.go
+++ b/internal/simwire/read.go
@@ -5,6 +5,8 @@
 
 	"github.com/valyala/fastjson"
 
+	"ottershift/internal/roster"
+	"ottershift/internal/terms"
 	"ottershift/logic"
 )
 
@@ -73,12 +75,12 @@
 		// A round follows in any case, and nothing is said between balancers.
 	case "incoming":
 		id := string(v.GetStringBytes("call"))
-		tariff, known := in.tariffs[string(v.GetStringBytes("band"))]
+		tariff, known := in.book.Tariffs[string(v.GetStringBytes("band"))]
 		if id == "" || !known || in.calls[id] != nil {
 			s.fault("incoming %q: no id, an id used before, or an unknown tariff", id)
 			return
 		}
-		customer, known := in.customers[string(v.GetStringBytes("user_group"))]
+		customer, known := in.book.Customers[string(v.GetStringBytes("user_group"))]
 		if !known {
 			customer = -1
 		}
@@ -110,7 +112,7 @@
 		}
 	case "checked":
 		id := uint32(v.GetUint64("upstream"))
-		if i, known := in.index[id]; known {
+		if i, known := in.roster.Index(id); known {
 			b.Probed(i, string(v.GetStringBytes("state_code")) == "served")
 		} else {
 			s.fault("checked for upstream %d, which is on no list", id)
@@ -140,19 +142,19 @@
 			s.fault("register: upstream %d in unknown state %q", e.GetUint64("upstream"), state)
 			continue
 		}
-		list = append(list, entry{
-			zone: string(e.GetStringBytes("site")),
-			up: logic.Upstream{
-				Number: uint32(e.GetUint64("upstream")), Weight: weight, Cell: e.GetInt("pod"),
-				Born: e.GetInt64("born") * microsecond,
+		number := uint32(e.GetUint64("upstream"))
+		list = append(list, roster.Entry[uint32]{
+			Name: number, Zone: string(e.GetStringBytes("site")),
+			Up: logic.Upstream{
+				Number: number, Weight: weight, Cell: e.GetInt("pod"), Born: e.GetInt64("born") * microsecond,
 			},
-			gone: state == "Gone", ends: state == "Terminating",
+			Gone: state == "Gone", Ends: state == "Terminating",
 		})
 	}
 	s.sheets[n] = list
 }
 
-// members hands a report of the list on, entry by entry.
+// members hands a report of the list on.
 func (in *instance) members(v *fastjson.Value) {
 	form := string(v.GetStringBytes("form"))
 	if form == "broken" {
@@ -164,63 +166,13 @@
 		in.server.fault("members of unknown form %q or list %d", form, n)
 		return
 	}
-	here := map[uint32]bool{}
-	for _, e := range in.server.sheets[n] {
-		here[e.up.Number] = true
-		i, known := in.index[e.up.Number]
-		if e.gone {
-			if known {
-				in.logic.Leave(i)
-			}
-			continue
-		}
-		if !known || !in.logic.Known(i) {
-			i = in.join(e.up.Number)
-		}
-		e.up.Zone = in.zone(e.zone)
-		in.logic.List(i, e.up, in.server.now)
-		if e.ends {
-			in.logic.Drain(i)
-		}
-	}
-	if form != "patch" {
-		for i, id := range in.ids {
-			if !here[id] {
-				in.logic.Leave(i)
-			}
-		}
-	}
-	in.logic.Listed(true, in.server.now)
-}
-
-// join gives an upstream an index; an index used before is taken from the one that had it.
-func (in *instance) join(id uint32) int {
-	i := in.logic.Join()
-	if i == len(in.ids) {
-		in.ids = append(in.ids, id)
-	} else {
-		if in.index[in.ids[i]] == i {
-			delete(in.index, in.ids[i])
-		}
-		in.ids[i] = id
-	}
-	in.index[id] = i
-	return i
-}
-
-func (in *instance) zone(name string) int {
-	z, known := in.zones[name]
-	if !known {
-		z = len(in.zones)
-		in.zones[name] = z
-	}
-	return z
+	in.roster.Apply(in.server.sheets[n], form != "patch", in.server.now)
 }
 
 // drop forgets a transaction once nothing can be said of it any more.
 func (in *instance) drop(t *logic.Transaction) {
 	if t.Closed() {
-		delete(in.calls, t.Mark)
+		delete(in.calls, t.Mark.(string))
 	}
 }
 
@@ -234,8 +186,8 @@
 // configure starts an instance, in place of one that ran under its number.
 func (s *server) configure(number int, v *fastjson.Value) {
 	in := &instance{
-		number: number, server: s, zones: map[string]int{}, tariffs: map[string]int{}, customers: map[string]int{},
-		index: map[uint32]int{}, calls: map[string]*logic.Transaction{},
+		number: number, server: s, calls: map[string]*logic.Transaction{},
+		book: terms.Read(v.Get("env"), v.GetUint64("prng")),
 	}
 	if old := s.instances[number]; old != nil {
 		old.logic = nil
@@ -243,63 +195,15 @@
 	s.instances[number] = in
 	in.touch()
 	in.guard(func() {
-		b, err := logic.New(in.terms(v.Get("env"), v.GetUint64("prng")), s.now)
+		b, err := logic.New(in.book.Terms, s.now)
 		if err != nil {
 			s.except(in, err.Error())
 			return
 		}
-		in.logic = b
+		in.logic, in.roster = b, roster.New[uint32](b, in.book.Zones)
 	})
 }
 
-// terms decodes what the balancer is told at its start.
-func (in *instance) terms(env *fastjson.Value, seed uint64) *logic.Terms {
-	limits, rules := env.Get("limits"), env.Get("guarantees")
-	t := &logic.Terms{
-		Seed: seed, Balancers: env.GetInt("fleet_size"), Index: env.GetInt("self_index"),
-		Layer:     env.GetInt("layer"),
-		MaxPushes: limits.GetInt("max_pushes"), SecondCopies: limits.GetBool("second_copies"),
-		Cancelling: limits.GetBool("cancelling"), Probing: limits.GetBool("probes"),
-		AdviseBackoff: limits.GetBool("retry_after"), MaxBackoff: limits.GetInt64("max_retry_after") * microsecond,
-		AskForList: string(env.GetStringBytes("registry_mode")) == "ask",
-		ColdShare:  rules.GetFloat64("cold_from"), WarmUp: rules.GetInt64("ramp_time") * microsecond,
-		FallMultiple: rules.GetFloat64("fall_multiple"), FallSpan: rules.GetInt64("overload_for") * microsecond,
-		CrossZonePrice: env.GetFloat64("fees", "cross_zone"), BeyondShare: env.GetFloat64("beyond_share_earnings"),
-		Punctual: env.GetFloat64("result_mix", "tail"), Resolution: env.GetInt64("resolution") * microsecond,
-	}
-	for _, z := range env.GetArray("zones") {
-		in.zone(string(z.GetStringBytes()))
-	}
-	t.Zone = in.zone(string(env.GetStringBytes("zone")))
-	for n, c := range env.GetArray("tariffs") {
-		in.tariffs[string(c.GetStringBytes("name"))] = n
-		f := &logic.Tariff{
-			Remembered: c.GetInt64("dedup_window") * microsecond, ContractTime: c.GetInt64("contract_time") * microsecond,
-			HardStop: c.GetInt64("hard_stop") * microsecond,
-			Stretch:  c.GetFloat64("aim_stretch"), Earnings: c.GetFloat64("earnings"),
-			LateEarnings: c.GetFloat64("late_earnings"),
-		}
-		switch string(c.GetStringBytes("effect")) {
-		case "idempotent":
-			f.Repeat = logic.Repeatable
-		case "deduplicated":
-			f.Repeat = logic.Tagged
-		}
-		switch string(c.GetStringBytes("group")) {
-		case "all":
-			f.Group = logic.Everywhere
-		case "zone":
-			f.Group = logic.SameZone
-		}
-		t.Tariffs = append(t.Tariffs, f)
-	}
-	for n, c := range env.GetArray("tenants") {
-		in.customers[string(c.GetStringBytes("name"))] = n
-		t.Customers = append(t.Customers, &logic.Customer{Rate: c.GetFloat64("quota_rps")})
-	}
-	return t
-}
-
 // reply lets every balancer that was told something decide, and closes the frame.
 func (s *server) reply() {
 	for _, in := range s.touched {
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -10,24 +10,18 @@
 
 	"github.com/valyala/fastjson"
 
+	"ottershift/internal/roster"
+	"ottershift/internal/terms"
 	"ottershift/logic"
 )
 
 const microsecond = 1000
 
-// entry is one line of a list, as the wire has it.
-type entry struct {
-	zone string
-	up   logic.Upstream
-	gone bool
-	ends bool // drains
-}
-
 // server hosts the instances of one process.
 type server struct {
 	out       bytes.Buffer
 	complain  io.Writer
-	sheets    [16][]entry
+	sheets    [16][]roster.Entry[uint32]
 	instances map[int]*instance
 	touched   []*instance
 	now       int64
@@ -37,16 +31,13 @@
 
 // instance is one balancer with its names: it is the Writer of its decisions.
 type instance struct {
-	logic     *logic.Balancer
-	number    int
-	queued    bool
-	server    *server
-	zones     map[string]int
-	tariffs   map[string]int
-	customers map[string]int
-	index     map[uint32]int
-	ids       []uint32
-	calls     map[string]*logic.Transaction
+	logic  *logic.Balancer
+	number int
+	queued bool
+	server *server
+	book   *terms.Book
+	roster *roster.Roster[uint32]
+	calls  map[string]*logic.Transaction
 }
 
 // Serve answers every frame of in on out until in ends. What it can't make sense of it names on complain and
--- a/internal/simwire/write.go
+++ b/internal/simwire/write.go
@@ -34,7 +34,7 @@
 func (in *instance) call(t *logic.Transaction) *instance {
 	out := &in.server.out
 	out.WriteString(`,"call":"`) // hex digits, as they came
-	out.WriteString(t.Mark)
+	out.WriteString(t.Mark.(string))
 	out.WriteByte('"')
 	return in
 }
@@ -43,7 +43,7 @@
 
 // Push implements logic.Writer, as do the methods below.
 func (in *instance) Push(t *logic.Transaction, upstream int, until int64) {
-	in.start("call_out").call(t).field("upstream", int64(in.ids[upstream])).field("not_past", until/microsecond).stop()
+	in.start("call_out").call(t).field("upstream", int64(in.roster.Name(upstream))).field("not_past", until/microsecond).stop()
 }
 
 func (in *instance) Cancel(t *logic.Transaction, push int) {
@@ -61,7 +61,7 @@
 }
 
 func (in *instance) Probe(upstream int) {
-	in.start("ping").field("upstream", int64(in.ids[upstream])).stop()
+	in.start("ping").field("upstream", int64(in.roster.Name(upstream))).stop()
 }
 
 func (in *instance) Follow() {
--- /dev/null
+++ b/internal/terms/terms.go
@@ -0,0 +1,85 @@
+// Package terms decodes the settings that a balancer is given at its start, for every door it may serve.
+package terms
+
+import (
+	"slices"
+
+	"github.com/valyala/fastjson"
+
+	"ottershift/logic"
+)
+
+const microsecond = 1000
+
+// Book is the settings as a balancer uses them: the module's terms, the names behind its numbers, and what only
+// a network is told.
+type Book struct {
+	Terms     *logic.Terms
+	Tariffs   map[string]int
+	Customers map[string]int
+	Zones     []string // their places are the numbers in Terms
+
+	DialTimeout int64 // nanoseconds until a connection counts as not to be had
+	IdleClose   int64 // an upstream closes what stood idle so long
+}
+
+// Read decodes the settings. What is absent stays zero: logic.New refuses what it can't work with.
+func Read(env *fastjson.Value, seed uint64) *Book {
+	limits, rules := env.Get("limits"), env.Get("guarantees")
+	t := &logic.Terms{
+		Seed: seed, Balancers: env.GetInt("fleet_size"), Index: env.GetInt("self_index"),
+		Layer:     env.GetInt("layer"),
+		MaxPushes: limits.GetInt("max_pushes"), SecondCopies: limits.GetBool("second_copies"),
+		Cancelling: limits.GetBool("cancelling"), Probing: limits.GetBool("probes"),
+		AdviseBackoff: limits.GetBool("retry_after"), MaxBackoff: limits.GetInt64("max_retry_after") * microsecond,
+		AskForList: string(env.GetStringBytes("registry_mode")) == "ask",
+		ColdShare:  rules.GetFloat64("cold_from"), WarmUp: rules.GetInt64("ramp_time") * microsecond,
+		FallMultiple: rules.GetFloat64("fall_multiple"), FallSpan: rules.GetInt64("overload_for") * microsecond,
+		CrossZonePrice: env.GetFloat64("fees", "cross_zone"), BeyondShare: env.GetFloat64("beyond_share_earnings"),
+		Punctual: env.GetFloat64("result_mix", "tail"), Resolution: env.GetInt64("resolution") * microsecond,
+	}
+	b := &Book{
+		Terms: t, Tariffs: map[string]int{}, Customers: map[string]int{},
+		DialTimeout: limits.GetInt64("dial_timeout") * microsecond,
+		IdleClose:   limits.GetInt64("idle_close") * microsecond,
+	}
+	own := string(env.GetStringBytes("zone"))
+	for _, z := range env.GetArray("zones") {
+		b.Zones = append(b.Zones, string(z.GetStringBytes()))
+	}
+	if t.Zone = slices.Index(b.Zones, own); t.Zone < 0 {
+		t.Zone = len(b.Zones)
+		b.Zones = append(b.Zones, own)
+	}
+	for n, c := range env.GetArray("tariffs") {
+		b.Tariffs[string(c.GetStringBytes("name"))] = n
+		t.Tariffs = append(t.Tariffs, tariff(c))
+	}
+	for n, c := range env.GetArray("tenants") {
+		b.Customers[string(c.GetStringBytes("name"))] = n
+		t.Customers = append(t.Customers, &logic.Customer{Rate: c.GetFloat64("quota_rps")})
+	}
+	return b
+}
+
+func tariff(c *fastjson.Value) *logic.Tariff {
+	f := &logic.Tariff{
+		Remembered: c.GetInt64("dedup_window") * microsecond, ContractTime: c.GetInt64("contract_time") * microsecond,
+		HardStop: c.GetInt64("hard_stop") * microsecond,
+		Stretch:  c.GetFloat64("aim_stretch"), Earnings: c.GetFloat64("earnings"),
+		LateEarnings: c.GetFloat64("late_earnings"),
+	}
+	switch string(c.GetStringBytes("effect")) {
+	case "idempotent":
+		f.Repeat = logic.Repeatable
+	case "deduplicated":
+		f.Repeat = logic.Tagged
+	}
+	switch string(c.GetStringBytes("group")) {
+	case "all":
+		f.Group = logic.Everywhere
+	case "zone":
+		f.Group = logic.SameZone
+	}
+	return f
+}
--- a/logic/types.go
+++ b/logic/types.go
@@ -111,7 +111,7 @@
 
 // Transaction is one piece of work for a client, owed exactly one final answer.
 type Transaction struct {
-	Mark string // the caller's own name for it, never read here
+	Mark any // the caller's own, never read here
 
 	tariff   *Tariff
 	customer *Customer
