--- a/cmd/ottershift/config.go
+++ b/cmd/ottershift/config.go
@@ -12,6 +12,9 @@
 	"ottershift/internal/terms"
 )
 
+// unsaid is the descriptors that a process has by custom, where nothing is said.
+const unsaid = 1024
+
 // orders is what the program is told at its start.
 type orders struct {
 	name      string
@@ -48,6 +51,9 @@
 		memory:    int64(v.GetFloat64("limits", "memory_mb") * (1 << 20)),
 		sockets:   v.GetInt("limits", "sockets"),
 	}
+	if o.sockets <= 0 {
+		o.sockets = unsaid
+	}
 	switch {
 	case o.listen == "":
 		return nil, fmt.Errorf("%s: no address to listen on", path)
--- /dev/null
+++ b/cmd/ottershift/ottershift_test.go
@@ -0,0 +1,717 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"ottershift/internal/desk"
+)
+
+// The stand-ins speak as the protocol says and no more: an upstream that answers as it is told, a discovery that
+// tells what it is given, a client that writes requests by hand.
+
+var program string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "ottershift")
+	if err != nil {
+		panic(err)
+	}
+	program = filepath.Join(dir, "ottershift")
+	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// upstream counts what arrives whole and hands it to do, with the connection in its hands.
+type upstream struct {
+	net.Listener
+	arrived atomic.Int32
+	opened  atomic.Int32
+	ended   chan struct{} // a connection that the balancer closed while it waited
+	do      func(n int32, r *http.Request, body []byte, c net.Conn) (keep bool)
+}
+
+func newUpstream(t *testing.T, do func(n int32, r *http.Request, body []byte, c net.Conn) bool) *upstream {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	u := &upstream{Listener: l, do: do, ended: make(chan struct{}, 100)}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			u.opened.Add(1)
+			go u.serve(c)
+		}
+	}()
+	return u
+}
+
+func (u *upstream) serve(c net.Conn) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			u.note()
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		if r.URL.Path == "/ping" {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			continue
+		}
+		if !u.do(u.arrived.Add(1), r, body, c) {
+			return
+		}
+	}
+}
+
+// hang waits until the balancer lets go of the connection.
+func (u *upstream) hang(c net.Conn) bool {
+	c.Read(make([]byte, 1))
+	u.note()
+	return false
+}
+
+func (u *upstream) note() {
+	select {
+	case u.ended <- struct{}{}:
+	default:
+	}
+}
+
+// says answers every request alike.
+func says(answer string) func(int32, *http.Request, []byte, net.Conn) bool {
+	return func(_ int32, _ *http.Request, _ []byte, c net.Conn) bool {
+		_, err := io.WriteString(c, answer)
+		return err == nil
+	}
+}
+
+const fine = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine"
+
+// entry is a line of the list.
+func entry(name, address, status string) string {
+	return fmt.Sprintf(`{"name":%q,"address":%q,"zone":"a","type":"m","group":1,"status":%q,"weight":1,"since_ms":0}`,
+		name, address, status)
+}
+
+func report(index int, whole bool, entries ...string) string {
+	return fmt.Sprintf(`{"index":%d,"snapshot":%t,"endpoints":[%s]}`, index, whole, strings.Join(entries, ","))
+}
+
+// registry is discovery: each watch gets what is sent on its channel.
+type registry struct {
+	net.Listener
+	watches chan watch
+}
+
+type watch struct {
+	query string
+	lines chan string
+	end   chan struct{}
+}
+
+func (w watch) say(line string) { w.lines <- line }
+
+func newRegistry(t *testing.T) *registry {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &registry{Listener: l, watches: make(chan watch, 10)}
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		now := watch{q.URL.RawQuery, make(chan string, 10), make(chan struct{})}
+		r.watches <- now
+		for {
+			http.NewResponseController(w).Flush()
+			select {
+			case line := <-now.lines:
+				io.WriteString(w, line+"\n")
+			case <-now.end:
+				return
+			case <-q.Context().Done():
+				return
+			}
+		}
+	})}
+	go s.Serve(l)
+	t.Cleanup(func() { s.Close() })
+	return r
+}
+
+func (r *registry) next(t *testing.T) watch {
+	t.Helper()
+	select {
+	case w := <-r.watches:
+		return w
+	case <-time.After(8 * time.Second):
+		t.Fatal("nobody watches")
+	}
+	panic("unreachable")
+}
+
+// settings name three tariffs: view may repeat, post must not, load carries a mark known within its group.
+const settings = `{"fleet_size":1,"self_index":0,"layer":1,"zone":"a","zones":["a"],"registry_mode":"push",
+ "limits":{"cancelling":true,"max_pushes":4,"probes":true,"second_copies":true,"dial_timeout":200000,"idle_close":600000},
+ "guarantees":{"cold_from":0.2,"ramp_time":9000000,"fall_multiple":3,"overload_for":1000000},
+ "tenants":[{"name":"acme","quota_rps":1000,"share":1}],
+ "tariffs":[
+  {"name":"view","contract_time":1000000,"hard_stop":6000000,"effect":"idempotent","earnings":1},
+  {"name":"post","contract_time":1000000,"hard_stop":3000000,"effect":"at_most_once","earnings":1},
+  {"name":"load","contract_time":1000000,"hard_stop":3000000,"effect":"deduplicated","group":"cell","dedup_window":4000000,"earnings":1}]}`
+
+// balancer is the program at work.
+type balancer struct {
+	t       *testing.T
+	address string
+	command *exec.Cmd
+	log     *bytes.Buffer
+	exit    chan error
+}
+
+// start runs the program over some upstreams and waits until it is ready.
+func start(t *testing.T, r *registry, sockets int, settings string, upstreams ...*upstream) *balancer {
+	t.Helper()
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &balancer{t: t, address: free.Addr().String(), log: &bytes.Buffer{}, exit: make(chan error, 1)}
+	free.Close()
+	var known []string
+	for n, u := range upstreams {
+		known = append(known, entry(fmt.Sprintf("u%d", n), u.Addr().String(), "SERVING"))
+	}
+	b.run(fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
+		"limits":{"cores":1.0,"memory_mb":192,"sockets":%d},"known":%s,"settings":%s}`,
+		b.address, r.Addr(), sockets, report(41, true, known...), settings))
+	t.Cleanup(func() {
+		b.command.Process.Kill()
+		<-b.exit
+	})
+	for range 200 {
+		if a, err := http.Get("http://" + b.address + "/_health"); err == nil {
+			a.Body.Close()
+			if a.StatusCode == http.StatusOK {
+				return b
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("not ready: %s", b.log)
+	return nil
+}
+
+func (b *balancer) run(config string) {
+	file := filepath.Join(b.t.TempDir(), "config.json")
+	if err := os.WriteFile(file, []byte(config), 0o600); err != nil {
+		b.t.Fatal(err)
+	}
+	b.command = exec.Command(program)
+	b.command.Env = append(os.Environ(), "PROXY_CONFIG="+file)
+	b.command.Stderr = b.log
+	if err := b.command.Start(); err != nil {
+		b.t.Fatal(err)
+	}
+	go func() { b.exit <- b.command.Wait(); close(b.exit) }()
+}
+
+var ids atomic.Int64
+
+// message is a request as clients write it.
+func message(tariff string, left float64, more string) string {
+	method, key := "GET", ""
+	if tariff != "view" {
+		method = "POST"
+	}
+	if tariff == "load" {
+		key = "Idempotency-Key: 5c0f\r\n"
+	}
+	return fmt.Sprintf("%s /%s?page=a%%2Fb HTTP/1.1\r\nHost: backend.local\r\nX-Txn: %016x\r\nX-Lane: %s\r\n"+
+		"X-Org: acme\r\nX-Remaining: %.3f\r\n%s%s", method, tariff, ids.Add(1), tariff, left, key, more)
+}
+
+// ask writes a message on a connection of its own and reads the answer.
+func (b *balancer) ask(text string) (status int, header http.Header, body string) {
+	b.t.Helper()
+	c, err := net.Dial("tcp", b.address)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	defer c.Close()
+	status, header, body, err = on(c, bufio.NewReader(c), text)
+	if err != nil {
+		b.t.Fatalf("%v after %q", err, text)
+	}
+	return status, header, body
+}
+
+// on does the same on a kept connection.
+func on(c net.Conn, in *bufio.Reader, text string) (int, http.Header, string, error) {
+	c.SetDeadline(time.Now().Add(8 * time.Second))
+	io.WriteString(c, text)
+	a, err := http.ReadResponse(in, nil)
+	if err != nil {
+		return 0, nil, "", err
+	}
+	if a.Close {
+		a.Header.Set("Connection", "close") // the library takes it off
+	}
+	body, err := io.ReadAll(a.Body)
+	return a.StatusCode, a.Header, string(body), err
+}
+
+func TestTransactionGoesOnUnchanged(t *testing.T) {
+	big := strings.Repeat("x", 64<<10)
+	type arrival struct {
+		*http.Request
+		body string
+	}
+	arrivals := make(chan arrival, 1)
+	u := newUpstream(t, func(_ int32, r *http.Request, body []byte, c net.Conn) bool {
+		arrivals <- arrival{r, string(body)}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\nContent-Length: %d\r\n\r\n%s", len(big), big)
+		return true
+	})
+	b := start(t, newRegistry(t), 1024, settings, u)
+	text := message("load", 0.48, fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(big), big))
+	status, header, body := b.ask(text)
+	if status != 200 || body != big || header.Get("Content-Encoding") != "gzip" {
+		t.Errorf("answered %d, %d bytes, %v", status, len(body), header)
+	}
+	got := <-arrivals
+	if got.Method != "POST" || got.RequestURI != "/load?page=a%2Fb" || got.Host != "backend.local" ||
+		got.body != big || !strings.Contains(text, got.Header.Get("X-Txn")) ||
+		got.Header.Get("Idempotency-Key") != "5c0f" || got.Header.Get("X-Lane") != "load" {
+		t.Errorf("sent on as %+v", got)
+	}
+	var left float64
+	if fmt.Sscan(got.Header.Get("X-Remaining"), &left); left > 0.48 || left < 0.4 {
+		t.Errorf("X-Remaining %q", got.Header.Get("X-Remaining"))
+	}
+	b.ask(message("view", 1, "\r\n"))
+	if got = <-arrivals; got.Method != "GET" || got.Header.Get("Content-Length") != "" ||
+		got.Header.Get("Transfer-Encoding") != "" || got.Header.Get("Accept-Encoding") != "" {
+		t.Errorf("sent on as %+v", got)
+	}
+}
+
+// Danger: http.Transport sends a GET or a POST with Idempotency-Key again by itself when a kept connection breaks.
+func TestBrokenConnectionIsNotResent(t *testing.T) {
+	for _, tariff := range []string{"view", "load", "post"} {
+		t.Run(tariff, func(t *testing.T) {
+			u := newUpstream(t, func(n int32, _ *http.Request, _ []byte, c net.Conn) bool {
+				if n > 1 {
+					return false // read whole, then gone without an answer
+				}
+				io.WriteString(c, fine)
+				return true
+			})
+			b := start(t, newRegistry(t), 1024, settings, u)
+			for range 2 {
+				b.ask(message(tariff, 1, "Content-Length: 0\r\n\r\n"))
+			}
+			if n := u.arrived.Load(); n != 2 || u.opened.Load() != 1 {
+				t.Errorf("%d arrivals on %d connections for two requests", n, u.opened.Load())
+			}
+		})
+	}
+}
+
+// What a deferral may say hangs on whether the push may have run.
+func TestOutcomes(t *testing.T) {
+	full := "HTTP/1.1 503 Full\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n"
+	for _, c := range []struct {
+		name, answer string
+		post, view   int
+	}{
+		{"settled", fine, 200, 200},
+		{"chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n", 200, 200},
+		{"error", "HTTP/1.1 500 Oh\r\nContent-Length: 2\r\n\r\nno", 502, 503},
+		{"turned away", full, 503, 503},
+		{"turned away late", strings.Replace(full, "503 Full", "504 Late", 1), 503, 503},
+		{"503 of another", "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n", 502, 503},
+		{"429 of another", "HTTP/1.1 429 Much\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n", 502, 503},
+		{"redirect", "HTTP/1.1 302 Go\r\nLocation: /post\r\nContent-Length: 0\r\n\r\n", 502, 503},
+		{"cut", "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\nfi", 502, 503},
+		{"cut chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfi", 502, 503},
+		{"too long", "HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n" + strings.Repeat("x", 65537), 502, 503},
+		{"too long in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n10001\r\n" +
+			strings.Repeat("x", 65537) + "\r\n0\r\n\r\n", 502, 503},
+		{"no HTTP", "good day\r\n\r\n", 502, 503},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			u := newUpstream(t, func(_ int32, _ *http.Request, _ []byte, conn net.Conn) bool {
+				io.WriteString(conn, c.answer)
+				return strings.HasSuffix(c.answer, "fine")
+			})
+			b := start(t, newRegistry(t), 1024, settings, u)
+			if status, _, body := b.ask(message("post", 1, "Content-Length: 0\r\n\r\n")); status != c.post ||
+				(status == 200) != (body == "fine") {
+				t.Errorf("post: %d %q", status, body)
+			}
+			if status, _, _ := b.ask(message("view", 1, "\r\n")); status != c.view {
+				t.Errorf("view: %d", status)
+			}
+			if n := u.arrived.Load(); n != 2 {
+				t.Errorf("%d arrivals", n)
+			}
+		})
+	}
+	t.Run("no connection", func(t *testing.T) {
+		u := newUpstream(t, nil)
+		u.Close()
+		b := start(t, newRegistry(t), 1024, settings, u)
+		if status, _, _ := b.ask(message("post", 1, "Content-Length: 0\r\n\r\n")); status != 503 {
+			t.Errorf("%d", status)
+		}
+	})
+}
+
+func TestBadInputIsAnsweredAndHarmless(t *testing.T) {
+	u := newUpstream(t, says(fine))
+	b := start(t, newRegistry(t), 1024, settings, u)
+	good := message("view", 1, "\r\n")
+	for _, c := range []struct {
+		name, text string
+		status     int
+	}{
+		{"no HTTP", "\x16\x03\x01\r\n\r\n", 400},
+		{"no id", strings.Replace(good, "X-Txn", "X-Not", 1), 400},
+		{"unknown tariff", strings.ReplaceAll(good, "view", "sing"), 404},
+		{"no tariff at all", strings.Replace(strings.Replace(good, "/view", "/", 1), "X-Lane: view\r\n", "", 1), 404},
+		{"two tariffs", strings.Replace(good, "/view", "/post", 1), 400},
+		{"unknown customer", strings.Replace(good, "acme", "nobody", 1), 400},
+		{"time", strings.Replace(good, "1.000", "soon", 1), 400},
+		{"no number", strings.Replace(good, "1.000", "NaN", 1), 400},
+		{"before", strings.Replace(good, "1.000", "-1", 1), 400},
+		{"method", strings.Replace(good, "GET", "PUT", 1), 400},
+		{"no key", strings.Replace(message("load", 1, "Content-Length: 0\r\n\r\n"), "Idempotency-Key", "X-Key", 1), 400},
+		{"long body", message("post", 1, "Content-Length: 65537\r\n\r\n"), 413},
+		{"long chunks", message("post", 1, "Transfer-Encoding: chunked\r\n\r\n10001\r\n"+strings.Repeat("x", 65537)+"\r\n0\r\n\r\n"), 413},
+		{"bad chunks", message("post", 1, "Transfer-Encoding: chunked\r\n\r\nzz\r\n"), 400},
+		{"long header", strings.Replace(good, "acme", strings.Repeat("a", 64<<10), 1), 431},
+	} {
+		if status, _, _ := b.ask(c.text); status != c.status {
+			t.Errorf("%s: %d", c.name, status)
+		}
+	}
+	if n := u.arrived.Load(); n != 0 {
+		t.Errorf("%d went on", n)
+	}
+	for _, text := range []string{good, strings.Replace(message("view", 1, "\r\n"), "1.000", "1e300", 1),
+		strings.Replace(message("view", 1, "\r\n"), "X-Remaining: 1.000\r\n", "", 1)} {
+		if status, _, body := b.ask(text); status != 200 || body != "fine" {
+			t.Errorf("%q: %d %q\n%s", text, status, body, b.log)
+		}
+	}
+}
+
+func TestBadConfigEndsItWithOneLine(t *testing.T) {
+	const head = `{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"ff",`
+	for config, want := range map[string]string{
+		`{`:                        "not JSON",
+		`{"listen":"127.0.0.1:0"}`: "no address of discovery",
+		`[]`:                       "no address to listen on",
+		head + `"settings":{}}`:    "terms: no balancers",
+		head + `"settings":7}`:     "no settings",
+		head + `"known":7,"settings":` + settings + `}`:                                     "known: not a list",
+		strings.Replace(head, "ff", "xx", 1) + `"settings":` + settings + `}`:               "seed",
+		strings.Replace(head, "127.0.0.1:0", "nowhere", 1) + `"settings":` + settings + `}`: "listen tcp",
+	} {
+		b := &balancer{t: t, log: &bytes.Buffer{}, exit: make(chan error, 1)}
+		b.run(config)
+		if err := <-b.exit; err == nil || strings.Count(b.log.String(), "\n") != 1 || !strings.Contains(b.log.String(), want) {
+			t.Errorf("%s: %v, log %q", config, err, b.log)
+		}
+	}
+}
+
+// Nothing is answered after the hard stop, and what is out then is let go.
+func TestHardStop(t *testing.T) {
+	var u *upstream
+	u = newUpstream(t, func(_ int32, _ *http.Request, _ []byte, c net.Conn) bool { return u.hang(c) })
+	b := start(t, newRegistry(t), 1024, settings, u)
+	begin := time.Now()
+	status, _, _ := b.ask(message("post", 0.3, "Content-Length: 0\r\n\r\n"))
+	if took := time.Since(begin); status != 502 || took < 250*time.Millisecond || took > 350*time.Millisecond {
+		t.Errorf("%d after %s", status, took)
+	}
+	u.waitEnded(t)
+}
+
+func (u *upstream) waitEnded(t *testing.T) {
+	t.Helper()
+	select {
+	case <-u.ended:
+	case <-time.After(2 * time.Second):
+		t.Error("the push was not let go")
+	}
+}
+
+func TestClientThatLeavesTakesItsPushWithIt(t *testing.T) {
+	var u *upstream
+	u = newUpstream(t, func(_ int32, _ *http.Request, _ []byte, c net.Conn) bool { return u.hang(c) })
+	b := start(t, newRegistry(t), 1024, settings, u)
+	c, err := net.Dial("tcp", b.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(c, message("post", 3, "Content-Length: 0\r\n\r\n"))
+	for range 200 {
+		if u.arrived.Load() == 1 {
+			break
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	begin := time.Now()
+	c.Close()
+	if u.waitEnded(t); time.Since(begin) > time.Second {
+		t.Error("the push was let go late")
+	}
+}
+
+// The copy goes to the other upstream, wins, and the loser is called off while its client has long gone.
+func TestSlowPushIsCopied(t *testing.T) {
+	var hangs atomic.Bool // the next request
+	var slow atomic.Pointer[upstream]
+	var us [2]*upstream
+	for i := range us {
+		us[i] = newUpstream(t, func(_ int32, _ *http.Request, _ []byte, c net.Conn) bool {
+			if hangs.CompareAndSwap(true, false) {
+				slow.Store(us[i])
+				return us[i].hang(c)
+			}
+			_, err := io.WriteString(c, fine)
+			return err == nil
+		})
+	}
+	b := start(t, newRegistry(t), 1024, settings, us[0], us[1])
+	for range 40 {
+		b.ask(message("view", 3, "\r\n"))
+	}
+	time.Sleep(250 * time.Millisecond) // the quantile is taken a few times a second
+	b.ask(message("view", 3, "\r\n"))
+	hangs.Store(true)
+	begin := time.Now()
+	if status, _, _ := b.ask(message("view", 3, "\r\n")); status != 200 || time.Since(begin) > time.Second {
+		t.Errorf("%d after %s", status, time.Since(begin))
+	}
+	if n := us[0].arrived.Load() + us[1].arrived.Load(); n != 43 {
+		t.Errorf("%d arrivals", n)
+	}
+	slow.Load().waitEnded(t)
+}
+
+// Danger: what is written to a connection that the upstream closes as idle may have run.
+func TestIdleConnectionsAreClosedInTime(t *testing.T) {
+	u := newUpstream(t, says(fine))
+	b := start(t, newRegistry(t), 1024, settings, u)
+	b.ask(message("view", 1, "\r\n"))
+	begin := time.Now()
+	if u.waitEnded(t); time.Since(begin) > 600*time.Millisecond {
+		t.Errorf("closed after %s", time.Since(begin))
+	}
+}
+
+func TestListIsFollowed(t *testing.T) {
+	u, v, x := newUpstream(t, says(fine)), newUpstream(t, says(fine)), newUpstream(t, says(fine))
+	r := newRegistry(t)
+	b := start(t, r, 1024, settings, u)
+	w := r.next(t)
+	if w.query != "watch=1&after=41" {
+		t.Errorf("watched with %q", w.query)
+	}
+	to := func(want *upstream) {
+		t.Helper()
+		for range 100 { // what is told takes effect within moments
+			before := want.arrived.Load()
+			if b.ask(message("view", 1, "\r\n")); want.arrived.Load() > before {
+				before = want.arrived.Load()
+				for range 10 {
+					b.ask(message("view", 1, "\r\n"))
+				}
+				if want.arrived.Load() == before+10 {
+					return
+				}
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		t.Error("the list is not followed")
+	}
+	w.say("")
+	w.say(report(42, false, entry("u0", u.Addr().String(), "DRAINING"), entry("u1", v.Addr().String(), "SERVING"),
+		entry("odd", "", "SERVING"), entry("odder", "127.0.0.1:1", "DANCING")))
+	to(v)
+	// A watch that ends is opened anew; index and address may have changed.
+	close(w.end)
+	w = r.next(t)
+	if w.query != "watch=1&after=42" {
+		t.Errorf("watched with %q", w.query)
+	}
+	w.say(report(3, true, entry("u1", x.Addr().String(), "SERVING")))
+	to(x)
+	// So is one that turns to nonsense, and one that says nothing for over two beats.
+	w.say(`{"index":`)
+	if w = r.next(t); w.query != "watch=1&after=3" {
+		t.Errorf("watched with %q", w.query)
+	}
+	begin := time.Now()
+	r.next(t)
+	if took := time.Since(begin); took < 4*time.Second || took > 6*time.Second {
+		t.Errorf("a silent watch was given up after %s", took)
+	}
+	to(x)
+}
+
+func TestListIsAskedForWhereItMustBe(t *testing.T) {
+	u := newUpstream(t, says(fine))
+	r := newRegistry(t)
+	start(t, r, 1024, strings.Replace(settings, `"push"`, `"ask"`, 1), u)
+	close(r.next(t).end)
+	begin := time.Now()
+	r.next(t) // the module asks again by itself, after a while
+	if took := time.Since(begin); took < 200*time.Millisecond {
+		t.Errorf("asked again after %s", took)
+	}
+}
+
+// SIGTERM: new clients are still served for a while, connections close with their answers, and what would be out
+// for longer gets its answer before the process is killed.
+func TestDrain(t *testing.T) {
+	var u *upstream
+	u = newUpstream(t, func(_ int32, r *http.Request, _ []byte, c net.Conn) bool {
+		if r.URL.Path == "/post" {
+			return u.hang(c)
+		}
+		time.Sleep(100 * time.Millisecond)
+		io.WriteString(c, fine)
+		return true
+	})
+	b := start(t, newRegistry(t), 1024, settings, u)
+	var all sync.WaitGroup
+	all.Add(1)
+	begin := time.Now()
+	go func() {
+		defer all.Done()
+		if status, _, _ := b.ask(message("post", 6, "Content-Length: 0\r\n\r\n")); status != 502 {
+			t.Errorf("what hangs: %d", status)
+		}
+		if took := time.Since(begin); took < 3*time.Second || took > 3700*time.Millisecond {
+			t.Errorf("what hangs was answered after %s", took)
+		}
+	}()
+	kept, err := net.Dial("tcp", b.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer kept.Close()
+	in := bufio.NewReader(kept)
+	if _, header, _, _ := on(kept, in, message("view", 1, "\r\n")); header.Get("Connection") == "close" {
+		t.Error("closed before its time")
+	}
+	b.command.Process.Signal(syscall.SIGTERM)
+	time.Sleep(50 * time.Millisecond)
+	if status, header, body, err := on(kept, in, message("view", 1, "\r\n")); status != 200 || body != "fine" ||
+		header.Get("Connection") != "close" {
+		t.Errorf("a kept connection: %d %q %v %v", status, body, header, err)
+	}
+	time.Sleep(200 * time.Millisecond)
+	if status, header, _ := b.ask(message("view", 1, "\r\n")); status != 200 || header.Get("Connection") != "close" {
+		t.Errorf("a new connection: %d %v", status, header)
+	}
+	all.Wait()
+	if err := <-b.exit; err != nil || time.Since(begin) > 3700*time.Millisecond {
+		t.Errorf("ended with %v after %s", err, time.Since(begin))
+	}
+}
+
+// Danger: without a free descriptor nothing is accepted, and what waits in the backlog is owed an answer.
+func TestDescriptorsSuffice(t *testing.T) {
+	u := newUpstream(t, func(_ int32, _ *http.Request, _ []byte, c net.Conn) bool {
+		time.Sleep(20 * time.Millisecond)
+		_, err := io.WriteString(c, fine)
+		return err == nil
+	})
+	b := start(t, newRegistry(t), 100, settings, u)
+	var all sync.WaitGroup
+	var served atomic.Int32
+	for range 40 {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			for range 5 {
+				if status, _, _ := b.ask(message("view", 3, "\r\n")); status == 200 {
+					served.Add(1)
+				} else if status != 503 {
+					t.Errorf("%d", status)
+				}
+			}
+		}()
+	}
+	files := 0
+	for range 20 {
+		time.Sleep(5 * time.Millisecond)
+		open, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", b.command.Process.Pid))
+		files = max(files, len(open))
+	}
+	all.Wait()
+	if served.Load() < 100 || files > 100 {
+		t.Errorf("%d of 200 served, %d descriptors", served.Load(), files)
+	}
+}
+
+// FuzzConfig: whatever stands in the configuration, it is refused with a word or works.
+func FuzzConfig(f *testing.F) {
+	whole := `{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c","known":` +
+		report(1, true, entry("u", "127.0.0.1:1", "SERVING")) + `,"settings":` + settings + `}`
+	f.Add(whole)
+	for _, c := range [][2]string{{"1", "-7"}, {"1000000", "1e300"}, {`"u"`, "{}"}, {"true", "[]"}, {`"a"`, "null"},
+		{"0.2", `"x"`}, {"[", "[[],7,"}, {"4", "99999999999999999999"}} {
+		f.Add(strings.ReplaceAll(whole, c[0], c[1]))
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		file := filepath.Join(t.TempDir(), "config.json")
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		o, err := readOrders(file)
+		if err != nil {
+			return
+		}
+		d, err := desk.New(o.book)
+		if err != nil {
+			return
+		}
+		d.List(o.known.Entries, true)
+		for n := range o.book.Terms.Tariffs {
+			d.Vanish(d.Arrive(n, -1, 0, time.Second, false))
+		}
+	})
+}
--- /dev/null
+++ b/internal/httpwire/httpwire_test.go
@@ -0,0 +1,124 @@
+package httpwire
+
+import (
+	"bufio"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/valyala/fastjson"
+
+	"ottershift/internal/desk"
+	"ottershift/internal/roster"
+	"ottershift/internal/terms"
+	"ottershift/logic"
+)
+
+func front(t testing.TB) *Front {
+	book := terms.Read(fastjson.MustParse(`{"fleet_size":1,"layer":1,"zone":"a","limits":{"max_pushes":2},
+		"guarantees":{"cold_from":0.5},"tenants":[{"name":"acme","quota_rps":9}],
+		"tariffs":[{"name":"view","hard_stop":1000000,"effect":"idempotent"},
+		{"name":"load","hard_stop":1000000,"effect":"deduplicated"}]}`), 1)
+	d, err := desk.New(book)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return New(d, book, 100)
+}
+
+// FuzzRequest: any message is answered, and what goes on is as the client sent it, less what concerns its
+// connection.
+func FuzzRequest(f *testing.F) {
+	for _, s := range []string{
+		"GET /view?x=%2F HTTP/1.1\r\nHost: a\r\nX-Txn: 1\r\nX-Remaining: 0.5\r\nConnection: x-drop\r\nX-Drop: 1\r\n\r\n",
+		"POST /load HTTP/1.1\r\nHost: a\r\nX-Txn: 1\r\nX-Lane: load\r\nIdempotency-Key: k\r\nContent-Length: 3\r\n\r\nabc",
+		"GET http://b/view HTTP/1.1\r\nHost: a\r\nX-Txn: 1\r\nX-Estimate: -1\r\n\r\n",
+		"POST * HTTP/1.1\r\nHost: a\r\nX-Txn: \xff\r\nX-Org: \x00\r\nTransfer-Encoding: chunked\r\n\r\n-1\r\n",
+		"GET //view//view?;=%zz HTTP/1.0\r\nX-Txn: 1\r\nX-Remaining: 1e999\r\nX-Resent: 1\r\n\r\n",
+		"GET /view HTTP/1.1\r\nHost: a\r\nX-Txn: 1\r\nX-Org: acme\r\nContent-Length: 99999\r\n\r\n",
+	} {
+		f.Add(s)
+	}
+	front := front(f)
+	f.Fuzz(func(t *testing.T, text string) {
+		r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(text)))
+		if err != nil {
+			return
+		}
+		q, no := read(httptest.NewRecorder(), r, front.book)
+		if no != nil {
+			if q != nil || no.status != 400 && no.status != 404 && no.status != 413 || no.text == "" {
+				t.Errorf("refused with %+v", no)
+			}
+			return
+		}
+		if q.left < 0 || q.work < 0 || len(q.body) > mostBody || q.method != r.Method || q.url.String() != r.URL.String() {
+			t.Errorf("read as %+v", q)
+		}
+		for name := range q.header {
+			for _, not := range append(hop, r.Header["Connection"]...) {
+				if name == not {
+					t.Errorf("%s goes on", name)
+				}
+			}
+		}
+	})
+}
+
+// broken is a context that panics in the middle of a transaction's life.
+type broken struct{ context.Context }
+
+func (broken) Done() <-chan struct{} { panic("a fault of ours") }
+
+func TestPanicIsAnsweredAndTheTransactionGivenUp(t *testing.T) {
+	f := front(t)
+	r := httptest.NewRequest("GET", "/view", nil)
+	r.Header.Set("X-Txn", "1")
+	w := httptest.NewRecorder()
+	f.ServeHTTP(w, r.WithContext(broken{r.Context()}))
+	if w.Code != http.StatusInternalServerError {
+		t.Errorf("%d", w.Code)
+	}
+	if n := f.desk.Close(); n != 0 {
+		t.Errorf("%d still open", n)
+	}
+}
+
+// A push that panics may have run all the same, and its outcome reaches the module.
+func TestPanicOfAPushIsAnOutcome(t *testing.T) {
+	f := front(t)
+	f.desk.List([]roster.Entry[string]{{Name: "u", Zone: "a", Up: logic.Upstream{Weight: 1}}}, true)
+	f.transport = nil
+	for path, want := range map[string]int{"/view": http.StatusServiceUnavailable, "/load": http.StatusBadGateway} {
+		r := httptest.NewRequest("POST", path, nil)
+		r.Header.Set("X-Txn", "1")
+		r.Header.Set("Idempotency-Key", "k")
+		w := httptest.NewRecorder()
+		if f.ServeHTTP(w, r); w.Code != want {
+			t.Errorf("%s: %d", path, w.Code)
+		}
+	}
+}
+
+func TestCountsAreGivenBackOnce(t *testing.T) {
+	s := &sockets{limit: 100}
+	server := httptest.NewServer(http.NotFoundHandler())
+	defer server.Close()
+	c, err := s.transport(&terms.Book{}).DialContext(t.Context(), "tcp", server.Listener.Addr().String())
+	if err != nil || s.out.Load() != 1 {
+		t.Fatal(err, s.out.Load())
+	}
+	c.Close()
+	if c.Close(); s.out.Load() != 0 {
+		t.Errorf("%d out", s.out.Load())
+	}
+	s.in.Store(s.limit)
+	if _, err := s.transport(&terms.Book{}).DialContext(t.Context(), "tcp", "127.0.0.1:1"); err != errFull {
+		t.Errorf("dialled beyond the limit: %v", err)
+	}
+	if ended(t.Context(), errFull, false, false) != logic.Unsent {
+		t.Error("a lack of ours is held against the upstream")
+	}
+}
--- a/internal/httpwire/push.go
+++ b/internal/httpwire/push.go
@@ -83,12 +83,12 @@
 		}
 		return logic.Errored
 	}
-	body, err := io.ReadAll(io.LimitReader(answer.Body, mostBody+1))
-	if err != nil {
-		return ended(ctx, err, true, true)
-	}
-	if len(body) > mostBody {
+	body, err := take(answer.Body, answer.ContentLength)
+	switch {
+	case err == errLong:
 		return logic.Errored
+	case err != nil:
+		return ended(ctx, err, true, true) // cut
 	}
 	into.header, into.body = endToEnd(answer.Header), body
 	return logic.Settled
--- a/internal/httpwire/reply.go
+++ b/internal/httpwire/reply.go
@@ -1,9 +1,9 @@
 package httpwire
 
 import (
-	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"ottershift/internal/desk"
 )
@@ -16,7 +16,7 @@
 
 // write gives a client its final answer. 503 tells it that trying again is harmless: nothing but the module's
 // deferral may be written so.
-func write(w http.ResponseWriter, a desk.Answer, replies []*reply) {
+func (f *Front) write(w http.ResponseWriter, a desk.Answer, replies map[int]*reply) {
 	switch a.Ending {
 	case desk.Settled:
 		from := replies[a.Push]
@@ -27,24 +27,35 @@
 		if h["Content-Type"] == nil {
 			h["Content-Type"] = nil // not guessed
 		}
-		h["Content-Length"] = []string{strconv.Itoa(len(from.body))}
-		w.WriteHeader(http.StatusOK)
-		w.Write(from.body)
+		f.send(w, http.StatusOK, from.body)
 	case desk.Deferred:
 		if a.Backoff > 0 {
 			w.Header()["Retry-After"] = []string{strconv.FormatFloat(a.Backoff.Seconds(), 'f', 3, 64)}
 		}
-		refuse(w, http.StatusServiceUnavailable, "deferred")
+		f.refuse(w, http.StatusServiceUnavailable, "deferred")
 	default:
-		refuse(w, http.StatusBadGateway, "forfeited")
+		f.refuse(w, http.StatusBadGateway, "forfeited")
 	}
 }
 
 // refuse writes an answer of our own.
-func refuse(w http.ResponseWriter, status int, text string) {
+func (f *Front) refuse(w http.ResponseWriter, status int, text string) {
+	w.Header()["Content-Type"] = []string{"text/plain; charset=utf-8"}
+	f.send(w, status, []byte(text+"\n"))
+}
+
+// send writes an answer whole and at once.
+func (f *Front) send(w http.ResponseWriter, status int, body []byte) {
 	h := w.Header()
-	h["Content-Type"] = []string{"text/plain; charset=utf-8"}
-	h["Content-Length"] = []string{strconv.Itoa(len(text) + 1)}
+	h["Content-Length"] = []string{strconv.Itoa(len(body))}
+	if f.closing.Load() || f.sockets.many() {
+		h["Connection"] = []string{"close"}
+	}
+	// Danger: a client that doesn't read would hold its connection for good.
+	out := http.NewResponseController(w)
+	out.SetWriteDeadline(time.Now().Add(bodyLimit))
 	w.WriteHeader(status)
-	io.WriteString(w, text+"\n")
+	w.Write(body)
+	out.Flush()
+	out.SetWriteDeadline(time.Time{}) // the connection's next answer may be long in coming
 }
--- a/internal/httpwire/request.go
+++ b/internal/httpwire/request.go
@@ -17,7 +17,7 @@
 const (
 	mostBody  = 64 << 10
 	mostWait  = time.Hour       // what a client may ask for
-	bodyLimit = 5 * time.Second // within which a body has come
+	bodyLimit = 5 * time.Second // within which a body has come, or an answer gone
 )
 
 // request is a transaction as a client sent it.
@@ -41,12 +41,10 @@
 	text   string
 }
 
-func (e *refusal) Error() string { return e.text }
-
-func bad(text string) error { return &refusal{http.StatusBadRequest, text} }
+func bad(text string) *refusal { return &refusal{http.StatusBadRequest, text} }
 
 // read decodes what a client sent, its body included.
-func read(w http.ResponseWriter, r *http.Request, book *terms.Book) (*request, error) {
+func read(w http.ResponseWriter, r *http.Request, book *terms.Book) (*request, *refusal) {
 	q := &request{method: r.Method, host: r.Host, url: r.URL, customer: -1}
 	if r.Method != http.MethodGet && r.Method != http.MethodPost {
 		return nil, bad("the method is neither GET nor POST")
@@ -92,18 +90,37 @@
 	// Danger: a body that trickles in holds a connection; it is no transaction before its last byte has come.
 	deadline := http.NewResponseController(w)
 	deadline.SetReadDeadline(time.Now().Add(bodyLimit))
-	if q.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, mostBody)); err != nil {
-		var large *http.MaxBytesError
-		if errors.As(err, &large) {
-			return nil, &refusal{http.StatusRequestEntityTooLarge, "the body is over 64 KiB"}
-		}
-		return nil, bad("the body is cut or malformed")
+	q.body, err = take(r.Body, r.ContentLength)
+	switch {
+	case err == errLong:
+		return nil, &refusal{http.StatusRequestEntityTooLarge, "the body is over 64 KiB"}
+	case err != nil:
+		return nil, bad("the body is cut, late or malformed")
 	}
 	// Danger: the server watches the connection from here on; a deadline left behind looks like a client gone.
 	deadline.SetReadDeadline(time.Time{})
 	return q, nil
 }
 
+var errLong = errors.New("a body over the limit")
+
+// take reads a body whole; length is what its header says, -1 if nothing.
+func take(from io.Reader, length int64) ([]byte, error) {
+	if length > mostBody {
+		return nil, errLong
+	}
+	if length >= 0 {
+		body := make([]byte, length)
+		_, err := io.ReadFull(from, body)
+		return body, err
+	}
+	body, err := io.ReadAll(io.LimitReader(from, mostBody+1))
+	if err == nil && len(body) > mostBody {
+		err = errLong
+	}
+	return body, err
+}
+
 // seconds reads a time as the wire writes it, decimals allowed.
 func seconds(text string) (time.Duration, error) {
 	s, err := strconv.ParseFloat(text, 64)
--- a/internal/httpwire/serve.go
+++ b/internal/httpwire/serve.go
@@ -30,7 +30,9 @@
 func New(d *desk.Desk, book *terms.Book, limit int) *Front {
 	f := &Front{desk: d, book: book, sockets: &sockets{limit: int64(limit)}}
 	f.transport = f.sockets.transport(book)
-	f.server = &http.Server{Handler: f, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 60 * time.Second}
+	f.server = &http.Server{
+		Handler: f, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 60 * time.Second, MaxHeaderBytes: mostHeader,
+	}
 	return f
 }
 
@@ -46,35 +48,36 @@
 			if c != nil {
 				f.desk.Vanish(c)
 			}
-			refuse(w, http.StatusInternalServerError, "internal error")
+			f.refuse(w, http.StatusInternalServerError, "internal error")
 		}
 	}()
-	if f.closing.Load() || f.sockets.many() {
-		w.Header().Set("Connection", "close")
-	}
 	if r.URL.Path == "/_health" {
 		f.health(w)
 		return
 	}
 
-	q, err := read(w, r, f.book)
-	if err != nil {
-		refuse(w, err.(*refusal).status, err.Error())
+	q, no := read(w, r, f.book)
+	if no != nil {
+		w.Header()["Connection"] = []string{"close"} // Danger: a body may be on its way that nobody waits for
+		f.refuse(w, no.status, no.text)
 		return
 	}
 	c = f.desk.Arrive(q.tariff, q.customer, q.work, q.left, q.again)
 	defer f.strike(c)
-	var replies []*reply
+	replies := map[int]*reply{} // by push
 	for {
 		select {
 		case p := <-c.Pushes:
-			replies = append(replies, &reply{})
+			replies[p.Number] = &reply{}
 			go f.push(c, p, q, replies[p.Number])
 		case a := <-c.Answer:
-			write(w, a, replies)
+			f.write(w, a, replies)
 			return
 		case <-r.Context().Done():
 			f.desk.Vanish(c)
+			// Danger: a handler that ends without a word answers 200, and a client that has only stopped sending
+			// would take that for served.
+			f.refuse(w, http.StatusBadGateway, "gone")
 			return
 		}
 	}
@@ -82,7 +85,7 @@
 
 func (f *Front) health(w http.ResponseWriter) {
 	if !f.stands.Load() || f.closing.Load() {
-		refuse(w, http.StatusServiceUnavailable, "no list of upstreams")
+		f.refuse(w, http.StatusServiceUnavailable, "no list of upstreams, or closing")
 		return
 	}
 	w.WriteHeader(http.StatusOK)
--- a/internal/httpwire/sockets.go
+++ b/internal/httpwire/sockets.go
@@ -13,8 +13,10 @@
 	"ottershift/internal/terms"
 )
 
-// reserve is for what isn't counted: the listener, the watch, the runtime's own files.
-const reserve = 48
+const (
+	mostReserve = 48       // for what isn't counted: the listener, the watch, the runtime's own files
+	mostHeader  = 32 << 10 // of a message, either way
+)
 
 var errFull = errors.New("no descriptor left for a connection")
 
@@ -26,6 +28,9 @@
 	out   atomic.Int64
 }
 
+// reserve is left free, also for clients that have yet to be accepted.
+func (s *sockets) reserve() int64 { return min(mostReserve, s.limit/4) }
+
 // many says that clients hold so many connections that some had better be closed after their answer.
 func (s *sockets) many() bool { return s.in.Load() > s.limit*2/5 }
 
@@ -33,41 +38,41 @@
 func (s *sockets) transport(book *terms.Book) *http.Transport {
 	dialer := net.Dialer{Timeout: time.Duration(book.DialTimeout)}
 	return &http.Transport{
-		DisableCompression: true, // bodies go on unchanged
-		MaxIdleConns:       int(s.limit / 3), MaxIdleConnsPerHost: int(s.limit / 3),
+		DisableCompression:     true, // bodies go on unchanged
+		MaxResponseHeaderBytes: mostHeader,
+		MaxIdleConns:           int(s.limit / 3), MaxIdleConnsPerHost: int(s.limit / 3),
 		// Danger: what is written to a connection that its upstream has closed may have run.
 		IdleConnTimeout: time.Duration(book.IdleClose) * 9 / 10,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			if s.in.Load()+s.out.Load() >= s.limit-reserve {
+			// Danger: many dial at once, so each counts before it does.
+			if s.out.Add(1)+s.in.Load() > s.limit-s.reserve() {
+				s.out.Add(-1)
 				return nil, errFull
 			}
 			c, err := dialer.DialContext(ctx, network, address)
-			if errors.Is(err, syscall.EMFILE) {
-				return nil, errFull
-			}
 			if err != nil {
+				s.out.Add(-1)
+				if errors.Is(err, syscall.EMFILE) {
+					err = errFull
+				}
 				return nil, err
 			}
-			return s.count(c, &s.out), nil
+			return &counted{TCPConn: c.(*net.TCPConn), count: &s.out}, nil
 		},
 	}
 }
 
-// counted is a connection that is taken off its count when it is closed.
+// counted is a connection that is taken off its count when it is closed. Danger: without TCPConn's CloseWrite the
+// server can't end a connection softly, and a reset overtakes its last answer.
 type counted struct {
-	net.Conn
+	*net.TCPConn
 	count *atomic.Int64
 	once  sync.Once
 }
 
-func (s *sockets) count(c net.Conn, in *atomic.Int64) net.Conn {
-	in.Add(1)
-	return &counted{Conn: c, count: in}
-}
-
 func (c *counted) Close() error {
 	c.once.Do(func() { c.count.Add(-1) })
-	return c.Conn.Close()
+	return c.TCPConn.Close()
 }
 
 // listener counts what clients connect.
@@ -81,5 +86,6 @@
 	if err != nil {
 		return nil, err
 	}
-	return l.sockets.count(c, &l.sockets.in), nil
+	l.sockets.in.Add(1)
+	return &counted{TCPConn: c.(*net.TCPConn), count: &l.sockets.in}, nil
 }
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -9,7 +9,10 @@
 	"ottershift/logic"
 )
 
-const microsecond = 1000
+const (
+	microsecond = 1000
+	unsaidDial  = 1e9 // where nothing is said; without any limit a push to a machine cut off would hang
+)
 
 // Book is the settings as a balancer uses them: the module's terms, the names behind its numbers, and what only
 // a network is told.
@@ -43,6 +46,9 @@
 		DialTimeout: limits.GetInt64("dial_timeout") * microsecond,
 		IdleClose:   limits.GetInt64("idle_close") * microsecond,
 	}
+	if b.DialTimeout <= 0 {
+		b.DialTimeout = unsaidDial
+	}
 	own := string(env.GetStringBytes("zone"))
 	for _, z := range env.GetArray("zones") {
 		b.Zones = append(b.Zones, string(z.GetStringBytes()))
