A tally in the log every ten seconds; time up before a connection stood is no word against an upstream

It is Unsent now: as harmless, and held against nobody. X-Estimate is read no more: the protocol doesn't name it, and its unit would have been a guess.

--- a/cmd/ottershift/main.go
+++ b/cmd/ottershift/main.go
@@ -53,6 +53,7 @@
 	watch := discovery.New(d, o.discovery, o.book.Terms.AskForList, o.known.Index, dial, front.Stands)
 	go watch.Run()
 	go front.Probe()
+	go front.Tally()
 	ended := make(chan error, 1)
 	go func() { ended <- front.Serve(l) }()
 	log.Printf("event=start name=%s listen=%s discovery=%s tier=%d known=%d index=%d",
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -71,6 +71,7 @@
 	room   int // pushes that a case's channel holds
 	open   map[*Case]struct{}
 	closed bool
+	tally  Tally
 
 	follow chan struct{}
 	probes chan Probe
@@ -134,13 +135,15 @@
 }
 
 // Arrive takes a transaction. Its answer will come; so will orders to push it.
-func (d *Desk) Arrive(tariff, customer int, work, left time.Duration, again bool) *Case {
+func (d *Desk) Arrive(tariff, customer int, left time.Duration, again bool) *Case {
 	c := &Case{pushes: make(chan *Push, d.room), answer: make(chan Answer, 1)}
 	c.Pushes, c.Answer = c.pushes, c.answer
 	c.t.Mark = c
 	d.tell(func(now int64) {
 		d.open[c] = struct{}{}
-		d.b.Arrive(&c.t, tariff, customer, int64(work), int64(left), again, now)
+		d.tally.Arrived++
+		// How much work it is by itself nobody tells, so no contract time is stretched by that.
+		d.b.Arrive(&c.t, tariff, customer, 0, int64(left), again, now)
 		if d.closed {
 			d.finish(c, Answer{Ending: Forfeited})
 		}
@@ -152,6 +155,7 @@
 func (d *Desk) Outcome(c *Case, p *Push, r logic.Result) {
 	p.end()
 	d.tell(func(now int64) {
+		d.tally.Results[r]++
 		d.b.Outcome(&c.t, p.Number, r, now-p.sent, c.over || r == logic.Settled, now)
 		if r == logic.Settled {
 			d.finish(c, Answer{Ending: Settled, Push: p.Number})
@@ -164,12 +168,31 @@
 	d.tell(func(int64) {
 		if !c.over {
 			c.over = true
+			d.tally.Vanished++
 			delete(d.open, c)
 			d.b.Vanish(&c.t)
 		}
 	})
 }
 
+// Tally is what has happened since the last one was taken.
+type Tally struct {
+	Arrived, Vanished int
+	Endings           [Forfeited + 1]int
+	Results           [logic.Unsent + 1]int // of pushes
+	Open              int                   // transactions now
+}
+
+// Tally takes the tally and starts a new one.
+func (d *Desk) Tally() Tally {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	t := d.tally
+	t.Open = len(d.open)
+	d.tally = Tally{}
+	return t
+}
+
 // Close forfeits all that is still open and whatever comes after: the process is about to be killed, and an
 // answer without a promise is better than none.
 func (d *Desk) Close() (ended int) {
@@ -189,6 +212,7 @@
 		return
 	}
 	c.over = true
+	d.tally.Endings[a.Ending]++
 	delete(d.open, c)
 	c.answer <- a // has room for the one
 	d.b.Vanish(&c.t)
--- a/internal/httpwire/drain.go
+++ b/internal/httpwire/drain.go
@@ -45,5 +45,6 @@
 		f.server.Shutdown(ctx) // the last answers are being written
 		log.Printf("event=drain step=forced forfeited=%d", forfeited)
 	}
+	f.logTally()
 	log.Printf("event=drain step=end took=%s", time.Since(start).Round(time.Millisecond))
 }
--- a/internal/httpwire/push.go
+++ b/internal/httpwire/push.go
@@ -102,6 +102,8 @@
 		return logic.Unsent
 	case errors.Is(ctx.Err(), context.Canceled):
 		return logic.Cancelled
+	case !reached && ctx.Err() != nil:
+		return logic.Unsent // Danger: with little time left a live upstream would pass for one that is down
 	case !reached:
 		return logic.Unreachable
 	case ctx.Err() != nil:
--- a/internal/httpwire/request.go
+++ b/internal/httpwire/request.go
@@ -25,7 +25,6 @@
 	tariff   int
 	customer int // -1 for none
 	left     time.Duration
-	work     time.Duration
 	again    bool
 
 	method string
@@ -79,11 +78,6 @@
 			return nil, bad("X-Remaining is not a time")
 		}
 	}
-	if text := r.Header.Get("X-Estimate"); text != "" {
-		if q.work, err = seconds(text); err != nil {
-			return nil, bad("X-Estimate is not a time")
-		}
-	}
 	q.again = r.Header.Get("X-Resent") == "1"
 	q.header = endToEnd(r.Header)
 
--- a/internal/httpwire/serve.go
+++ b/internal/httpwire/serve.go
@@ -62,7 +62,7 @@
 		f.refuse(w, no.status, no.text)
 		return
 	}
-	c = f.desk.Arrive(q.tariff, q.customer, q.work, q.left, q.again)
+	c = f.desk.Arrive(q.tariff, q.customer, q.left, q.again)
 	defer f.strike(c)
 	replies := map[int]*reply{} // by push
 	for {
