--- a/internal/httpwire/push.go
+++ b/internal/httpwire/push.go
@@ -25,11 +25,11 @@
 func (once) Close() error { return nil }
 
 // push carries one push to its outcome.
-func (f *Front) push(c *desk.Case, p *desk.Push, q *request, into *reply) {
+func (f *Front) push(c *desk.Case, p *desk.Push, q *transaction, into *reply) {
 	result := logic.Broken // it may have run, unless it is known better
 	defer func() {
-		if fault := recover(); fault != nil {
-			log.Printf("event=panic where=push fault=%q stack=%q", fault, debug.Stack())
+		if what := recover(); what != nil {
+			log.Printf("event=panic where=push fault=%q stack=%q", what, debug.Stack())
 		}
 		f.desk.Outcome(c, p, result)
 	}()
@@ -49,7 +49,7 @@
 }
 
 // carry sends the request once and takes what comes back.
-func (f *Front) carry(p *desk.Push, q *request, into *reply) logic.Result {
+func (f *Front) carry(p *desk.Push, q *transaction, into *reply) logic.Result {
 	var reached, written atomic.Bool
 	ctx := httptrace.WithClientTrace(p.Context, &httptrace.ClientTrace{
 		GotConn:      func(httptrace.GotConnInfo) { reached.Store(true) },
@@ -77,8 +77,8 @@
 	defer answer.Body.Close()
 	if answer.StatusCode != http.StatusOK {
 		io.CopyN(io.Discard, answer.Body, mostBody) // so that the connection can be kept
-		refused := answer.StatusCode == http.StatusServiceUnavailable || answer.StatusCode == http.StatusGatewayTimeout
-		if refused && answer.Header.Get("X-Turned-Away") == "1" {
+		turned := answer.StatusCode == http.StatusServiceUnavailable || answer.StatusCode == http.StatusGatewayTimeout
+		if turned && answer.Header.Get("X-Turned-Away") == "1" {
 			return logic.TurnedAway
 		}
 		return logic.Errored
--- a/internal/httpwire/reply.go
+++ b/internal/httpwire/reply.go
@@ -32,14 +32,14 @@
 		if a.Backoff > 0 {
 			w.Header()["Retry-After"] = []string{strconv.FormatFloat(a.Backoff.Seconds(), 'f', 3, 64)}
 		}
-		f.refuse(w, http.StatusServiceUnavailable, "deferred")
+		f.say(w, http.StatusServiceUnavailable, "deferred")
 	default:
-		f.refuse(w, http.StatusBadGateway, "forfeited")
+		f.say(w, http.StatusBadGateway, "forfeited")
 	}
 }
 
-// refuse writes an answer of our own.
-func (f *Front) refuse(w http.ResponseWriter, status int, text string) {
+// say writes an answer of our own.
+func (f *Front) say(w http.ResponseWriter, status int, text string) {
 	w.Header()["Content-Type"] = []string{"text/plain; charset=utf-8"}
 	f.send(w, status, []byte(text+"\n"))
 }
--- a/internal/httpwire/request.go
+++ b/internal/httpwire/request.go
@@ -21,8 +21,8 @@
 	underway  = 5 * time.Millisecond
 )
 
-// request is a transaction as a client sent it.
-type request struct {
+// transaction is what a client sent, as the protocol has it.
+type transaction struct {
 	tariff   int
 	customer int // -1 for none
 	left     time.Duration
@@ -35,17 +35,17 @@
 	body   []byte
 }
 
-// refusal of a message that can't be a transaction; it never reaches the module.
-type refusal struct {
+// fault is why a message can't be a transaction; such a one never reaches the module.
+type fault struct {
 	status int
 	text   string
 }
 
-func bad(text string) *refusal { return &refusal{http.StatusBadRequest, text} }
+func bad(text string) *fault { return &fault{http.StatusBadRequest, text} }
 
 // read decodes what a client sent, its body included.
-func read(w http.ResponseWriter, r *http.Request, book *terms.Book) (*request, *refusal) {
-	q := &request{method: r.Method, host: r.Host, url: r.URL, customer: -1}
+func read(w http.ResponseWriter, r *http.Request, book *terms.Book) (*transaction, *fault) {
+	q := &transaction{method: r.Method, host: r.Host, url: r.URL, customer: -1}
 	if r.Method != http.MethodGet && r.Method != http.MethodPost {
 		return nil, bad("the method is neither GET nor POST")
 	}
@@ -61,7 +61,7 @@
 	}
 	known := false
 	if q.tariff, known = book.Tariffs[name]; !known {
-		return nil, &refusal{http.StatusNotFound, "unknown tariff"}
+		return nil, &fault{http.StatusNotFound, "unknown tariff"}
 	}
 	tariff := book.Terms.Tariffs[q.tariff]
 	if tariff.Repeat == logic.Tagged && r.Header.Get("Idempotency-Key") == "" {
@@ -85,17 +85,17 @@
 	q.header = endToEnd(r.Header)
 
 	// Danger: a body that trickles in holds a connection; it is no transaction before its last byte has come.
-	deadline := http.NewResponseController(w)
-	deadline.SetReadDeadline(time.Now().Add(bodyLimit))
+	conn := http.NewResponseController(w)
+	conn.SetReadDeadline(time.Now().Add(bodyLimit))
 	q.body, err = take(r.Body, r.ContentLength)
 	switch {
 	case err == errLong:
-		return nil, &refusal{http.StatusRequestEntityTooLarge, "the body is over 64 KiB"}
+		return nil, &fault{http.StatusRequestEntityTooLarge, "the body is over 64 KiB"}
 	case err != nil:
 		return nil, bad("the body is cut, late or malformed")
 	}
-	// Danger: the server watches the connection from here on; a deadline left behind looks like a client gone.
-	deadline.SetReadDeadline(time.Time{})
+	// Danger: the server watches the connection from here on; a limit left behind looks like a client gone.
+	conn.SetReadDeadline(time.Time{})
 	return q, nil
 }
 
--- a/internal/httpwire/serve.go
+++ b/internal/httpwire/serve.go
@@ -33,6 +33,7 @@
 	f.server = &http.Server{
 		Handler: f, ReadHeaderTimeout: bodyLimit, IdleTimeout: 60 * time.Second, MaxHeaderBytes: mostHeader,
 		ConnState: f.sockets.state,
+		ErrorLog:  log.New(log.Writer(), "event=http fault=", log.Flags()|log.Lmsgprefix),
 	}
 	return f
 }
@@ -44,12 +45,13 @@
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	var c *desk.Case
 	defer func() {
-		if fault := recover(); fault != nil {
-			log.Printf("event=panic where=serve fault=%q stack=%q", fault, debug.Stack())
+		if what := recover(); what != nil {
+			log.Printf("event=panic where=serve fault=%q stack=%q", what, debug.Stack())
 			if c != nil {
 				f.desk.Vanish(c)
+				f.strike(c)
 			}
-			f.refuse(w, http.StatusInternalServerError, "internal error")
+			f.say(w, http.StatusInternalServerError, "internal error")
 		}
 	}()
 	if r.URL.Path == "/_health" {
@@ -60,7 +62,7 @@
 	q, no := read(w, r, f.book)
 	if no != nil {
 		w.Header()["Connection"] = []string{"close"} // Danger: a body may be on its way that nobody waits for
-		f.refuse(w, no.status, no.text)
+		f.say(w, no.status, no.text)
 		return
 	}
 	c = f.desk.Arrive(q.tariff, q.customer, q.left, q.again)
@@ -77,8 +79,8 @@
 		case <-r.Context().Done():
 			f.desk.Vanish(c)
 			// Danger: a handler that ends without a word answers 200, and a client that has only stopped sending
-			// would take that for served.
-			f.refuse(w, http.StatusBadGateway, "gone")
+			// would take that for settled.
+			f.say(w, http.StatusBadGateway, "gone")
 			return
 		}
 	}
@@ -86,7 +88,7 @@
 
 func (f *Front) health(w http.ResponseWriter) {
 	if !f.stands.Load() || f.closing.Load() {
-		f.refuse(w, http.StatusServiceUnavailable, "no list of upstreams, or closing")
+		f.say(w, http.StatusServiceUnavailable, "no list of upstreams, or closing")
 		return
 	}
 	w.WriteHeader(http.StatusOK)
