--- a/cmd/ottershift/ottershift_test.go
+++ b/cmd/ottershift/ottershift_test.go
@@ -384,6 +384,19 @@
 			}
 		})
 	}
+	t.Run("error without its body", func(t *testing.T) {
+		var u *upstream
+		u = newUpstream(t, func(_ int32, _ *http.Request, _ []byte, c net.Conn) bool {
+			io.WriteString(c, "HTTP/1.1 500 Oh\r\nContent-Length: 9\r\n\r\nwhat")
+			return u.hang(c)
+		})
+		b := start(t, newRegistry(t), 1024, settings, u)
+		begin := time.Now()
+		if status, _, _ := b.ask(message("post", 3, "Content-Length: 0\r\n\r\n")); status != 502 ||
+			time.Since(begin) > 500*time.Millisecond {
+			t.Errorf("%d after %s", status, time.Since(begin))
+		}
+	})
 	t.Run("no connection", func(t *testing.T) {
 		u := newUpstream(t, nil)
 		u.Close()
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -88,29 +88,27 @@
 		return nil, err
 	}
 	d.b, d.roster = b, roster.New[string](b, book.Zones)
-	d.wake = time.AfterFunc(time.Hour, d.woken) // the module sets the time
+	d.wake = time.AfterFunc(time.Hour, func() { d.tell(func(int64) {}) }) // the module sets the time
 	return d, nil
 }
 
 // now is the time in Unix nanoseconds, and never runs backwards.
 func (d *Desk) now() int64 { return d.epoch.UnixNano() + int64(time.Since(d.epoch)) }
 
-// tell is the one way to the module.
-func (d *Desk) tell(what func(now int64)) {
+// tell is the one way to the module. Danger: a panic of the module would end the process, and with it all that
+// is open; it is logged, and reported to whom it concerns.
+func (d *Desk) tell(what func(now int64)) (ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := d.now()
-	what(now)
-	d.b.Round(now, (*writer)(d))
-}
-
-func (d *Desk) woken() {
 	defer func() {
 		if fault := recover(); fault != nil {
-			log.Printf("event=panic where=wake fault=%q stack=%q", fault, debug.Stack())
+			log.Printf("event=panic where=module fault=%q stack=%q", fault, debug.Stack())
 		}
 	}()
-	d.tell(func(int64) {})
+	now := d.now()
+	what(now)
+	d.b.Round(now, (*writer)(d))
+	return true
 }
 
 // Probes are the orders to probe.
@@ -139,7 +137,7 @@
 	c := &Case{pushes: make(chan *Push, d.room), answer: make(chan Answer, 1)}
 	c.Pushes, c.Answer = c.pushes, c.answer
 	c.t.Mark = c
-	d.tell(func(now int64) {
+	ok := d.tell(func(now int64) {
 		d.open[c] = struct{}{}
 		d.tally.Arrived++
 		// How much work it is by itself nobody tells, so no contract time is stretched by that.
@@ -148,6 +146,9 @@
 			d.finish(c, Answer{Ending: Forfeited})
 		}
 	})
+	if !ok {
+		d.tell(func(int64) { d.finish(c, Answer{Ending: Forfeited}) })
+	}
 	return c
 }
 
--- a/internal/desk/desk_test.go
+++ b/internal/desk/desk_test.go
@@ -142,3 +142,16 @@
 		(*writer)(d).Follow()
 	}
 }
+
+// Danger: a panic of the module under the lock must neither hold the lock nor leave its transaction unanswered.
+func TestPanicOfTheModuleIsSurvived(t *testing.T) {
+	d := start(t, tariff(logic.OnceOnly))
+	if a := <-d.Arrive(7, -1, time.Second, false).Answer; a.Ending != Forfeited { // there is no such tariff
+		t.Errorf("%v", a)
+	}
+	c := d.Arrive(0, -1, time.Second, false)
+	d.Outcome(c, <-c.Pushes, logic.Settled)
+	if a := <-c.Answer; a.Ending != Settled {
+		t.Errorf("%v", a)
+	}
+}
--- a/internal/httpwire/push.go
+++ b/internal/httpwire/push.go
@@ -18,6 +18,8 @@
 	"ottershift/logic"
 )
 
+const restWithin = 10 * time.Millisecond // the rest of an answer that is no use
+
 // once is a body that can't be rewound. Danger: http.Transport sends a GET without a body, and a POST with
 // Idempotency-Key whose body it can have anew, a second time by itself when a kept connection breaks.
 type once struct{ *bytes.Reader }
@@ -76,7 +78,10 @@
 	}
 	defer answer.Body.Close()
 	if answer.StatusCode != http.StatusOK {
-		io.CopyN(io.Discard, answer.Body, mostBody) // so that the connection can be kept
+		// What comes with it is read, so that the connection can be kept. Danger: where it doesn't come, the error
+		// would be known only at the hard stop.
+		defer time.AfterFunc(restWithin, func() { answer.Body.Close() }).Stop()
+		io.CopyN(io.Discard, answer.Body, mostBody)
 		turned := answer.StatusCode == http.StatusServiceUnavailable || answer.StatusCode == http.StatusGatewayTimeout
 		if turned && answer.Header.Get("X-Turned-Away") == "1" {
 			return logic.TurnedAway
