A case that came with a panic of the module is answered without the module

Cause: the case was forfeited through Balancer.Vanish, which put a transaction that Arrive had never set up among those to decide on (its slot is 0, not -1), so that every later round fell over it (desk.go, finish). The panicked case now gets its answer from the desk alone.

--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -143,11 +143,13 @@
 		// How much work it is by itself nobody tells, so no contract time is stretched by that.
 		d.b.Arrive(&c.t, tariff, customer, 0, int64(left), again, now)
 		if d.closed {
-			d.finish(c, Answer{Ending: Forfeited})
+			d.forfeit(c)
 		}
 	})
-	if !ok {
-		d.tell(func(int64) { d.finish(c, Answer{Ending: Forfeited}) })
+	if !ok { // the module may not know it at all
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.finish(c, Answer{Ending: Forfeited})
 	}
 	return c
 }
@@ -201,7 +203,7 @@
 		d.closed = true
 		ended = len(d.open)
 		for c := range d.open {
-			d.finish(c, Answer{Ending: Forfeited})
+			d.forfeit(c)
 		}
 	})
 	return ended
@@ -216,6 +218,11 @@
 	d.tally.Endings[a.Ending]++
 	delete(d.open, c)
 	c.answer <- a // has room for the one
+}
+
+// forfeit ends a case that the module would go on with.
+func (d *Desk) forfeit(c *Case) {
+	d.finish(c, Answer{Ending: Forfeited})
 	d.b.Vanish(&c.t)
 }
 
