--- a/cmd/ottershift/ottershift_test.go
+++ b/cmd/ottershift/ottershift_test.go
@@ -192,7 +192,7 @@
 	address string
 	command *exec.Cmd
 	log     *bytes.Buffer
-	exit    chan error
+	exit    <-chan error
 }
 
 // start runs the program over some upstreams and waits until it is ready.
@@ -202,7 +202,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	b := &balancer{t: t, address: free.Addr().String(), log: &bytes.Buffer{}, exit: make(chan error, 1)}
+	b := &balancer{t: t, address: free.Addr().String(), log: &bytes.Buffer{}}
 	free.Close()
 	var known []string
 	for n, u := range upstreams {
@@ -239,7 +239,9 @@
 	if err := b.command.Start(); err != nil {
 		b.t.Fatal(err)
 	}
-	go func() { b.exit <- b.command.Wait(); close(b.exit) }()
+	command, exit := b.command, make(chan error, 1)
+	b.exit = exit
+	go func() { exit <- command.Wait(); close(exit) }()
 }
 
 var ids atomic.Int64
@@ -458,7 +460,7 @@
 		strings.Replace(head, "ff", "xx", 1) + `"settings":` + settings + `}`:               "seed",
 		strings.Replace(head, "127.0.0.1:0", "nowhere", 1) + `"settings":` + settings + `}`: "listen tcp",
 	} {
-		b := &balancer{t: t, log: &bytes.Buffer{}, exit: make(chan error, 1)}
+		b := &balancer{t: t, log: &bytes.Buffer{}}
 		b.run(config)
 		if err := <-b.exit; err == nil || strings.Count(b.log.String(), "\n") != 1 || !strings.Contains(b.log.String(), want) {
 			t.Errorf("%s: %v, log %q", config, err, b.log)
@@ -615,6 +617,48 @@
 	}
 }
 
+// Without a list from before, a balancer is ready once discovery has told one; killed and started again under its
+// address, it goes on from what it is told then.
+func TestReadyOnceThereIsAList(t *testing.T) {
+	u := newUpstream(t, says(fine))
+	r := newRegistry(t)
+	told := make(chan struct{})
+	go func() {
+		defer close(told)
+		w := <-r.watches
+		w.say(report(5, true, entry("u", u.Addr().String(), "SERVING")))
+	}()
+	b := start(t, r, 1024, settings)
+	select {
+	case <-told:
+	default:
+		t.Error("ready without a list")
+	}
+	if status, _, _ := b.ask(message("view", 1, "\r\n")); status != 200 {
+		t.Errorf("%d", status)
+	}
+	b.command.Process.Kill()
+	<-b.exit
+	b.run(fmt.Sprintf(`{"listen":%q,"discovery":%q,"seed":"1","known":%s,"settings":%s}`, b.address, r.Addr(),
+		report(4, true, entry("old", "127.0.0.1:1", "SERVING")), settings))
+	w := r.next(t)
+	if w.query != "watch=1&after=4" {
+		t.Errorf("watched with %q", w.query)
+	}
+	w.say(report(6, false, entry("u", u.Addr().String(), "SERVING"), entry("old", "127.0.0.1:1", "DELETED")))
+	for range 100 {
+		c, err := net.Dial("tcp", b.address)
+		if err == nil {
+			status, _, _, _ := on(c, bufio.NewReader(c), message("view", 1, "\r\n"))
+			if c.Close(); status == 200 {
+				return
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Error("not back")
+}
+
 // SIGTERM: new clients are still served for a while, connections close with their answers, and what would be out
 // for longer gets its answer before the process is killed.
 func TestDrain(t *testing.T) {
--- /dev/null
+++ b/internal/roster/roster_test.go
@@ -0,0 +1,49 @@
+package roster
+
+import (
+	"testing"
+
+	"ottershift/logic"
+)
+
+func TestNamesKeepTheirIndexUntilItIsTaken(t *testing.T) {
+	b, err := logic.New(&logic.Terms{
+		Balancers: 1, MaxPushes: 1, ColdShare: 1, Tariffs: []*logic.Tariff{{ContractTime: 1}},
+	}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := New[string](b, []string{"a"})
+	entry := func(name, address string) Entry[string] {
+		return Entry[string]{Name: name, Zone: "b", Address: address, Up: logic.Upstream{Weight: 1}}
+	}
+	at := func(name string) int {
+		t.Helper()
+		i, known := r.Index(name)
+		if !known || r.Name(i) != name {
+			t.Fatalf("%s is not known, or not by its name", name)
+		}
+		return i
+	}
+	r.Apply([]Entry[string]{entry("u", "1"), entry("v", "2")}, true, 1)
+	u, v := at("u"), at("v")
+	r.Apply([]Entry[string]{entry("u", "3")}, false, 2) // a change says nothing of the rest
+	if at("u") != u || r.Address(u) != "3" || !b.Known(v) {
+		t.Error("a change of address is not taken, or moved somebody")
+	}
+	r.Apply([]Entry[string]{entry("u", "3")}, true, 3) // who is missing from a whole list has left
+	if b.Known(v) {
+		t.Error("v is still there")
+	}
+	r.Apply([]Entry[string]{entry("w", "4"), {Name: "never", Gone: true}}, false, 4)
+	if at("w") != v || r.Address(v) != "4" {
+		t.Error("w didn't take the place that v left")
+	}
+	if _, known := r.Index("v"); known { // Danger: news of v would be taken for w's
+		t.Error("v still points to the place that w has")
+	}
+	r.Apply([]Entry[string]{entry("v", "5")}, false, 5)
+	if at("v") == at("w") {
+		t.Error("v came back to w's place")
+	}
+}
