Nothing goes out after a transaction's answer, however late the process comes to it

Cause: an order to push and the answer can fall into one moment; the push's goroutine, or http.Transport's dial or write loop, comes to write after serve.go has answered, and a call-off that finds the request handed to the write loop stops nothing. All writes of a transaction's pushes now pass a gate that serve.go closes before it answers (sockets.go, gate and outward).

--- a/internal/httpwire/httpwire_test.go
+++ b/internal/httpwire/httpwire_test.go
@@ -5,8 +5,10 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"net/url"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/valyala/fastjson"
 
@@ -122,3 +124,33 @@
 		t.Error("a lack of ours is held against the upstream")
 	}
 }
+
+// Danger: a push that still waits for its connection when the answer is given would go out after it.
+func TestNothingGoesOutAfterTheAnswer(t *testing.T) {
+	arrived := 0
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { arrived++ }))
+	f := front(t)
+	p := &desk.Push{Context: t.Context(), Address: server.Listener.Addr().String(), Until: time.Now().Add(time.Second)}
+	for _, size := range []int{0, 10, mostBody} { // with the headers, and past the writer's buffer
+		q := &transaction{method: "POST", url: &url.URL{Path: "/load"}, body: make([]byte, size)}
+		out := &gate{}
+		if r := f.carry(p, q, out, &reply{}); r != logic.Settled {
+			t.Fatalf("%d bytes: %d", size, r)
+		}
+		out.close()
+		if r := f.carry(p, q, out, &reply{}); r != logic.Unsent { // on a kept connection
+			t.Errorf("%d bytes: %d after the answer", size, r)
+		}
+		f.transport.CloseIdleConnections()
+		if r := f.carry(p, q, out, &reply{}); r != logic.Unsent { // on a new one
+			t.Errorf("%d bytes: %d after the answer", size, r)
+		}
+		if !f.ping(p.Address) {
+			t.Error("a probe is held up")
+		}
+	}
+	server.Close()
+	if arrived != 6 {
+		t.Errorf("%d arrivals", arrived)
+	}
+}
--- a/internal/httpwire/push.go
+++ b/internal/httpwire/push.go
@@ -27,7 +27,7 @@
 func (once) Close() error { return nil }
 
 // push carries one push to its outcome.
-func (f *Front) push(c *desk.Case, p *desk.Push, q *transaction, into *reply) {
+func (f *Front) push(c *desk.Case, p *desk.Push, q *transaction, out *gate, into *reply) {
 	result := logic.Broken // it may have run, unless it is known better
 	defer func() {
 		if what := recover(); what != nil {
@@ -35,7 +35,7 @@
 		}
 		f.desk.Outcome(c, p, result)
 	}()
-	result = f.carry(p, q, into)
+	result = f.carry(p, q, out, into)
 }
 
 // strike gives back the pushes that were ordered and not begun when the transaction ended.
@@ -51,9 +51,9 @@
 }
 
 // carry sends the request once and takes what comes back.
-func (f *Front) carry(p *desk.Push, q *transaction, into *reply) logic.Result {
+func (f *Front) carry(p *desk.Push, q *transaction, out *gate, into *reply) logic.Result {
 	var reached, written atomic.Bool
-	ctx := httptrace.WithClientTrace(p.Context, &httptrace.ClientTrace{
+	ctx := under(p.Context, out, &httptrace.ClientTrace{
 		GotConn:      func(httptrace.GotConnInfo) { reached.Store(true) },
 		WroteRequest: func(i httptrace.WroteRequestInfo) { written.Store(i.Err == nil) },
 	})
@@ -103,7 +103,7 @@
 // have run.
 func ended(ctx context.Context, err error, reached, written bool) logic.Result {
 	switch {
-	case errors.Is(err, errFull):
+	case errors.Is(err, errFull), errors.Is(err, errClosed) && !written:
 		return logic.Unsent
 	case errors.Is(ctx.Err(), context.Canceled):
 		return logic.Cancelled
@@ -137,7 +137,7 @@
 	r := (&http.Request{
 		Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: address, Path: "/ping"},
 		Header: http.Header{"User-Agent": {""}}, Body: once{bytes.NewReader(nil)},
-	}).WithContext(ctx)
+	}).WithContext(under(ctx, nil, &httptrace.ClientTrace{}))
 	answer, err := f.transport.RoundTrip(r)
 	if err != nil {
 		return false
--- a/internal/httpwire/serve.go
+++ b/internal/httpwire/serve.go
@@ -66,18 +66,24 @@
 		return
 	}
 	c = f.desk.Arrive(q.tariff, q.customer, q.left, q.again)
-	defer f.strike(c)
+	out := &gate{}
+	defer func() {
+		out.close()
+		f.strike(c)
+	}()
 	replies := map[int]*reply{} // by push
 	for {
 		select {
 		case p := <-c.Pushes:
 			replies[p.Number] = &reply{}
-			go f.push(c, p, q, replies[p.Number])
+			go f.push(c, p, q, out, replies[p.Number])
 		case a := <-c.Answer:
+			out.close()
 			f.write(w, a, replies)
 			return
 		case <-r.Context().Done():
 			f.desk.Vanish(c)
+			out.close()
 			// Danger: a handler that ends without a word answers 200, and a client that has only stopped sending
 			// would take that for settled.
 			f.say(w, http.StatusBadGateway, "gone")
--- a/internal/httpwire/sockets.go
+++ b/internal/httpwire/sockets.go
@@ -4,8 +4,10 @@
 	"container/list"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -85,11 +87,66 @@
 				}
 				return nil, err
 			}
-			return &counted{TCPConn: c.(*net.TCPConn), count: &s.out}, nil
+			return &outward{counted: counted{TCPConn: c.(*net.TCPConn), count: &s.out}}, nil
 		},
 	}
 }
 
+// gate is what all pushes of a transaction go out through, until its answer closes it. Danger: a push that waits
+// for its connection, or for its turn to be written, would go out after the answer.
+type gate struct {
+	mu     sync.Mutex
+	closed bool
+}
+
+var errClosed = errors.New("the transaction has its answer")
+
+// pass writes, unless the gate is closed; while it writes, the gate can't be.
+func (g *gate) pass(c net.Conn, b []byte) (int, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.closed {
+		return 0, errClosed
+	}
+	return c.Write(b)
+}
+
+func (g *gate) close() {
+	g.mu.Lock()
+	g.closed = true
+	g.mu.Unlock()
+}
+
+// outward is a connection to an upstream.
+type outward struct {
+	counted
+	gate atomic.Pointer[gate] // of the push that it carries
+}
+
+func (c *outward) Write(b []byte) (int, error) {
+	if g := c.gate.Load(); g != nil {
+		return g.pass(c.TCPConn, b)
+	}
+	return c.TCPConn.Write(b)
+}
+
+// ReadFrom keeps TCPConn's own from passing by the gate.
+func (c *outward) ReadFrom(from io.Reader) (int64, error) {
+	return io.Copy(struct{ io.Writer }{c}, from)
+}
+
+// under has what is written on the connection that a push or a probe gets go through its gate, or through none.
+func under(ctx context.Context, g *gate, trace *httptrace.ClientTrace) context.Context {
+	got := trace.GotConn
+	trace.GotConn = func(i httptrace.GotConnInfo) {
+		i.Conn.(*outward).gate.Store(g)
+		if got != nil {
+			got(i)
+		}
+	}
+	return httptrace.WithClientTrace(ctx, trace)
+}
+
 // counted is a connection that is taken off its count when it is closed. Danger: without TCPConn's CloseWrite the
 // server can't end a connection softly, and a reset overtakes its last answer.
 type counted struct {
