--- a/internal/httpwire/httpwire_test.go
+++ b/internal/httpwire/httpwire_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/url"
@@ -154,3 +155,39 @@
 		t.Errorf("%d arrivals", arrived)
 	}
 }
+
+func TestNothingGoesOutForAClientThatHasLeft(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	for _, leave := range []func(c *net.TCPConn){
+		func(c *net.TCPConn) { c.Close() },
+		func(c *net.TCPConn) { c.SetLinger(0); c.Close() }, // a reset
+	} {
+		theirs, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		c, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		ours := c.(*net.TCPConn)
+		go ours.Read(make([]byte, 1)) // as the server does all the while
+		time.Sleep(10 * time.Millisecond)
+		if left(ours) {
+			t.Error("said to have left")
+		}
+		leave(theirs.(*net.TCPConn))
+		time.Sleep(10 * time.Millisecond)
+		if !left(ours) {
+			t.Error("not said to have left")
+		}
+		if n, err := (&gate{client: ours}).pass(ours, []byte("x")); n != 0 || err != errClosed {
+			t.Error(n, err)
+		}
+		ours.Close()
+	}
+}
--- a/internal/httpwire/serve.go
+++ b/internal/httpwire/serve.go
@@ -32,8 +32,8 @@
 	f.transport = f.sockets.transport(book)
 	f.server = &http.Server{
 		Handler: f, ReadHeaderTimeout: bodyLimit, IdleTimeout: 60 * time.Second, MaxHeaderBytes: mostHeader,
-		ConnState: f.sockets.state,
-		ErrorLog:  log.New(log.Writer(), "event=http fault=", log.Flags()|log.Lmsgprefix),
+		ConnState: f.sockets.state, ConnContext: withClient,
+		ErrorLog: log.New(log.Writer(), "event=http fault=", log.Flags()|log.Lmsgprefix),
 	}
 	return f
 }
@@ -66,7 +66,7 @@
 		return
 	}
 	c = f.desk.Arrive(q.tariff, q.customer, q.left, q.again)
-	out := &gate{}
+	out := gateOf(r.Context())
 	defer func() {
 		out.close()
 		f.strike(c)
