--- a/internal/httpwire/serve.go
+++ b/internal/httpwire/serve.go
@@ -1,7 +1,7 @@
 // Package httpwire serves transactions over HTTP/1.1: net/http's server towards clients, http.Transport towards
 // upstreams. Its files follow a transaction: request.go reads it, serve.go lives its life, push.go carries one
-// push, reply.go writes the answer, drain.go ends the process; sockets.go keeps count of connections. It decides
-// nothing: the desk is asked at each point of choice.
+// push, gate.go lets it out, reply.go writes the answer, drain.go ends the process; sockets.go keeps count of
+// connections, tally.go logs. It decides nothing: the desk is asked at each point of choice.
 package httpwire
 
 import (
--- a/internal/httpwire/sockets.go
+++ b/internal/httpwire/sockets.go
@@ -4,10 +4,8 @@
 	"container/list"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -92,93 +90,6 @@
 	}
 }
 
-// gate is what all pushes of a transaction go out through, until its answer closes it or its client has gone.
-// Danger: a push that waits for its connection, or for its turn to be written, would go out after the answer; and
-// a process that was held up hears its timers before it hears that clients have left in the meantime.
-type gate struct {
-	client *net.TCPConn
-	mu     sync.Mutex
-	closed bool
-}
-
-var errClosed = errors.New("the transaction is over")
-
-// pass writes, unless the gate is closed; while it writes, the gate can't be.
-func (g *gate) pass(c net.Conn, b []byte) (int, error) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.closed = g.closed || left(g.client); g.closed {
-		return 0, errClosed
-	}
-	return c.Write(b)
-}
-
-// left looks whether a client has closed its connection, past what the server has read of it.
-func left(client *net.TCPConn) (gone bool) {
-	if client == nil {
-		return false
-	}
-	raw, err := client.SyscallConn()
-	if err != nil {
-		return true
-	}
-	err = raw.Control(func(fd uintptr) { // not Read: the server waits in one
-		var first [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), first[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		gone = n == 0 && err == nil || err != nil && err != syscall.EAGAIN && err != syscall.EINTR
-	})
-	return gone || err != nil
-}
-
-type clientKey struct{}
-
-// withClient lets a transaction know its client's connection.
-func withClient(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, clientKey{}, c.(*counted).TCPConn)
-}
-
-// gateOf makes the gate of a client's transaction.
-func gateOf(ctx context.Context) *gate {
-	client, _ := ctx.Value(clientKey{}).(*net.TCPConn)
-	return &gate{client: client}
-}
-
-func (g *gate) close() {
-	g.mu.Lock()
-	g.closed = true
-	g.mu.Unlock()
-}
-
-// outward is a connection to an upstream.
-type outward struct {
-	counted
-	gate atomic.Pointer[gate] // of the push that it carries
-}
-
-func (c *outward) Write(b []byte) (int, error) {
-	if g := c.gate.Load(); g != nil {
-		return g.pass(c.TCPConn, b)
-	}
-	return c.TCPConn.Write(b)
-}
-
-// ReadFrom keeps TCPConn's own from passing by the gate.
-func (c *outward) ReadFrom(from io.Reader) (int64, error) {
-	return io.Copy(struct{ io.Writer }{c}, from)
-}
-
-// under has what is written on the connection that a push or a probe gets go through its gate, or through none.
-func under(ctx context.Context, g *gate, trace *httptrace.ClientTrace) context.Context {
-	got := trace.GotConn
-	trace.GotConn = func(i httptrace.GotConnInfo) {
-		i.Conn.(*outward).gate.Store(g)
-		if got != nil {
-			got(i)
-		}
-	}
-	return httptrace.WithClientTrace(ctx, trace)
-}
-
 // counted is a connection that is taken off its count when it is closed. Danger: without TCPConn's CloseWrite the
 // server can't end a connection softly, and a reset overtakes its last answer.
 type counted struct {
