--- a/internal/httpwire/gate.go
+++ b/internal/httpwire/gate.go
@@ -97,4 +97,3 @@
 	}
 	return httptrace.WithClientTrace(ctx, trace)
 }
-
