--- a/internal/httpwire/gate.go
+++ b/internal/httpwire/gate.go
@@ -22,7 +22,8 @@
 
 var errClosed = errors.New("the transaction is over")
 
-// pass writes, unless the gate is closed; while it writes, the gate can't be.
+// pass writes, unless the gate is closed; while it writes, the gate can't be. A write that hangs ends as its push
+// is called off, which breaks the connection.
 func (g *gate) pass(c net.Conn, b []byte) (int, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
