Read again: the writer holds its desk, library copies of headers, one closing of the gate on each way out

No change of behaviour. desk.go turned the writer back into the desk at six places; headers were copied by hand where maps.Clone and maps.Copy do it; dial_timeout and idle_close were whole numbers turned into durations at each use; the trace that sets a connection's gate was wrapped for two callers; the gate was closed twice on ordinary ways out. simwire decodes the settings under the guard that reports its panics again, as before they moved. The test of the gate gives its transaction a header, as every real one has.

--- a/cmd/ottershift/main.go
+++ b/cmd/ottershift/main.go
@@ -10,7 +10,6 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
-	"time"
 
 	"ottershift/internal/desk"
 	"ottershift/internal/discovery"
@@ -49,8 +48,7 @@
 	if err != nil {
 		return err
 	}
-	dial := time.Duration(o.book.DialTimeout)
-	watch := discovery.New(d, o.discovery, o.book.Terms.AskForList, o.known.Index, dial, front.Stands)
+	watch := discovery.New(d, o.discovery, o.book.Terms.AskForList, o.known.Index, o.book.DialTimeout, front.Stands)
 	go watch.Run()
 	go front.Probe()
 	go front.Tally()
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -107,7 +107,7 @@
 	}()
 	now := d.now()
 	what(now)
-	d.b.Round(now, (*writer)(d))
+	d.b.Round(now, writer{d})
 	return true
 }
 
@@ -227,54 +227,53 @@
 }
 
 // writer takes the decisions of a round, under the lock.
-type writer Desk
+type writer struct{ *Desk }
 
 // Push implements logic.Writer, as do the methods below.
-func (w *writer) Push(t *logic.Transaction, upstream int, until int64) {
-	c, d := t.Mark.(*Case), (*Desk)(w)
-	now := d.now()
+func (w writer) Push(t *logic.Transaction, upstream int, until int64) {
+	c := t.Mark.(*Case)
 	p := &Push{
-		Number: t.Pushes() - 1, Address: d.roster.Address(upstream), sent: now,
-		Until: d.epoch.Add(time.Duration(until - d.epoch.UnixNano())),
+		Number: t.Pushes() - 1, Address: w.roster.Address(upstream), sent: w.now(),
+		Until: w.epoch.Add(time.Duration(until - w.epoch.UnixNano())),
 	}
 	p.Context, p.end = context.WithDeadline(context.Background(), p.Until)
 	c.sent = append(c.sent, p)
 	select {
 	case c.pushes <- p:
 	default: // Danger: waiting here would stop every transaction; a push that finds no room never left
-		go d.Outcome(c, p, logic.Unsent)
+		go w.Outcome(c, p, logic.Unsent)
 	}
 }
 
-func (w *writer) Cancel(t *logic.Transaction, push int) {
+func (w writer) Cancel(t *logic.Transaction, push int) {
 	t.Mark.(*Case).sent[push].end()
 }
 
-func (w *writer) Defer(t *logic.Transaction, backoff int64) {
-	(*Desk)(w).finish(t.Mark.(*Case), Answer{Ending: Deferred, Backoff: time.Duration(backoff)})
+func (w writer) Defer(t *logic.Transaction, backoff int64) {
+	w.finish(t.Mark.(*Case), Answer{Ending: Deferred, Backoff: time.Duration(backoff)})
 }
 
-func (w *writer) Forfeit(t *logic.Transaction) {
-	(*Desk)(w).finish(t.Mark.(*Case), Answer{Ending: Forfeited})
+func (w writer) Forfeit(t *logic.Transaction) {
+	w.finish(t.Mark.(*Case), Answer{Ending: Forfeited})
 }
 
-func (w *writer) Probe(upstream int) {
+func (w writer) Probe(upstream int) {
 	select {
 	case w.probes <- Probe{upstream, w.roster.Address(upstream)}:
 	default: // Danger: as with pushes; a probe that is never answered would hold its upstream for good
-		go (*Desk)(w).Probed(upstream, false)
+		go w.Probed(upstream, false)
 	}
 }
 
-func (w *writer) Follow() {
+func (w writer) Follow() {
 	select {
 	case w.follow <- struct{}{}:
 	default: // asked already
 	}
 }
 
-func (w *writer) Wake(at int64) {
-	w.wake.Reset(time.Duration(at - (*Desk)(w).now()))
+func (w writer) Wake(at int64) {
+	w.wake.Reset(time.Duration(at - w.now()))
 }
 
-func (w *writer) Note(text string) { log.Printf("event=note text=%q", text) }
+func (w writer) Note(text string) { log.Printf("event=note text=%q", text) }
--- a/internal/desk/desk_test.go
+++ b/internal/desk/desk_test.go
@@ -138,8 +138,8 @@
 		t.Errorf("%v", a)
 	}
 	for range cap(d.probes) + 10 {
-		(*writer)(d).Probe(0)
-		(*writer)(d).Follow()
+		writer{d}.Probe(0)
+		writer{d}.Follow()
 	}
 }
 
--- a/internal/httpwire/gate.go
+++ b/internal/httpwire/gate.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net"
-	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -87,14 +86,5 @@
 	return io.Copy(struct{ io.Writer }{c}, from)
 }
 
-// under has what is written on the connection that a push or a probe gets go through its gate, or through none.
-func under(ctx context.Context, g *gate, trace *httptrace.ClientTrace) context.Context {
-	got := trace.GotConn
-	trace.GotConn = func(i httptrace.GotConnInfo) {
-		i.Conn.(*outward).gate.Store(g)
-		if got != nil {
-			got(i)
-		}
-	}
-	return httptrace.WithClientTrace(ctx, trace)
-}
+// through has what is written on a connection to an upstream go through a gate from now on, or through none.
+func through(c net.Conn, g *gate) { c.(*outward).gate.Store(g) }
--- a/internal/httpwire/httpwire_test.go
+++ b/internal/httpwire/httpwire_test.go
@@ -133,7 +133,7 @@
 	f := front(t)
 	p := &desk.Push{Context: t.Context(), Address: server.Listener.Addr().String(), Until: time.Now().Add(time.Second)}
 	for _, size := range []int{0, 10, mostBody} { // with the headers, and past the writer's buffer
-		q := &transaction{method: "POST", url: &url.URL{Path: "/load"}, body: make([]byte, size)}
+		q := &transaction{method: "POST", url: &url.URL{Path: "/load"}, header: http.Header{}, body: make([]byte, size)}
 		out := &gate{}
 		if r := f.carry(p, q, out, &reply{}); r != logic.Settled {
 			t.Fatalf("%d bytes: %d", size, r)
--- a/internal/httpwire/push.go
+++ b/internal/httpwire/push.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"log"
+	"maps"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -53,14 +54,14 @@
 // carry sends the request once and takes what comes back.
 func (f *Front) carry(p *desk.Push, q *transaction, out *gate, into *reply) logic.Result {
 	var reached, written atomic.Bool
-	ctx := under(p.Context, out, &httptrace.ClientTrace{
-		GotConn:      func(httptrace.GotConnInfo) { reached.Store(true) },
+	ctx := httptrace.WithClientTrace(p.Context, &httptrace.ClientTrace{
+		GotConn: func(i httptrace.GotConnInfo) {
+			through(i.Conn, out)
+			reached.Store(true)
+		},
 		WroteRequest: func(i httptrace.WroteRequestInfo) { written.Store(i.Err == nil) },
 	})
-	header := make(http.Header, len(q.header)+2)
-	for name, values := range q.header {
-		header[name] = values
-	}
+	header := maps.Clone(q.header)
 	header["X-Remaining"] = []string{strconv.FormatFloat(max(0, time.Until(p.Until).Seconds()), 'f', 6, 64)}
 	if header["User-Agent"] == nil {
 		header["User-Agent"] = []string{""} // none, instead of the library's
@@ -132,12 +133,15 @@
 
 // ping asks an upstream for a sign of life, which may take as long as two connections to it.
 func (f *Front) ping(address string) bool {
-	ctx, end := context.WithTimeout(context.Background(), 2*time.Duration(f.book.DialTimeout))
+	ctx, end := context.WithTimeout(context.Background(), 2*f.book.DialTimeout)
 	defer end()
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(i httptrace.GotConnInfo) { through(i.Conn, nil) },
+	})
 	r := (&http.Request{
 		Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: address, Path: "/ping"},
 		Header: http.Header{"User-Agent": {""}}, Body: once{bytes.NewReader(nil)},
-	}).WithContext(under(ctx, nil, &httptrace.ClientTrace{}))
+	}).WithContext(ctx)
 	answer, err := f.transport.RoundTrip(r)
 	if err != nil {
 		return false
--- a/internal/httpwire/reply.go
+++ b/internal/httpwire/reply.go
@@ -1,6 +1,7 @@
 package httpwire
 
 import (
+	"maps"
 	"net/http"
 	"strconv"
 	"time"
@@ -20,13 +21,8 @@
 	switch a.Ending {
 	case desk.Settled:
 		from := replies[a.Push]
-		h := w.Header()
-		for name, values := range from.header {
-			h[name] = values
-		}
-		if h["Content-Type"] == nil {
-			h["Content-Type"] = nil // not guessed
-		}
+		maps.Copy(w.Header(), from.header)
+		w.Header()["Content-Type"] = from.header["Content-Type"] // and none is guessed
 		f.send(w, http.StatusOK, from.body)
 	case desk.Deferred:
 		if a.Backoff > 0 {
--- a/internal/httpwire/request.go
+++ b/internal/httpwire/request.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"maps"
 	"math"
 	"net/http"
 	"net/url"
@@ -135,10 +136,7 @@
 
 // endToEnd copies the headers that go on.
 func endToEnd(h http.Header) http.Header {
-	on := make(http.Header, len(h)+2)
-	for name, values := range h {
-		on[name] = values
-	}
+	on := maps.Clone(h)
 	for _, list := range h["Connection"] {
 		for _, name := range strings.Split(list, ",") {
 			on.Del(strings.TrimSpace(name))
--- a/internal/httpwire/serve.go
+++ b/internal/httpwire/serve.go
@@ -44,11 +44,13 @@
 // ServeHTTP is the life of one transaction.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	var c *desk.Case
+	out := gateOf(r.Context())
 	defer func() {
 		if what := recover(); what != nil {
 			log.Printf("event=panic where=serve fault=%q stack=%q", what, debug.Stack())
 			if c != nil {
 				f.desk.Vanish(c)
+				out.close()
 				f.strike(c)
 			}
 			f.say(w, http.StatusInternalServerError, "internal error")
@@ -66,11 +68,7 @@
 		return
 	}
 	c = f.desk.Arrive(q.tariff, q.customer, q.left, q.again)
-	out := gateOf(r.Context())
-	defer func() {
-		out.close()
-		f.strike(c)
-	}()
+	defer f.strike(c)
 	replies := map[int]*reply{} // by push
 	for {
 		select {
--- a/internal/httpwire/sockets.go
+++ b/internal/httpwire/sockets.go
@@ -9,7 +9,6 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
-	"time"
 
 	"ottershift/internal/terms"
 )
@@ -64,13 +63,13 @@
 
 // transport makes the one pool of connections to upstreams.
 func (s *sockets) transport(book *terms.Book) *http.Transport {
-	dialer := net.Dialer{Timeout: time.Duration(book.DialTimeout)}
+	dialer := net.Dialer{Timeout: book.DialTimeout}
 	return &http.Transport{
 		DisableCompression:     true, // bodies go on unchanged
 		MaxResponseHeaderBytes: mostHeader,
 		MaxIdleConns:           int(s.limit / 3), MaxIdleConnsPerHost: int(s.limit / 3),
 		// Danger: what is written to a connection that its upstream has closed may have run.
-		IdleConnTimeout: time.Duration(book.IdleClose) * 9 / 10,
+		IdleConnTimeout: book.IdleClose * 9 / 10,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			// Danger: many dial at once, so each counts before it does.
 			if s.out.Add(1)+s.in.Load() > s.limit-s.reserve() {
--- a/internal/simwire/read.go
+++ b/internal/simwire/read.go
@@ -187,7 +187,6 @@
 func (s *server) configure(number int, v *fastjson.Value) {
 	in := &instance{
 		number: number, server: s, calls: map[string]*logic.Transaction{},
-		book: terms.Read(v.Get("env"), v.GetUint64("prng")),
 	}
 	if old := s.instances[number]; old != nil {
 		old.logic = nil
@@ -195,6 +194,7 @@
 	s.instances[number] = in
 	in.touch()
 	in.guard(func() {
+		in.book = terms.Read(v.Get("env"), v.GetUint64("prng"))
 		b, err := logic.New(in.book.Terms, s.now)
 		if err != nil {
 			s.except(in, err.Error())
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -3,6 +3,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/valyala/fastjson"
 
@@ -11,7 +12,7 @@
 
 const (
 	microsecond = 1000
-	unsaidDial  = 1e9 // where nothing is said; without any limit a push to a machine cut off would hang
+	unsaidDial  = time.Second // where nothing is said; without any limit a push to a machine cut off would hang
 )
 
 // Book is the settings as a balancer uses them: the module's terms, the names behind its numbers, and what only
@@ -22,8 +23,8 @@
 	Customers map[string]int
 	Zones     []string // their places are the numbers in Terms
 
-	DialTimeout int64 // nanoseconds until a connection counts as not to be had
-	IdleClose   int64 // an upstream closes what stood idle so long
+	DialTimeout time.Duration // until a connection counts as not to be had
+	IdleClose   time.Duration // an upstream closes what stood idle so long
 }
 
 // Read decodes the settings. What is absent stays zero: logic.New refuses what it can't work with.
@@ -43,8 +44,8 @@
 	}
 	b := &Book{
 		Terms: t, Tariffs: map[string]int{}, Customers: map[string]int{},
-		DialTimeout: limits.GetInt64("dial_timeout") * microsecond,
-		IdleClose:   limits.GetInt64("idle_close") * microsecond,
+		DialTimeout: time.Duration(limits.GetInt64("dial_timeout")) * time.Microsecond,
+		IdleClose:   time.Duration(limits.GetInt64("idle_close")) * time.Microsecond,
 	}
 	if b.DialTimeout <= 0 {
 		b.DialTimeout = unsaidDial
