SIGHUP moves the watch; connections by identity, empty before each push; strict clients

- Reload: `node n0 crashed: exited with 129`. main caught SIGTERM and SIGINT only (main.go, signal.Notify after the configuration was read).
SIGHUP is caught first thing in main; discovery.Watch.Move ends the open watch, forgets the version and asks the new address for the whole list before it watches.
An unreadable file is logged and left.
Any transfer coding is refused with 411 and a close, HTTP/1.0 (where the server drops the coding unseen) with 400.
Second values of the headers that name a transaction are refused.
X-Remaining took 1e3, 0x1p3 and an empty value; plain decimals only.
The reader now says when it has come back and found nothing; a ride begins only then, and a kept connection that ended before speaks against nobody.
- Noise could be known before httptrace.WroteRequest, and the push was then said never to have run; what has begun counts as written unless writing failed.
Each stay at an address has a host of its own; what leavers leave is closed.
- 4xx of an upstream counted against it and were retried and copied; logic.Rejected ends the transaction, the reply goes on, nobody is judged.
- A body's memory was made for what its length promised; it now grows with what comes.

Ruled out: early Close of a 3 GB answer doesn't drain (transport.go: earlyCloseFn ends the read loop).

--- a/cmd/ottershift/main.go
+++ b/cmd/ottershift/main.go
@@ -17,14 +17,18 @@
 )
 
 func main() {
+	// Danger: SIGHUP ends a process that doesn't catch it, however early it comes.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	log.SetFlags(log.Ldate | log.Lmicroseconds | log.LUTC)
-	if err := run(); err != nil {
+	if err := run(reload); err != nil {
 		log.Fatalf("event=stop fault=%q", err)
 	}
 }
 
-func run() error {
-	o, err := readOrders(os.Getenv("PROXY_CONFIG"))
+func run(reload <-chan os.Signal) error {
+	path := os.Getenv("PROXY_CONFIG")
+	o, err := readOrders(path)
 	if err != nil {
 		return err
 	}
@@ -41,14 +45,13 @@
 	}
 	front := httpwire.New(d, o.book, o.sockets)
 	if len(o.known.Entries) > 0 {
-		d.List(o.known.Entries, true)
-		front.Stands()
+		front.Listed(d.List(o.known.Entries, true))
 	}
 	l, err := net.Listen("tcp", o.listen)
 	if err != nil {
 		return err
 	}
-	watch := discovery.New(d, o.discovery, o.book.Terms.AskForList, o.known.Index, o.book.DialTimeout, front.Stands)
+	watch := discovery.New(d, o.discovery, o.book.Terms.AskForList, o.known.Index, o.book.DialTimeout, front.Listed)
 	go watch.Run()
 	go front.Probe()
 	go front.Tally()
@@ -56,11 +59,26 @@
 	go func() { ended <- front.Serve(l) }()
 	log.Printf("event=start name=%s listen=%s discovery=%s tier=%d known=%d index=%d",
 		o.name, o.listen, o.discovery, o.book.Terms.Layer, len(o.known.Entries), o.known.Index)
-	select {
-	case err := <-ended:
-		return err
-	case <-stop:
-		front.Drain()
-		return nil
+	for {
+		select {
+		case err := <-ended:
+			return err
+		case <-reload:
+			reread(path, watch)
+		case <-stop:
+			front.Drain()
+			return nil
+		}
+	}
+}
+
+// reread takes the configuration's file again: the watch goes to the discovery that it names, all else stays as it
+// is. Danger: a file that makes no sense must not cost what is in service.
+func reread(path string, watch *discovery.Watch) {
+	o, err := readOrders(path)
+	if err != nil {
+		log.Printf("event=reload step=kept fault=%q", err)
+		return
 	}
+	log.Printf("event=reload step=taken discovery=%s moved=%t", o.discovery, watch.Move(o.discovery))
 }
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -22,12 +22,13 @@
 	Settled Ending = iota
 	Deferred
 	Forfeited
+	Rejected // an upstream found the transaction itself at fault; its reply goes on
 )
 
 // Answer is the one final answer of a transaction.
 type Answer struct {
 	Ending  Ending
-	Push    int           // whose reply settled it
+	Push    int           // whose reply settled or rejected it
 	Backoff time.Duration // advice to a deferred client, 0 for none
 }
 
@@ -36,7 +37,7 @@
 type Push struct {
 	Context context.Context
 	Number  int
-	Address string
+	Place   roster.Place
 	Until   time.Time
 
 	end  context.CancelFunc
@@ -46,7 +47,7 @@
 // Probe is the order to probe an upstream; who carries it out tells by Probed how it ended.
 type Probe struct {
 	Upstream int
-	Address  string
+	Place    roster.Place
 }
 
 // Case is a transaction in the hands of a door.
@@ -117,9 +118,10 @@
 // Follow tells when the module wants the list followed.
 func (d *Desk) Follow() <-chan struct{} { return d.follow }
 
-// List takes a report of the list.
-func (d *Desk) List(entries []roster.Entry[string], whole bool) {
-	d.tell(func(now int64) { d.roster.Apply(entries, whole, now) })
+// List takes a report of the list, and tells which hosts have left by it.
+func (d *Desk) List(entries []roster.Entry[string], whole bool) (left []string) {
+	d.tell(func(now int64) { left = d.roster.Apply(entries, whole, now) })
+	return left
 }
 
 // Unlisted says that the list could not be had, or that following it has ended.
@@ -154,14 +156,17 @@
 	return c
 }
 
-// Outcome tells how a push ended. The first that settles its transaction makes the answer.
+// Outcome tells how a push ended. The first that settles or rejects its transaction makes the answer.
 func (d *Desk) Outcome(c *Case, p *Push, r logic.Result) {
 	p.end()
 	d.tell(func(now int64) {
 		d.tally.Results[r]++
-		d.b.Outcome(&c.t, p.Number, r, now-p.sent, c.over || r == logic.Settled, now)
-		if r == logic.Settled {
+		d.b.Outcome(&c.t, p.Number, r, now-p.sent, c.over || r.Final(), now)
+		switch r {
+		case logic.Settled:
 			d.finish(c, Answer{Ending: Settled, Push: p.Number})
+		case logic.Rejected:
+			d.finish(c, Answer{Ending: Rejected, Push: p.Number})
 		}
 	})
 }
@@ -181,9 +186,9 @@
 // Tally is what has happened since the last one was taken.
 type Tally struct {
 	Arrived, Vanished int
-	Endings           [Forfeited + 1]int
-	Results           [logic.Unsent + 1]int // of pushes
-	Open              int                   // transactions now
+	Endings           [Rejected + 1]int
+	Results           [logic.Rejected + 1]int // of pushes
+	Open              int                     // transactions now
 }
 
 // Tally takes the tally and starts a new one.
@@ -233,7 +238,7 @@
 func (w writer) Push(t *logic.Transaction, upstream int, until int64) {
 	c := t.Mark.(*Case)
 	p := &Push{
-		Number: t.Pushes() - 1, Address: w.roster.Address(upstream), sent: w.now(),
+		Number: t.Pushes() - 1, Place: w.roster.Place(upstream), sent: w.now(),
 		Until: w.epoch.Add(time.Duration(until - w.epoch.UnixNano())),
 	}
 	p.Context, p.end = context.WithDeadline(context.Background(), p.Until)
@@ -259,7 +264,7 @@
 
 func (w writer) Probe(upstream int) {
 	select {
-	case w.probes <- Probe{upstream, w.roster.Address(upstream)}:
+	case w.probes <- Probe{upstream, w.roster.Place(upstream)}:
 	default: // Danger: as with pushes; a probe that is never answered would hold its upstream for good
 		go w.Probed(upstream, false)
 	}
--- a/internal/httpwire/gate.go
+++ b/internal/httpwire/gate.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"sync"
-	"sync/atomic"
 	"syscall"
 )
 
@@ -33,7 +31,7 @@
 }
 
 // left looks whether a client has closed its connection, past what the server has read of it.
-func left(client *net.TCPConn) (gone bool) {
+func left(client *net.TCPConn) bool {
 	if client == nil {
 		return false
 	}
@@ -41,25 +39,19 @@
 	if err != nil {
 		return true
 	}
-	err = raw.Control(func(fd uintptr) { // not Read: the server waits in one
+	_, gone := peek(raw)
+	return gone
+}
+
+// peek looks at what the kernel holds of a connection, without waiting: bytes unread, or its end.
+func peek(raw syscall.RawConn) (unread, ended bool) {
+	err := raw.Control(func(fd uintptr) { // not Read: somebody waits in one
 		var first [1]byte
 		n, _, err := syscall.Recvfrom(int(fd), first[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		gone = n == 0 && err == nil || err != nil && err != syscall.EAGAIN && err != syscall.EINTR
+		unread = n > 0
+		ended = n == 0 && err == nil || err != nil && err != syscall.EAGAIN && err != syscall.EINTR
 	})
-	return gone || err != nil
-}
-
-type clientKey struct{}
-
-// withClient lets a transaction know its client's connection.
-func withClient(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, clientKey{}, c.(*counted).TCPConn)
-}
-
-// gateOf makes the gate of a client's transaction.
-func gateOf(ctx context.Context) *gate {
-	client, _ := ctx.Value(clientKey{}).(*net.TCPConn)
-	return &gate{client: client}
+	return unread, ended || err != nil
 }
 
 func (g *gate) close() {
@@ -68,23 +60,23 @@
 	g.mu.Unlock()
 }
 
-// outward is a connection to an upstream.
-type outward struct {
-	counted
-	gate atomic.Pointer[gate] // of the push that it carries
-}
+type clientKey struct{}
 
-func (c *outward) Write(b []byte) (int, error) {
-	if g := c.gate.Load(); g != nil {
-		return g.pass(c.TCPConn, b)
-	}
-	return c.TCPConn.Write(b)
+// withClient lets a transaction know its client's connection.
+func withClient(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, clientKey{}, c.(*counted))
 }
 
-// ReadFrom keeps TCPConn's own from passing by the gate.
-func (c *outward) ReadFrom(from io.Reader) (int64, error) {
-	return io.Copy(struct{ io.Writer }{c}, from)
+// clientOf is the connection of a transaction's client, nil if it came by no socket.
+func clientOf(ctx context.Context) *counted {
+	c, _ := ctx.Value(clientKey{}).(*counted)
+	return c
 }
 
-// through has what is written on a connection to an upstream go through a gate from now on, or through none.
-func through(c net.Conn, g *gate) { c.(*outward).gate.Store(g) }
+// gateOf makes the gate of a client's transaction.
+func gateOf(client *counted) *gate {
+	if client == nil {
+		return &gate{}
+	}
+	return &gate{client: client.TCPConn}
+}
--- /dev/null
+++ b/internal/httpwire/outward.go
@@ -0,0 +1,188 @@
+package httpwire
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http/httptrace"
+	"os"
+	"sync"
+	"syscall"
+)
+
+// outward is a connection to an upstream. Danger: http.Transport may lend one on while bytes wait behind the answer
+// that it brought, and these would answer the next push. So each ride waits until the reader has come back and
+// found nothing, and looks once more before its first byte goes out.
+type outward struct {
+	counted
+	sockets *sockets
+	host    string
+	raw     syscall.RawConn
+
+	mu     sync.Mutex
+	change *sync.Cond // of empty, closed
+	empty  bool       // the reader waits, and all that came is read
+	closed bool
+	last   bool // its upstream has left: nothing more after this ride
+	ride   *ride
+}
+
+// ride is one push or probe on its connection.
+type ride struct {
+	gate *gate // nil for a probe
+	on   *outward
+	kept bool // the connection has carried others before
+
+	begun bool // under the connection's lock: some of it may have gone out
+}
+
+var errStray = errors.New("bytes on the connection that belong to no push")
+
+func newOutward(c *net.TCPConn, s *sockets, host string) (*outward, error) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	o := &outward{counted: counted{TCPConn: c, count: &s.out}, sockets: s, host: host, raw: raw}
+	o.change = sync.NewCond(&o.mu)
+	return o, nil
+}
+
+// board gives a connection to a ride.
+func (r *ride) board(i httptrace.GotConnInfo) {
+	r.on, r.kept = i.Conn.(*outward), i.Reused
+	r.on.mu.Lock()
+	r.on.ride = r
+	r.on.mu.Unlock()
+}
+
+// bar keeps a ride that has not begun from beginning, and tells whether it had. After it, what has not begun never
+// ran.
+func (r *ride) bar() (begun bool) {
+	if r.on == nil {
+		return false
+	}
+	r.on.mu.Lock()
+	begun = r.begun
+	if !begun {
+		r.on.closed = true
+		r.on.change.Broadcast()
+	}
+	r.on.mu.Unlock()
+	if !begun {
+		r.on.Close()
+	}
+	return begun
+}
+
+// alight gives the connection back, and closes it if its upstream has left.
+func (r *ride) alight() {
+	if r.on == nil {
+		return
+	}
+	r.on.mu.Lock()
+	over := r.on.last && r.on.ride == r
+	if r.on.ride == r {
+		r.on.ride = nil
+	}
+	r.on.mu.Unlock()
+	if over {
+		r.on.Close()
+	}
+}
+
+// leave closes the connection, at once or after its ride: its upstream has left.
+func (o *outward) leave() {
+	o.mu.Lock()
+	o.last = true
+	idle := o.ride == nil
+	o.mu.Unlock()
+	if idle {
+		o.Close()
+	}
+}
+
+// begin lets a ride's first byte out, on an empty connection only.
+func (o *outward) begin() (*ride, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	r := o.ride
+	if r == nil || r.begun {
+		return r, nil
+	}
+	for !o.empty && !o.closed {
+		o.change.Wait()
+	}
+	if o.closed {
+		return r, net.ErrClosed
+	}
+	switch unread, ended := peek(o.raw); {
+	case unread:
+		return r, errStray
+	case ended:
+		return r, io.ErrClosedPipe
+	}
+	r.begun = true
+	return r, nil
+}
+
+// Write lets a ride out, a push through its transaction's gate.
+func (o *outward) Write(b []byte) (int, error) {
+	r, err := o.begin()
+	if err != nil {
+		return 0, err
+	}
+	if r != nil && r.gate != nil {
+		return r.gate.pass(o.TCPConn, b)
+	}
+	return o.TCPConn.Write(b)
+}
+
+// ReadFrom keeps TCPConn's own from passing by the gate.
+func (o *outward) ReadFrom(from io.Reader) (int64, error) {
+	return io.Copy(struct{ io.Writer }{o}, from)
+}
+
+// Read waits without the lock and reads under it, so that empty is never said of bytes that are on their way to the
+// reader. What comes before a ride has begun is nobody's.
+func (o *outward) Read(b []byte) (n int, err error) {
+	wait := o.raw.Read(func(fd uintptr) bool {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		for n, err = syscall.Read(int(fd), b); err == syscall.EINTR; n, err = syscall.Read(int(fd), b) {
+		}
+		if o.empty = err == syscall.EAGAIN; o.empty {
+			o.change.Broadcast()
+			return false
+		}
+		if n > 0 && (o.ride == nil || !o.ride.begun) {
+			n, err = 0, errStray
+		}
+		return true
+	})
+	switch {
+	case wait != nil:
+		return 0, wait
+	case err == errStray:
+		return 0, err
+	case err != nil:
+		return 0, os.NewSyscallError("read", err)
+	case n == 0 && len(b) > 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// WriteTo keeps TCPConn's own from passing by Read.
+func (o *outward) WriteTo(to io.Writer) (int64, error) {
+	return io.Copy(to, struct{ io.Reader }{o})
+}
+
+func (o *outward) Close() error {
+	o.mu.Lock()
+	o.closed = true
+	o.change.Broadcast()
+	o.mu.Unlock()
+	o.sockets.forget(o)
+	return o.counted.Close()
+}
--- a/internal/httpwire/push.go
+++ b/internal/httpwire/push.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"ottershift/internal/desk"
+	"ottershift/internal/roster"
 	"ottershift/logic"
 )
 
@@ -53,13 +54,12 @@
 
 // carry sends the request once and takes what comes back.
 func (f *Front) carry(p *desk.Push, q *transaction, out *gate, into *reply) logic.Result {
-	var reached, written atomic.Bool
-	ctx := httptrace.WithClientTrace(p.Context, &httptrace.ClientTrace{
-		GotConn: func(i httptrace.GotConnInfo) {
-			through(i.Conn, out)
-			reached.Store(true)
-		},
-		WroteRequest: func(i httptrace.WroteRequestInfo) { written.Store(i.Err == nil) },
+	on := &ride{gate: out}
+	defer on.alight()
+	var cut atomic.Bool // before its last byte was written
+	ctx := httptrace.WithClientTrace(toward(p.Context, p.Place.Address), &httptrace.ClientTrace{
+		GotConn:      on.board,
+		WroteRequest: func(i httptrace.WroteRequestInfo) { cut.Store(i.Err != nil) },
 	})
 	header := maps.Clone(q.header)
 	header["X-Remaining"] = []string{strconv.FormatFloat(max(0, time.Until(p.Until).Seconds()), 'f', 6, 64)}
@@ -67,7 +67,7 @@
 		header["User-Agent"] = []string{""} // none, instead of the library's
 	}
 	to := *q.url
-	to.Scheme, to.Host, to.User, to.Fragment = "http", p.Address, nil, ""
+	to.Scheme, to.Host, to.User, to.Fragment = "http", p.Place.Host, nil, ""
 	r := (&http.Request{
 		Method: q.method, URL: &to, Host: q.host, Header: header,
 		Body: once{bytes.NewReader(q.body)}, ContentLength: int64(len(q.body)),
@@ -75,47 +75,57 @@
 
 	answer, err := f.transport.RoundTrip(r)
 	if err != nil {
-		return ended(ctx, err, reached.Load(), written.Load())
+		begun := on.bar()
+		return ended(ctx, err, on.kept && !begun, begun && !cut.Load())
 	}
 	defer answer.Body.Close()
-	if answer.StatusCode != http.StatusOK {
+	if !on.bar() {
+		return logic.Unsent // what came was the answer to something else
+	}
+	status := answer.StatusCode
+	// Danger: 429 says to a client that its transaction has not run, which only the module may say.
+	rejected := status >= 400 && status < 500 && status != http.StatusTooManyRequests
+	if status != http.StatusOK {
 		// What comes with it is read, so that the connection can be kept. Danger: where it doesn't come, the error
 		// would be known only at the hard stop.
 		defer time.AfterFunc(restWithin, func() { answer.Body.Close() }).Stop()
-		io.CopyN(io.Discard, answer.Body, mostBody)
-		turned := answer.StatusCode == http.StatusServiceUnavailable || answer.StatusCode == http.StatusGatewayTimeout
+	}
+	body, err := take(answer.Body, answer.ContentLength)
+	switch {
+	case rejected:
+		into.status, into.header, into.body = status, endToEnd(answer.Header), body
+		return logic.Rejected
+	case status != http.StatusOK:
+		turned := status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout
 		if turned && answer.Header.Get("X-Turned-Away") == "1" {
 			return logic.TurnedAway
 		}
 		return logic.Errored
-	}
-	body, err := take(answer.Body, answer.ContentLength)
-	switch {
 	case err == errLong:
 		return logic.Errored
 	case err != nil:
-		return ended(ctx, err, true, true) // cut
+		return ended(ctx, err, false, true) // cut
 	}
-	into.header, into.body = endToEnd(answer.Header), body
+	into.status, into.header, into.body = status, endToEnd(answer.Header), body
 	return logic.Settled
 }
 
 // ended names the outcome of a push without a whole answer. Only what provably never left whole is said not to
-// have run.
-func ended(ctx context.Context, err error, reached, written bool) logic.Result {
+// have run. Danger: an answer that makes no sense may be known before the library says that the push was written,
+// so what has begun counts as written unless writing it failed. A kept connection that had ended before it began
+// (stale) is no word against its upstream: whether that can be reached only a new one tells.
+func ended(ctx context.Context, err error, stale, written bool) logic.Result {
 	switch {
-	case errors.Is(err, errFull), errors.Is(err, errClosed) && !written:
+	case stale, errors.Is(err, errFull), errors.Is(err, errClosed) && !written:
 		return logic.Unsent
 	case errors.Is(ctx.Err(), context.Canceled):
 		return logic.Cancelled
-	case !reached && ctx.Err() != nil:
+	case !written && ctx.Err() != nil:
 		return logic.Unsent // Danger: with little time left a live upstream would pass for one that is down
-	case !reached:
+	case !written:
 		return logic.Unreachable
 	case ctx.Err() != nil:
 		return logic.TimedOut
-	case !written:
-		return logic.Unreachable
 	}
 	return logic.Broken
 }
@@ -126,20 +136,22 @@
 		go func() {
 			ok := false
 			defer func() { f.desk.Probed(p.Upstream, ok) }()
-			ok = f.ping(p.Address)
+			ok = f.ping(p.Place)
 		}()
 	}
 }
 
 // ping asks an upstream for a sign of life, which may take as long as two connections to it.
-func (f *Front) ping(address string) bool {
+func (f *Front) ping(at roster.Place) bool {
 	ctx, end := context.WithTimeout(context.Background(), 2*f.book.DialTimeout)
 	defer end()
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(i httptrace.GotConnInfo) { through(i.Conn, nil) },
+	on := &ride{}
+	defer on.alight()
+	ctx = httptrace.WithClientTrace(toward(ctx, at.Address), &httptrace.ClientTrace{
+		GotConn: on.board,
 	})
 	r := (&http.Request{
-		Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: address, Path: "/ping"},
+		Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: at.Host, Path: "/ping"},
 		Header: http.Header{"User-Agent": {""}}, Body: once{bytes.NewReader(nil)},
 	}).WithContext(ctx)
 	answer, err := f.transport.RoundTrip(r)
@@ -147,6 +159,9 @@
 		return false
 	}
 	defer answer.Body.Close()
+	if !on.bar() {
+		return false
+	}
 	_, err = io.CopyN(io.Discard, answer.Body, mostBody)
 	return answer.StatusCode == http.StatusOK && (err == nil || err == io.EOF)
 }
--- a/internal/httpwire/reply.go
+++ b/internal/httpwire/reply.go
@@ -9,21 +9,22 @@
 	"ottershift/internal/desk"
 )
 
-// reply is what an upstream settled a push with.
+// reply is what an upstream settled or rejected a push with.
 type reply struct {
+	status int
 	header http.Header
 	body   []byte
 }
 
 // write gives a client its final answer. 503 tells it that trying again is harmless: nothing but the module's
-// deferral may be written so.
+// deferral may be written so, nor 429.
 func (f *Front) write(w http.ResponseWriter, a desk.Answer, replies map[int]*reply) {
 	switch a.Ending {
-	case desk.Settled:
+	case desk.Settled, desk.Rejected:
 		from := replies[a.Push]
 		maps.Copy(w.Header(), from.header)
 		w.Header()["Content-Type"] = from.header["Content-Type"] // and none is guessed
-		f.send(w, http.StatusOK, from.body)
+		f.send(w, from.status, from.body)
 	case desk.Deferred:
 		if a.Backoff > 0 {
 			w.Header()["Retry-After"] = []string{strconv.FormatFloat(a.Backoff.Seconds(), 'f', 3, 64)}
@@ -49,7 +50,7 @@
 	}
 	// Danger: a client that doesn't read would hold its connection for good.
 	out := http.NewResponseController(w)
-	out.SetWriteDeadline(time.Now().Add(bodyLimit))
+	out.SetWriteDeadline(time.Now().Add(writeLimit))
 	w.WriteHeader(status)
 	w.Write(body)
 	out.Flush()
--- a/internal/httpwire/request.go
+++ b/internal/httpwire/request.go
@@ -4,11 +4,11 @@
 	"errors"
 	"io"
 	"maps"
-	"math"
 	"net/http"
 	"net/url"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"ottershift/internal/terms"
@@ -16,14 +16,21 @@
 )
 
 const (
-	mostBody  = 64 << 10
-	mostWait  = time.Hour       // what a client may ask for
-	bodyLimit = 5 * time.Second // within which headers or a body have come, or an answer gone
-	underway  = 5 * time.Millisecond
+	mostBody = 64 << 10
+	mostWait = time.Hour // what a client may ask for
+	underway = 5 * time.Millisecond
+
+	// A client that never ends its message has an error or a close within three seconds of connecting. Danger: half
+	// a message holds a descriptor as well as a transaction does.
+	headLimit  = 1300 * time.Millisecond // within which the headers have come
+	bodyLimit  = 1200 * time.Millisecond // and then the body
+	writeLimit = 5 * time.Second         // and the answer gone
+	idleLimit  = 3 * time.Second         // between two transactions
 )
 
 // transaction is what a client sent, as the protocol has it.
 type transaction struct {
+	id       string
 	tariff   int
 	customer int // -1 for none
 	left     time.Duration
@@ -47,10 +54,23 @@
 // read decodes what a client sent, its body included.
 func read(w http.ResponseWriter, r *http.Request, book *terms.Book) (*transaction, *fault) {
 	q := &transaction{method: r.Method, host: r.Host, url: r.URL, customer: -1}
+	// Danger: the server drops a length that comes beside a transfer coding, and what one side takes for the body
+	// holds a message of its own for the other; in HTTP/1.0 it drops the coding, unseen from here.
+	if len(r.TransferEncoding) > 0 {
+		return nil, &fault{http.StatusLengthRequired, "a body comes with its length, not with a transfer coding"}
+	}
+	if !r.ProtoAtLeast(1, 1) {
+		return nil, bad("not HTTP/1.1")
+	}
+	for _, name := range []string{"X-Txn", "X-Lane", "X-Org", "X-Remaining", "Idempotency-Key"} {
+		if len(r.Header[name]) > 1 {
+			return nil, bad("more than one " + name) // Danger: who reads the other would take it for another's
+		}
+	}
 	if r.Method != http.MethodGet && r.Method != http.MethodPost {
 		return nil, bad("the method is neither GET nor POST")
 	}
-	if r.Header.Get("X-Txn") == "" {
+	if q.id = r.Header.Get("X-Txn"); q.id == "" {
 		return nil, bad("no X-Txn")
 	}
 	first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
@@ -75,8 +95,8 @@
 	}
 	q.left = time.Duration(tariff.HardStop)
 	var err error
-	if text := r.Header.Get("X-Remaining"); text != "" {
-		if q.left, err = seconds(text); err != nil {
+	if text, said := r.Header["X-Remaining"]; said {
+		if q.left, err = seconds(text[0]); err != nil {
 			return nil, bad("X-Remaining is not a time")
 		}
 	}
@@ -85,9 +105,6 @@
 	q.again = r.Header.Get("X-Resent") == "1"
 	q.header = endToEnd(r.Header)
 
-	// Danger: a body that trickles in holds a connection; it is no transaction before its last byte has come.
-	conn := http.NewResponseController(w)
-	conn.SetReadDeadline(time.Now().Add(bodyLimit))
 	q.body, err = take(r.Body, r.ContentLength)
 	switch {
 	case err == errLong:
@@ -96,7 +113,7 @@
 		return nil, bad("the body is cut, late or malformed")
 	}
 	// Danger: the server watches the connection from here on; a limit left behind looks like a client gone.
-	conn.SetReadDeadline(time.Time{})
+	http.NewResponseController(w).SetReadDeadline(time.Time{})
 	return q, nil
 }
 
@@ -107,11 +124,7 @@
 	if length > mostBody {
 		return nil, errLong
 	}
-	if length >= 0 {
-		body := make([]byte, length)
-		_, err := io.ReadFull(from, body)
-		return body, err
-	}
+	// Danger: room made for what a length only promises would cost more memory than there is.
 	body, err := io.ReadAll(io.LimitReader(from, mostBody+1))
 	if err == nil && len(body) > mostBody {
 		err = errLong
@@ -119,12 +132,40 @@
 	return body, err
 }
 
-// seconds reads a time as the wire writes it, decimals allowed.
+// ids are those of the open transactions. Danger: a client that sends another's would have its answer, or have it
+// run twice.
+type ids struct {
+	mu   sync.Mutex
+	open map[string]struct{}
+}
+
+// claim takes an id, unless it is taken.
+func (i *ids) claim(id string) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if _, taken := i.open[id]; taken {
+		return false
+	}
+	i.open[id] = struct{}{}
+	return true
+}
+
+func (i *ids) free(id string) {
+	i.mu.Lock()
+	delete(i.open, id)
+	i.mu.Unlock()
+}
+
+// seconds reads a time as the wire writes it: plain decimals. What else ParseFloat knows is no time here.
 func seconds(text string) (time.Duration, error) {
-	s, err := strconv.ParseFloat(text, 64)
-	if err != nil || math.IsNaN(s) || s < 0 {
+	whole, part, _ := strings.Cut(text, ".")
+	if len(text) > 32 || whole == "" || strings.Trim(whole+part, "0123456789") != "" {
 		return 0, errors.New("not a time")
 	}
+	s, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		return 0, err
+	}
 	return time.Duration(min(s, mostWait.Seconds()) * float64(time.Second)), nil
 }
 
--- a/internal/httpwire/serve.go
+++ b/internal/httpwire/serve.go
@@ -20,6 +20,7 @@
 	desk      *desk.Desk
 	book      *terms.Book
 	sockets   *sockets
+	ids       ids
 	transport *http.Transport
 	server    *http.Server
 	stands    atomic.Bool // the list does
@@ -28,23 +29,27 @@
 
 // New makes a front that holds no more than limit descriptors.
 func New(d *desk.Desk, book *terms.Book, limit int) *Front {
-	f := &Front{desk: d, book: book, sockets: &sockets{limit: int64(limit)}}
+	f := &Front{desk: d, book: book, sockets: newSockets(limit), ids: ids{open: map[string]struct{}{}}}
 	f.transport = f.sockets.transport(book)
 	f.server = &http.Server{
-		Handler: f, ReadHeaderTimeout: bodyLimit, IdleTimeout: 60 * time.Second, MaxHeaderBytes: mostHeader,
+		Handler: f, ReadHeaderTimeout: headLimit, IdleTimeout: idleLimit, MaxHeaderBytes: mostHeader,
 		ConnState: f.sockets.state, ConnContext: withClient,
 		ErrorLog: log.New(log.Writer(), "event=http fault=", log.Flags()|log.Lmsgprefix),
 	}
 	return f
 }
 
-// Stands says that there is a list to work with.
-func (f *Front) Stands() { f.stands.Store(true) }
+// Listed says that there is a list to work with, and which hosts have left by it.
+func (f *Front) Listed(left []string) {
+	f.stands.Store(true)
+	f.sockets.leave(left)
+}
 
 // ServeHTTP is the life of one transaction.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	var c *desk.Case
-	out := gateOf(r.Context())
+	client := clientOf(r.Context())
+	out := gateOf(client)
 	defer func() {
 		if what := recover(); what != nil {
 			log.Printf("event=panic where=serve fault=%q stack=%q", what, debug.Stack())
@@ -56,17 +61,24 @@
 			f.say(w, http.StatusInternalServerError, "internal error")
 		}
 	}()
+	// Danger: a body that trickles in holds a connection, also where it belongs to no transaction.
+	http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyLimit))
 	if r.URL.Path == "/_health" {
 		f.health(w)
 		return
 	}
 
 	q, no := read(w, r, f.book)
+	if no == nil && !f.ids.claim(q.id) {
+		no = bad("X-Txn is that of an open transaction")
+	}
 	if no != nil {
 		w.Header()["Connection"] = []string{"close"} // Danger: a body may be on its way that nobody waits for
 		f.say(w, no.status, no.text)
 		return
 	}
+	defer f.ids.free(q.id)
+	f.sockets.busy(client)
 	c = f.desk.Arrive(q.tariff, q.customer, q.left, q.again)
 	defer f.strike(c)
 	replies := map[int]*reply{} // by push
--- a/internal/httpwire/sockets.go
+++ b/internal/httpwire/sockets.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -28,8 +29,15 @@
 	out   atomic.Int64
 
 	mu    sync.Mutex
-	quiet list.List // clients' connections without a request, the longest so first
+	quiet list.List // clients' connections without a transaction, the longest so first
 	place map[net.Conn]*list.Element
+	hosts map[string]map[*outward]struct{} // connections to upstreams
+}
+
+func newSockets(limit int) *sockets {
+	return &sockets{
+		limit: int64(limit), place: map[net.Conn]*list.Element{}, hosts: map[string]map[*outward]struct{}{},
+	}
 }
 
 // reserve is left free, also for clients that have yet to be accepted.
@@ -38,29 +46,72 @@
 // many says that clients hold so many connections that some had better be closed after their answer.
 func (s *sockets) many() bool { return s.in.Load() > s.limit*2/5 }
 
-// state follows clients' connections. Danger: clients that connect and say nothing would use up the descriptors;
-// once they hold too many, the one that has been quiet longest makes room for a new one.
+// state follows clients' connections. Danger: clients that connect and say nothing, or begin a message and never
+// end it, would use up the descriptors; once they hold too many, the one that has been without a transaction for
+// longest makes room for a new one.
 func (s *sockets) state(c net.Conn, now http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.unquiet(c)
+	if now == http.StateClosed || now == http.StateHijacked {
+		return
+	}
+	s.place[c] = s.quiet.PushBack(c)
+	if first := s.quiet.Front(); now == http.StateNew && s.in.Load() > s.limit*3/5 && first.Value != c {
+		old := first.Value.(net.Conn)
+		s.unquiet(old)
+		old.Close() // its own goroutine tells its last state
+	}
+}
+
+// busy says that a client's connection carries a transaction, until its next state.
+func (s *sockets) busy(c *counted) {
+	if c == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unquiet(c)
+}
+
+func (s *sockets) unquiet(c net.Conn) {
 	if e := s.place[c]; e != nil {
 		s.quiet.Remove(e)
 		delete(s.place, c)
 	}
-	if now != http.StateNew && now != http.StateIdle {
-		return
+}
+
+// forget takes a connection to an upstream off the books.
+func (s *sockets) forget(o *outward) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if delete(s.hosts[o.host], o); len(s.hosts[o.host]) == 0 {
+		delete(s.hosts, o.host)
 	}
-	if s.place == nil {
-		s.place = map[net.Conn]*list.Element{}
+}
+
+// leave closes what is kept of hosts that have left.
+func (s *sockets) leave(hosts []string) {
+	var all []*outward
+	s.mu.Lock()
+	for _, host := range hosts {
+		for o := range s.hosts[host] {
+			all = append(all, o)
+		}
 	}
-	s.place[c] = s.quiet.PushBack(c)
-	if first := s.quiet.Front(); now == http.StateNew && s.in.Load() > s.limit*3/5 && first.Value != c {
-		old := s.quiet.Remove(first).(net.Conn)
-		delete(s.place, old)
-		old.Close() // its own goroutine tells its last state
+	s.mu.Unlock()
+	for _, o := range all {
+		o.leave()
 	}
 }
 
+type addressKey struct{}
+
+// toward lets a dial know the address behind its host. The pool goes by host.
+func toward(ctx context.Context, address string) context.Context {
+	return context.WithValue(ctx, addressKey{}, address)
+}
+
 // transport makes the one pool of connections to upstreams.
 func (s *sockets) transport(book *terms.Book) *http.Transport {
 	dialer := net.Dialer{Timeout: book.DialTimeout}
@@ -70,12 +121,13 @@
 		MaxIdleConns:           int(s.limit / 3), MaxIdleConnsPerHost: int(s.limit / 3),
 		// Danger: what is written to a connection that its upstream has closed may have run.
 		IdleConnTimeout: book.IdleClose * 9 / 10,
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		DialContext: func(ctx context.Context, network, host string) (net.Conn, error) {
 			// Danger: many dial at once, so each counts before it does.
 			if s.out.Add(1)+s.in.Load() > s.limit-s.reserve() {
 				s.out.Add(-1)
 				return nil, errFull
 			}
+			address, _ := ctx.Value(addressKey{}).(string)
 			c, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
 				s.out.Add(-1)
@@ -84,7 +136,20 @@
 				}
 				return nil, err
 			}
-			return &outward{counted: counted{TCPConn: c.(*net.TCPConn), count: &s.out}}, nil
+			host, _, _ = strings.Cut(host, ":") // the library's port
+			o, err := newOutward(c.(*net.TCPConn), s, host)
+			if err != nil {
+				s.out.Add(-1)
+				c.Close()
+				return nil, err
+			}
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if s.hosts[host] == nil {
+				s.hosts[host] = map[*outward]struct{}{}
+			}
+			s.hosts[host][o] = struct{}{}
+			return o, nil
 		},
 	}
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -1,7 +1,11 @@
 // Package roster turns lists of named upstreams into the module's indexes: who joins, who changes, who leaves.
 package roster
 
-import "ottershift/logic"
+import (
+	"strconv"
+
+	"ottershift/logic"
+)
 
 // Entry is one line of a list.
 type Entry[Name comparable] struct {
@@ -13,13 +17,21 @@
 	Gone    bool
 }
 
+// Place is one upstream's stay at one address. Danger: addresses are used again, and what is kept of one upstream
+// (connections first of all) must not pass for its successor's.
+type Place struct {
+	Host    string // never used again
+	Address string
+}
+
 // Roster knows which index stands for which upstream of one balancer.
 type Roster[Name comparable] struct {
-	b       *logic.Balancer
-	zones   map[string]int
-	index   map[Name]int
-	names   []Name
-	address []string
+	b     *logic.Balancer
+	zones map[string]int
+	index map[Name]int
+	names []Name
+	place []Place
+	stays int // so far
 }
 
 // New starts an empty roster; zones are numbered by their place.
@@ -31,22 +43,25 @@
 	return r
 }
 
-// Apply hands a report of the list on, entry by entry. Who is missing from a whole list has left.
-func (r *Roster[Name]) Apply(entries []Entry[Name], whole bool, now int64) {
+// Apply hands a report of the list on, entry by entry, and tells which hosts have left by it. Who is missing from a
+// whole list has left.
+func (r *Roster[Name]) Apply(entries []Entry[Name], whole bool, now int64) (left []string) {
 	here := map[Name]bool{}
 	for _, e := range entries {
 		here[e.Name] = true
 		i, known := r.index[e.Name]
 		if e.Gone {
 			if known {
-				r.b.Leave(i)
+				left = r.leave(i, left)
 			}
 			continue
 		}
 		if !known || !r.b.Known(i) {
 			i = r.join(e.Name)
 		}
-		r.address[i] = e.Address
+		if r.place[i].Address != e.Address {
+			left = r.move(i, e.Address, left)
+		}
 		e.Up.Zone = r.zone(e.Zone)
 		r.b.List(i, e.Up, now)
 		if e.Ends {
@@ -56,11 +71,27 @@
 	if whole {
 		for i, name := range r.names {
 			if !here[name] {
-				r.b.Leave(i)
+				left = r.leave(i, left)
 			}
 		}
 	}
 	r.b.Listed(true, now)
+	return left
+}
+
+func (r *Roster[Name]) leave(i int, left []string) []string {
+	r.b.Leave(i)
+	return r.move(i, "", left)
+}
+
+// move begins a stay and ends the one before.
+func (r *Roster[Name]) move(i int, address string, left []string) []string {
+	if r.place[i].Address != "" {
+		left = append(left, r.place[i].Host)
+	}
+	r.stays++
+	r.place[i] = Place{"u" + strconv.Itoa(r.stays), address}
+	return left
 }
 
 // Index finds an upstream by its name.
@@ -72,14 +103,14 @@
 // Name is the upstream behind an index.
 func (r *Roster[Name]) Name(i int) Name { return r.names[i] }
 
-// Address is where the upstream behind an index is reached.
-func (r *Roster[Name]) Address(i int) string { return r.address[i] }
+// Place is where the upstream behind an index is reached.
+func (r *Roster[Name]) Place(i int) Place { return r.place[i] }
 
 // join gives an upstream an index; an index used before is taken from the one that had it.
 func (r *Roster[Name]) join(name Name) int {
 	i := r.b.Join()
 	if i == len(r.names) {
-		r.names, r.address = append(r.names, name), append(r.address, "")
+		r.names, r.place = append(r.names, name), append(r.place, Place{})
 	} else {
 		if r.index[r.names[i]] == i {
 			delete(r.index, r.names[i])
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -630,7 +630,7 @@
 // learn takes what an outcome tells of the tier and of its upstream.
 func (b *Balancer) learn(p *Push, r Result, took int64) {
 	i := p.upstream
-	if r == Unsent {
+	if r == Unsent || r == Rejected { // danger: a bad client would have upstreams set aside
 		return
 	}
 	if r != Cancelled {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -523,3 +523,20 @@
 		t.Errorf("a mean of %.1f after a second and a half with ten in hand", w.b.mean)
 	}
 }
+
+// Danger: a client that sends nonsense would have every upstream set aside, and copying paused, by their answers.
+func TestRejectionsSayNothingOfAnUpstream(t *testing.T) {
+	w := newWorld(t, terms(tariff(Repeatable, Everywhere)), 2, 1)
+	for range 200 {
+		o := w.arrive(0, s)
+		w.round(ms)
+		w.result(o, 0, Rejected)
+		w.round(ms)
+		if len(o.pushes) != 1 || !o.t.Closed() {
+			t.Fatalf("%d pushes, closed %t", len(o.pushes), o.t.Closed())
+		}
+	}
+	if w.b.gated() || w.b.aside[0] != 0 || w.b.aside[1] != 0 || w.b.allBad != 0 {
+		t.Errorf("aside %v, %d bad", w.b.aside, w.b.allBad)
+	}
+}
--- a/logic/types.go
+++ b/logic/types.go
@@ -88,8 +88,12 @@
 	Broken             // the connection broke
 	Cancelled          // called off by this balancer
 	Unsent             // never left
+	Rejected           // the upstream found the transaction itself at fault
 )
 
+// Final reports whether a push that ends so ends its transaction.
+func (r Result) Final() bool { return r == Settled || r == Rejected }
+
 // NeverRan reports whether the result proves that the push had no effect.
 func (r Result) NeverRan() bool { return r == TurnedAway || r == Unreachable || r == Unsent }
 
