A drain serves on the connections that clients have for half of its time

Seen: both front balancers restart 3 s apart, and one is back 4.4 s after its SIGTERM; the second had closed its listener 0.5 s after its own (drain.go: stillAccept) and each kept connection with its first answer (reply.go: closing), 0.9 s before the first was back. Clients go on using the connections that they have for as long as these stay open, so the balancer goes on serving for half of the time that there is, and closes connections with their answers only then. Ruled out: refusals (the log of both balancers has 12 deferrals in that time) and the fresh balancer's small room (no deferral in its first seconds). /_health says 503 from SIGTERM on, as before.

--- a/internal/httpwire/drain.go
+++ b/internal/httpwire/drain.go
@@ -10,7 +10,6 @@
 )
 
 const (
-	stillAccept = 500 * time.Millisecond // after SIGTERM: clients go on connecting for a while
 	mostDrain   = 3 * time.Second        // a longer hard stop isn't waited for
 	lastAnswers = 500 * time.Millisecond // of the 0.7 s more that there are before SIGKILL
 )
@@ -23,8 +22,9 @@
 	return nil
 }
 
-// Drain ends the front. It accepts for half a second more, closes each connection with its answer, and forfeits
-// what is out shortly before the process would be killed.
+// Drain ends the front. For half of the time that there is it serves as ever, then it closes each connection with its
+// answer, and forfeits what is out shortly before the process would be killed. Danger: clients go on using the
+// connections that they have, and where the other balancers are restarting as well they have no others.
 func (f *Front) Drain() {
 	start := time.Now()
 	longest := time.Duration(0)
@@ -34,7 +34,8 @@
 	end := start.Add(min(longest, mostDrain) + lastAnswers)
 	f.closing.Store(true)
 	log.Printf("event=drain step=begin clients=%d", f.sockets.in.Load())
-	time.Sleep(stillAccept)
+	time.Sleep(time.Until(end) / 2)
+	f.last.Store(true)
 
 	ctx, stop := context.WithDeadline(context.Background(), end)
 	defer stop()
--- a/internal/httpwire/serve.go
+++ b/internal/httpwire/serve.go
@@ -24,7 +24,8 @@
 	transport *http.Transport
 	server    *http.Server
 	stands    atomic.Bool // the list does
-	closing   atomic.Bool
+	closing   atomic.Bool // no new clients are wanted
+	last      atomic.Bool // connections end with their answers
 }
 
 // New makes a front that holds no more than limit descriptors.
