--- a/cmd/ottershift/ottershift_test.go
+++ b/cmd/ottershift/ottershift_test.go
@@ -255,6 +255,15 @@
 	}
 }
 
+func (b *balancer) config() string {
+	b.t.Helper()
+	text, err := os.ReadFile(b.file)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	return string(text)
+}
+
 // dial connects a client of its own.
 func (b *balancer) dial() (net.Conn, *bufio.Reader) {
 	b.t.Helper()
@@ -910,20 +919,17 @@
 	}()
 	soon(t, "one is out", func() bool { return u.arrived.Load() == 1 })
 
-	good, err := os.ReadFile(b.file)
-	if err != nil {
-		t.Fatal(err)
-	}
+	good := b.config()
 	hup := func(config string) {
 		b.configure(config)
 		b.command.Process.Signal(syscall.SIGHUP)
 	}
 	hup(`{"discovery":`) // makes no sense: all stays as it is
-	hup(string(good))    // as does what says the same
+	hup(good)            // as does what says the same
 	next := newRegistry(t)
 	next.whole = report(7, true, entry("u0", u.Addr().String(), "SERVING"), entry("v", v.Addr().String(), "SERVING"))
 	begin := time.Now()
-	hup(strings.ReplaceAll(string(good), kept.Addr().String(), next.Addr().String()))
+	hup(strings.ReplaceAll(good, kept.Addr().String(), next.Addr().String()))
 	if w := next.next(t); w.query != "" {
 		t.Errorf("asked %q: another's version means nothing here", w.query)
 	}
@@ -1050,6 +1056,85 @@
 	all.Wait()
 }
 
+// Danger: half messages count as requests to the server, and hundreds of them would leave no descriptor for pushes,
+// for good clients or for the watch.
+func TestFloodsStarveNobody(t *testing.T) {
+	u, v := newUpstream(t, says(fine)), newUpstream(t, says(fine))
+	r := newRegistry(t)
+	b := start(t, r, 256, settings, u)
+	r.next(t)
+	var all sync.WaitGroup
+	for n := range 400 {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			c, err := net.Dial("tcp", b.address)
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			if n%2 == 0 {
+				io.WriteString(c, message("post", 3, "Content-Length: 60000\r\n\r\n")+strings.Repeat("x", 50000))
+			}
+			c.SetDeadline(time.Now().Add(4 * time.Second))
+			if _, err := io.ReadAll(c); os.IsTimeout(err) {
+				t.Error("half a message is held on to")
+			}
+		}()
+	}
+	time.Sleep(100 * time.Millisecond)
+	for range 50 {
+		begin := time.Now()
+		if status, _, _ := b.ask(message("view", 1, "\r\n")); status != 200 || time.Since(begin) > 500*time.Millisecond {
+			t.Errorf("%d after %s", status, time.Since(begin))
+		}
+	}
+	b.configure(strings.ReplaceAll(b.config(), r.Addr().String(), func() string {
+		r = newRegistry(t)
+		r.whole = report(9, true, entry("v", v.Addr().String(), "SERVING"))
+		return r.Addr().String()
+	}()))
+	b.command.Process.Signal(syscall.SIGHUP)
+	soon(t, "a new watch is heard", func() bool {
+		b.ask(message("view", 1, "\r\n"))
+		return v.arrived.Load() > 0
+	})
+	all.Wait()
+}
+
+// Danger: what is kept of each upstream, id, key or connection that ever was grows until the process is killed.
+func TestNothingGrows(t *testing.T) {
+	us := [2]*upstream{newUpstream(t, echo("")), newUpstream(t, echo(""))}
+	r := newRegistry(t)
+	b := start(t, r, 256, settings, us[0], us[1])
+	w := r.next(t)
+	c, in := b.dial()
+	held := func() (kb, files int) {
+		text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", b.command.Process.Pid))
+		_, rest, _ := strings.Cut(string(text), "VmRSS:")
+		fmt.Sscan(rest, &kb)
+		open, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", b.command.Process.Pid))
+		return kb, len(open)
+	}
+	half, files := 0, 0
+	const upstreams = 3000
+	for n := range upstreams {
+		at := us[n%2].Addr().String() // new ids at the same two addresses
+		w.say(report(42+n, false, entry(fmt.Sprintf("r%d", n), at, "SERVING"), entry(fmt.Sprintf("r%d", n-4), at, "DELETED"),
+			entry(fmt.Sprintf("u%d", n%2), at, "DELETED")))
+		text := strings.Replace(message("load", 3, "Content-Length: 0\r\n\r\n"), "5c0f", fmt.Sprintf("key-%d", n), 1)
+		if status, _, _, err := on(c, in, text); status != 200 {
+			t.Fatalf("%d %v after %d upstreams", status, err, n)
+		}
+		if n == upstreams/2 {
+			half, files = held()
+		}
+	}
+	if kb, now := held(); kb > half+4<<10 || kb > 32<<10 || now > files+10 || now > 60 {
+		t.Errorf("%d KB and %d descriptors at half, %d and %d at the end", half, files, kb, now)
+	}
+}
+
 // FuzzConfig: whatever stands in the configuration, it is refused with a word or works.
 func FuzzConfig(f *testing.F) {
 	whole := `{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c","known":` +
