An upstream with a kept connection may be two turns ahead of its due

Even turns ask that each gets its due in the long run, not in which order: credit of two rounds goes to an upstream to which a connection waits, and is owed back. Where connections stay, all have it alike and nothing changes; on the simulator's wire no connections are told and no decision changes. The module asks the writer (Kept), roster.Place counts, outward keeps the count.

--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -250,6 +250,9 @@
 	}
 }
 
+// Kept asks the place itself: whoever owns the connections counts them there.
+func (w writer) Kept(upstream int) bool { return w.roster.Place(upstream).Kept.Load() > 0 }
+
 func (w writer) Cancel(t *logic.Transaction, push int) {
 	t.Mark.(*Case).sent[push].end()
 }
--- a/internal/httpwire/httpwire_test.go
+++ b/internal/httpwire/httpwire_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptrace"
 	"net/url"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -32,6 +33,11 @@
 	return New(d, book, 100)
 }
 
+// stay is the place of an upstream that listens at l.
+func stay(l net.Listener) roster.Place {
+	return roster.Place{Host: "u1", Address: l.Addr().String(), Kept: new(atomic.Int32)}
+}
+
 // FuzzRequest: any message is answered, and what goes on is as the client sent it, less what concerns its
 // connection.
 func FuzzRequest(f *testing.F) {
@@ -110,7 +116,7 @@
 	s := newSockets(100)
 	server := httptest.NewServer(http.NotFoundHandler())
 	defer server.Close()
-	c, err := s.transport(&terms.Book{}).DialContext(toward(t.Context(), server.Listener.Addr().String()), "tcp", "u1:80")
+	c, err := s.transport(&terms.Book{}).DialContext(toward(t.Context(), stay(server.Listener)), "tcp", "u1:80")
 	if err != nil || s.out.Load() != 1 {
 		t.Fatal(err, s.out.Load())
 	}
@@ -132,7 +138,7 @@
 	arrived := 0
 	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { arrived++ }))
 	f := front(t)
-	p := &desk.Push{Context: t.Context(), Place: roster.Place{Host: "u1", Address: server.Listener.Addr().String()}, Until: time.Now().Add(time.Second)}
+	p := &desk.Push{Context: t.Context(), Place: stay(server.Listener), Until: time.Now().Add(time.Second)}
 	for _, size := range []int{0, 10, mostBody} { // with the headers, and past the writer's buffer
 		q := &transaction{method: "POST", url: &url.URL{Path: "/load"}, header: http.Header{}, body: make([]byte, size)}
 		out := &gate{}
@@ -232,7 +238,7 @@
 	}
 	carry := func(id string) (logic.Result, string) {
 		p := &desk.Push{Context: t.Context(), Until: time.Now().Add(time.Second),
-			Place: roster.Place{Host: "u1", Address: l.Addr().String()}}
+			Place: stay(l)}
 		q := &transaction{method: "GET", url: &url.URL{Path: "/view"}, header: http.Header{"X-Txn": {id}}}
 		into := &reply{}
 		return f.carry(p, q, &gate{}, into), string(into.body)
@@ -264,7 +270,7 @@
 	}
 	defer l.Close()
 	board := func() (*ride, net.Conn) {
-		ctx := toward(t.Context(), l.Addr().String())
+		ctx := toward(t.Context(), stay(l))
 		ours, err := newSockets(100).transport(&terms.Book{}).DialContext(ctx, "tcp", "u1:80")
 		if err != nil {
 			t.Fatal(err)
--- a/internal/httpwire/outward.go
+++ b/internal/httpwire/outward.go
@@ -7,7 +7,10 @@
 	"net/http/httptrace"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
+
+	"ottershift/internal/roster"
 )
 
 // outward is a connection to an upstream. Danger: http.Transport may lend one on while bytes wait behind the answer
@@ -23,7 +26,9 @@
 	change *sync.Cond // of empty, closed
 	empty  bool       // the reader waits, and all that came is read
 	closed bool
-	last   bool // its upstream has left: nothing more after this ride
+	idle   bool          // counted in kept
+	kept   *atomic.Int32 // of its upstream
+	last   bool          // its upstream has left: nothing more after this ride
 	ride   *ride
 }
 
@@ -38,21 +43,34 @@
 
 var errStray = errors.New("bytes on the connection that belong to no push")
 
-func newOutward(c *net.TCPConn, s *sockets, host string) (*outward, error) {
+func newOutward(c *net.TCPConn, s *sockets, at roster.Place) (*outward, error) {
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return nil, err
 	}
-	o := &outward{counted: counted{TCPConn: c, count: &s.out}, sockets: s, host: host, raw: raw}
+	o := &outward{counted: counted{TCPConn: c, count: &s.out}, sockets: s, host: at.Host, raw: raw, kept: at.Kept}
 	o.change = sync.NewCond(&o.mu)
+	o.rest(true)
 	return o, nil
 }
 
+// rest keeps count, under the lock or before anybody else knows of the connection.
+func (o *outward) rest(idle bool) {
+	switch {
+	case idle && !o.idle:
+		o.kept.Add(1)
+	case !idle && o.idle:
+		o.kept.Add(-1)
+	}
+	o.idle = idle
+}
+
 // board gives a connection to a ride.
 func (r *ride) board(i httptrace.GotConnInfo) {
 	r.on, r.kept = i.Conn.(*outward), i.Reused
 	r.on.mu.Lock()
 	r.on.ride = r
+	r.on.rest(false)
 	r.on.mu.Unlock()
 }
 
@@ -84,6 +102,7 @@
 	over := r.on.last && r.on.ride == r
 	if r.on.ride == r {
 		r.on.ride = nil
+		r.on.rest(!r.on.closed && !over)
 	}
 	r.on.mu.Unlock()
 	if over {
@@ -181,6 +200,7 @@
 func (o *outward) Close() error {
 	o.mu.Lock()
 	o.closed = true
+	o.rest(false)
 	o.change.Broadcast()
 	o.mu.Unlock()
 	o.sockets.forget(o)
--- a/internal/httpwire/push.go
+++ b/internal/httpwire/push.go
@@ -57,7 +57,7 @@
 	on := &ride{gate: out}
 	defer on.alight()
 	var cut atomic.Bool // before its last byte was written
-	ctx := httptrace.WithClientTrace(toward(p.Context, p.Place.Address), &httptrace.ClientTrace{
+	ctx := httptrace.WithClientTrace(toward(p.Context, p.Place), &httptrace.ClientTrace{
 		GotConn:      on.board,
 		WroteRequest: func(i httptrace.WroteRequestInfo) { cut.Store(i.Err != nil) },
 	})
@@ -147,7 +147,7 @@
 	defer end()
 	on := &ride{}
 	defer on.alight()
-	ctx = httptrace.WithClientTrace(toward(ctx, at.Address), &httptrace.ClientTrace{
+	ctx = httptrace.WithClientTrace(toward(ctx, at), &httptrace.ClientTrace{
 		GotConn: on.board,
 	})
 	r := (&http.Request{
--- a/internal/httpwire/sockets.go
+++ b/internal/httpwire/sockets.go
@@ -6,11 +6,11 @@
 	"errors"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
 
+	"ottershift/internal/roster"
 	"ottershift/internal/terms"
 )
 
@@ -105,11 +105,11 @@
 	}
 }
 
-type addressKey struct{}
+type placeKey struct{}
 
-// toward lets a dial know the address behind its host. The pool goes by host.
-func toward(ctx context.Context, address string) context.Context {
-	return context.WithValue(ctx, addressKey{}, address)
+// toward lets a dial know where its upstream is. The pool goes by host.
+func toward(ctx context.Context, at roster.Place) context.Context {
+	return context.WithValue(ctx, placeKey{}, at)
 }
 
 // transport makes the one pool of connections to upstreams.
@@ -121,14 +121,14 @@
 		MaxIdleConns:           int(s.limit / 3), MaxIdleConnsPerHost: int(s.limit / 3),
 		// Danger: what is written to a connection that its upstream has closed may have run.
 		IdleConnTimeout: book.IdleClose * 9 / 10,
-		DialContext: func(ctx context.Context, network, host string) (net.Conn, error) {
+		DialContext: func(ctx context.Context, network, _ string) (net.Conn, error) {
 			// Danger: many dial at once, so each counts before it does.
 			if s.out.Add(1)+s.in.Load() > s.limit-s.reserve() {
 				s.out.Add(-1)
 				return nil, errFull
 			}
-			address, _ := ctx.Value(addressKey{}).(string)
-			c, err := dialer.DialContext(ctx, network, address)
+			at := ctx.Value(placeKey{}).(roster.Place)
+			c, err := dialer.DialContext(ctx, network, at.Address)
 			if err != nil {
 				s.out.Add(-1)
 				if errors.Is(err, syscall.EMFILE) {
@@ -136,8 +136,7 @@
 				}
 				return nil, err
 			}
-			host, _, _ = strings.Cut(host, ":") // the library's port
-			o, err := newOutward(c.(*net.TCPConn), s, host)
+			o, err := newOutward(c.(*net.TCPConn), s, at)
 			if err != nil {
 				s.out.Add(-1)
 				c.Close()
@@ -145,10 +144,10 @@
 			}
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			if s.hosts[host] == nil {
-				s.hosts[host] = map[*outward]struct{}{}
+			if s.hosts[at.Host] == nil {
+				s.hosts[at.Host] = map[*outward]struct{}{}
 			}
-			s.hosts[host][o] = struct{}{}
+			s.hosts[at.Host][o] = struct{}{}
 			return o, nil
 		},
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -3,6 +3,7 @@
 
 import (
 	"strconv"
+	"sync/atomic"
 
 	"ottershift/logic"
 )
@@ -22,6 +23,7 @@
 type Place struct {
 	Host    string // never used again
 	Address string
+	Kept    *atomic.Int32 // connections to it that wait for a push; whoever owns them counts
 }
 
 // Roster knows which index stands for which upstream of one balancer.
@@ -90,7 +92,7 @@
 		left = append(left, r.place[i].Host)
 	}
 	r.stays++
-	r.place[i] = Place{"u" + strconv.Itoa(r.stays), address}
+	r.place[i] = Place{"u" + strconv.Itoa(r.stays), address, new(atomic.Int32)}
 	return left
 }
 
@@ -110,7 +112,7 @@
 func (r *Roster[Name]) join(name Name) int {
 	i := r.b.Join()
 	if i == len(r.names) {
-		r.names, r.place = append(r.names, name), append(r.place, Place{})
+		r.names, r.place = append(r.names, name), append(r.place, Place{Kept: new(atomic.Int32)})
 	} else {
 		if r.index[r.names[i]] == i {
 			delete(r.index, r.names[i])
--- a/internal/simwire/write.go
+++ b/internal/simwire/write.go
@@ -88,3 +88,6 @@
 	}()
 	call()
 }
+
+// Kept is not told on this wire.
+func (in *instance) Kept(int) bool { return false }
--- a/logic/helpers_test.go
+++ b/logic/helpers_test.go
@@ -24,6 +24,7 @@
 	up     []Upstream
 	most   float64 // the largest bucket that recent first sends ever allowed
 	finals map[string]int
+	kept   map[int]bool
 	pushed []int // upstreams in the order of the pushes
 }
 
@@ -221,3 +222,4 @@
 func (w *world) Follow()                { w.finals["followed"]++ }
 func (w *world) Wake(at int64)          {}
 func (w *world) Note(string)            {}
+func (w *world) Kept(i int) bool        { return w.kept[i] }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -34,6 +34,7 @@
 	buckets = 128
 	wins    = 4
 
+	ahead      = 2.0    // turns that an upstream may be ahead of its due while a connection to it is kept
 	wellAbove  = 0.25   // skip an upstream with this many pushes more in flight than its part of the mean
 	ample      = 0.35   // at most this share of its contract time is usual for an uncrowded transaction
 	firstHeld  = 6.0    // transactions in hand for each upstream at first, where no customer's share tells more
@@ -464,7 +465,7 @@
 		}
 	}
 	best, spare := -1, -1
-	sum, least := 0.0, math.Inf(1)
+	sum, least, most := 0.0, math.Inf(1), math.Inf(-1)
 	for _, i := range b.own {
 		if b.aside[i] != 0 || t.tried(i) || !b.within(t, i) {
 			continue
@@ -489,8 +490,13 @@
 		}
 		b.turn[i] += share
 		sum += share
-		if best < 0 || b.turn[i] > b.turn[best] {
-			best = i
+		// Danger: where connections soon close, going round all means to pay for a new one with nearly every push.
+		credit := b.turn[i]
+		if b.w.Kept(i) {
+			credit += ahead * total
+		}
+		if credit > most {
+			best, most = i, credit
 		}
 	}
 	if best >= 0 {
@@ -951,13 +957,3 @@
 		heap.Remove(&b.dues, t.slot)
 	}
 }
-
-func sum(counts []int) (all int) {
-	for _, n := range counts {
-		all += n
-	}
-	return all
-}
-
-// Known reports whether an index still belongs to a listed upstream.
-func (b *Balancer) Known(i int) bool { return b.known[i] }
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -540,3 +540,33 @@
 		t.Errorf("aside %v, %d bad", w.b.aside, w.b.allBad)
 	}
 }
+
+// Danger: where connections soon close, going round all upstreams pays for a new one with nearly every push. What is
+// kept is used first, but in the long run the turns stay even.
+func TestKeptConnectionsAreUsedFirstAndTurnsStayEven(t *testing.T) {
+	again := func(keeps bool) (same int) {
+		w := newWorld(t, terms(tariff(Repeatable, Everywhere)), 12, 1)
+		w.kept = map[int]bool{}
+		turns := map[int]int{}
+		for n := range 1200 {
+			o := w.arrive(0, s)
+			w.round(ms)
+			w.result(o, 0, Settled)
+			at := w.pushed[n]
+			if turns[at]++; n > 0 && w.pushed[n-1] == at {
+				same++
+			}
+			clear(w.kept) // all the others have closed by now
+			w.kept[at] = keeps
+		}
+		for i, n := range turns {
+			if n < 95 || n > 105 {
+				t.Errorf("upstream %d had %d of 1200 turns", i, n)
+			}
+		}
+		return same
+	}
+	if all, one := again(false), again(true); all > 60 || one < 700 {
+		t.Errorf("of 1200 pushes %d and, with a kept connection, %d followed another at their upstream", all, one)
+	}
+}
--- a/logic/types.go
+++ b/logic/types.go
@@ -225,8 +225,19 @@
 	refusals  int
 }
 
+// Known reports whether an index still belongs to a listed upstream.
+func (b *Balancer) Known(i int) bool { return b.known[i] }
+
+func sum(counts []int) (all int) {
+	for _, n := range counts {
+		all += n
+	}
+	return all
+}
+
 // Writer receives the decisions of one round, in order.
 type Writer interface {
+	Kept(upstream int) bool                         // no decision: does a connection to it wait for a push?
 	Push(t *Transaction, upstream int, until int64) // until: when the push is abandoned
 	Cancel(t *Transaction, push int)
 	Defer(t *Transaction, backoff int64) // final: trying again is harmless
