--- a/logic/logic.go
+++ b/logic/logic.go
@@ -34,7 +34,7 @@
 	buckets = 128
 	wins    = 4
 
-	ahead      = 2.0    // turns that an upstream may be ahead of its due while a connection to it is kept
+	ahead      = 4.0    // turns that an upstream may be ahead of its due while a connection to it is kept
 	wellAbove  = 0.25   // skip an upstream with this many pushes more in flight than its part of the mean
 	ample      = 0.35   // at most this share of its contract time is usual for an uncrowded transaction
 	firstHeld  = 6.0    // transactions in hand for each upstream at first, where no customer's share tells more
