--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -213,7 +213,7 @@
 				silent.Reset(silence)
 			}
 			if err := w.take(ctx, v, false); err != nil {
-				return heard, err
+				return heard, cause(ctx, err)
 			}
 			heard, index = true, 0
 		}
