Strangers make room before good clients; answers no longer close connections in a flood

Seen: silent clients held 125 and 224 connections as the two front balancers were restarted; above two fifths of the descriptors each answer closed its client's connection (reply.go, sockets.many), and while the other balancer is down nobody can open a new one. Ruled out by the tallies: unreachable or broken pushes, forfeits, drains that end late. The test opens 400 silent connections at 256 descriptors beside one client, whose connection must stay.

--- a/cmd/ottershift/ottershift_test.go
+++ b/cmd/ottershift/ottershift_test.go
@@ -1111,6 +1111,25 @@
 	all.Wait()
 }
 
+// Danger: a flood of strangers would cost good clients the connections that they keep.
+func TestStrangersMakeRoomBeforeGoodClients(t *testing.T) {
+	b := start(t, newRegistry(t), 256, settings, newUpstream(t, says(fine)))
+	c, in := b.dial()
+	for range 400 {
+		stranger, err := net.Dial("tcp", b.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer stranger.Close()
+		if ids.Load()%10 == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		if status, header, _, err := on(c, in, message("view", 1, "\r\n")); status != 200 || header.Get("Connection") == "close" {
+			t.Fatalf("%d %v %v", status, header, err)
+		}
+	}
+}
+
 // Danger: what is kept of each upstream, id, key or connection that ever was grows until the process is killed.
 func TestNothingGrows(t *testing.T) {
 	us := [2]*upstream{newUpstream(t, echo("")), newUpstream(t, echo(""))}
--- a/internal/httpwire/reply.go
+++ b/internal/httpwire/reply.go
@@ -45,7 +45,7 @@
 func (f *Front) send(w http.ResponseWriter, status int, body []byte) {
 	h := w.Header()
 	h["Content-Length"] = []string{strconv.Itoa(len(body))}
-	if f.last.Load() || f.sockets.many() {
+	if f.last.Load() {
 		h["Connection"] = []string{"close"}
 	}
 	// Danger: a client that doesn't read would hold its connection for good.
--- a/internal/httpwire/sockets.go
+++ b/internal/httpwire/sockets.go
@@ -28,37 +28,48 @@
 	in    atomic.Int64
 	out   atomic.Int64
 
-	mu    sync.Mutex
-	quiet list.List // clients' connections without a transaction, the longest so first
-	place map[net.Conn]*list.Element
-	hosts map[string]map[*outward]struct{} // connections to upstreams
+	mu        sync.Mutex
+	strangers list.List // clients' connections that never had a transaction, the longest so first
+	kept      list.List // those that had, and have none now
+	place     map[*counted]*list.Element
+	hosts     map[string]map[*outward]struct{} // connections to upstreams
 }
 
 func newSockets(limit int) *sockets {
 	return &sockets{
-		limit: int64(limit), place: map[net.Conn]*list.Element{}, hosts: map[string]map[*outward]struct{}{},
+		limit: int64(limit), place: map[*counted]*list.Element{}, hosts: map[string]map[*outward]struct{}{},
 	}
 }
 
 // reserve is left free, also for clients that have yet to be accepted.
 func (s *sockets) reserve() int64 { return min(mostReserve, s.limit/4) }
 
-// many says that clients hold so many connections that some had better be closed after their answer.
-func (s *sockets) many() bool { return s.in.Load() > s.limit*2/5 }
-
 // state follows clients' connections. Danger: clients that connect and say nothing, or begin a message and never
 // end it, would use up the descriptors; once they hold too many, the one that has been without a transaction for
-// longest makes room for a new one.
-func (s *sockets) state(c net.Conn, now http.ConnState) {
+// longest makes room for a new one. Strangers go first: what a flood does must not cost good clients theirs, above all
+// while others restart and they have no other.
+func (s *sockets) state(conn net.Conn, now http.ConnState) {
+	c := conn.(*counted)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.unquiet(c)
-	if now == http.StateClosed || now == http.StateHijacked {
+	switch {
+	case now == http.StateClosed || now == http.StateHijacked:
+		return
+	case c.served:
+		s.place[c] = s.kept.PushBack(c)
+	default:
+		s.place[c] = s.strangers.PushBack(c)
+	}
+	if now != http.StateNew || s.in.Load() <= s.limit*3/5 {
 		return
 	}
-	s.place[c] = s.quiet.PushBack(c)
-	if first := s.quiet.Front(); now == http.StateNew && s.in.Load() > s.limit*3/5 && first.Value != c {
-		old := first.Value.(net.Conn)
+	first := s.strangers.Front() // there is one: the new one itself
+	if first.Value == c {
+		first = s.kept.Front()
+	}
+	if first != nil {
+		old := first.Value.(*counted)
 		s.unquiet(old)
 		old.Close() // its own goroutine tells its last state
 	}
@@ -72,13 +83,20 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.unquiet(c)
+	c.served = true
 }
 
-func (s *sockets) unquiet(c net.Conn) {
-	if e := s.place[c]; e != nil {
-		s.quiet.Remove(e)
-		delete(s.place, c)
+func (s *sockets) unquiet(c *counted) {
+	e := s.place[c]
+	switch {
+	case e == nil:
+		return
+	case c.served:
+		s.kept.Remove(e)
+	default:
+		s.strangers.Remove(e)
 	}
+	delete(s.place, c)
 }
 
 // forget takes a connection to an upstream off the books.
@@ -157,8 +175,9 @@
 // server can't end a connection softly, and a reset overtakes its last answer.
 type counted struct {
 	*net.TCPConn
-	count *atomic.Int64
-	once  sync.Once
+	count  *atomic.Int64
+	once   sync.Once
+	served bool // a client's: it has had a transaction; under the lock of sockets
 }
 
 func (c *counted) Close() error {
