--- a/internal/httpwire/httpwire_test.go
+++ b/internal/httpwire/httpwire_test.go
@@ -327,4 +327,8 @@
 	if b := <-answer; b != 'z' {
 		t.Errorf("read %q", b)
 	}
+	r.alight() // its answer came before the rest of it had gone out
+	if n, err := r.on.Write([]byte("x")); n != 0 || err != errClosed {
+		t.Errorf("the rest of a push went out after its ride: %d, %v", n, err)
+	}
 }
--- a/internal/httpwire/outward.go
+++ b/internal/httpwire/outward.go
@@ -126,7 +126,10 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	r := o.ride
-	if r == nil || r.begun {
+	if r == nil { // Danger: the rest of a push whose answer came early would pass by the gate of its transaction
+		return nil, errClosed
+	}
+	if r.begun {
 		return r, nil
 	}
 	for !o.empty && !o.closed {
@@ -151,7 +154,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if r != nil && r.gate != nil {
+	if r.gate != nil {
 		return r.gate.pass(o.TCPConn, b)
 	}
 	return o.TCPConn.Write(b)
