--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -206,7 +206,7 @@
 			}
 			// One call does: discovery is small, and a second one each would have it turn balancers away. Danger:
 			// changes say nothing of what changed before them, so the whole list must have come at some time.
-			if index == unknown && !v.GetBool("snapshot") {
+			if w.unheard() && !v.GetBool("snapshot") {
 				if err := w.whole(ctx, address); err != nil {
 					return heard, cause(ctx, err)
 				}
@@ -215,7 +215,7 @@
 			if err := w.take(ctx, v, false); err != nil {
 				return heard, cause(ctx, err)
 			}
-			heard, index = true, 0
+			heard = true
 		}
 		line = line[:0]
 	}
--- a/internal/httpwire/sockets.go
+++ b/internal/httpwire/sockets.go
@@ -9,13 +9,15 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"ottershift/internal/roster"
 	"ottershift/internal/terms"
 )
 
 const (
-	mostReserve = 48       // for what isn't counted: the listener, the watch, the runtime's own files
+	mostReserve = 48 // for what isn't counted: the listener, the watch, the runtime's own files
+	fresh       = 20 * time.Millisecond
 	mostHeader  = 32 << 10 // of a message, either way
 )
 
@@ -52,6 +54,9 @@
 	c := conn.(*counted)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if now == http.StateNew {
+		c.since = time.Now()
+	}
 	s.unquiet(c)
 	switch {
 	case now == http.StateClosed || now == http.StateHijacked:
@@ -64,12 +69,12 @@
 	if now != http.StateNew || s.in.Load() <= s.limit*3/5 {
 		return
 	}
+	// Danger: one that has just connected may be a good client with its message on the way.
 	first := s.strangers.Front() // there is one: the new one itself
-	if first.Value == c {
+	if time.Since(first.Value.(*counted).since) < fresh && s.kept.Len() > 0 {
 		first = s.kept.Front()
 	}
-	if first != nil {
-		old := first.Value.(*counted)
+	if old := first.Value.(*counted); old != c {
 		s.unquiet(old)
 		old.Close() // its own goroutine tells its last state
 	}
@@ -177,6 +182,7 @@
 	*net.TCPConn
 	count  *atomic.Int64
 	once   sync.Once
+	since  time.Time
 	served bool // a client's: it has had a transaction; under the lock of sockets
 }
 
