--- a/cmd/ottershift/main.go
+++ b/cmd/ottershift/main.go
@@ -1,84 +1,71 @@
-// Command ottershift is a load balancer between services: it takes transactions on one address and sends each to
-// an upstream that discovery lists. Its settings tell it which tier it stands before.
+// Command ottershift is a load balancer between services: it takes transactions, finds the pool of each by its routes,
+// and sends it to an upstream of that pool's list.
 package main
 
 import (
-	"log"
-	"net"
+	"errors"
+	"fmt"
 	"os"
 	"os/signal"
-	"runtime"
 	"runtime/debug"
 	"syscall"
 
-	"ottershift/internal/desk"
-	"ottershift/internal/discovery"
-	"ottershift/internal/httpwire"
+	"github.com/spf13/cobra"
 )
 
 func main() {
 	// Danger: SIGHUP ends a process that doesn't catch it, however early it comes.
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
-	log.SetFlags(log.Ldate | log.Lmicroseconds | log.LUTC)
-	if err := run(reload); err != nil {
-		log.Fatalf("event=stop fault=%q", err)
+	if err := root(reload).Execute(); err != nil {
+		if !errors.Is(err, errSaid) {
+			fmt.Fprintln(os.Stderr, "ottershift:", err)
+		}
+		os.Exit(1)
 	}
 }
 
-func run(reload <-chan os.Signal) error {
-	path := os.Getenv("PROXY_CONFIG")
-	o, err := readOrders(path)
-	if err != nil {
-		return err
-	}
-	runtime.GOMAXPROCS(1) // one core, which others share
-	if o.memory > 0 {
-		debug.SetMemoryLimit(o.memory * 6 / 10) // Danger: over the limit the process is killed
-	}
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+// errSaid ends a command that has said already what is wrong.
+var errSaid = errors.New("said")
 
-	d, err := desk.New(o.book)
-	if err != nil {
-		return err
-	}
-	front := httpwire.New(d, o.book, o.sockets)
-	if len(o.known.Entries) > 0 {
-		front.Listed(d.List(o.known.Entries, true))
-	}
-	l, err := net.Listen("tcp", o.listen)
-	if err != nil {
-		return err
-	}
-	watch := discovery.New(d, o.discovery, o.book.Terms.AskForList, o.known.Index, o.book.DialTimeout, front.Listed)
-	go watch.Run()
-	go front.Probe()
-	go front.Tally()
-	ended := make(chan error, 1)
-	go func() { ended <- front.Serve(l) }()
-	log.Printf("event=start name=%s listen=%s discovery=%s tier=%d known=%d index=%d",
-		o.name, o.listen, o.discovery, o.book.Terms.Layer, len(o.known.Entries), o.known.Index)
-	for {
-		select {
-		case err := <-ended:
-			return err
-		case <-reload:
-			reread(path, watch)
-		case <-stop:
-			front.Drain()
-			return nil
-		}
+func root(reload <-chan os.Signal) *cobra.Command {
+	c := &cobra.Command{
+		Use:   "ottershift",
+		Short: "A load balancer between services",
+		Long: `ottershift takes transactions over HTTP/1.1, finds the pool of each by its routes, sends it to an upstream of that
+pool's list and answers it exactly once before its hard stop.
+
+Without a command and with PROXY_CONFIG set it serves one pool by the platform's JSON, as "serve" does.`,
+		Args: cobra.NoArgs, SilenceErrors: true, SilenceUsage: true,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if path := os.Getenv("PROXY_CONFIG"); path != "" {
+				return servePlatform(path, reload)
+			}
+			c.Help()
+			return errors.New("no command, and PROXY_CONFIG names no file")
+		},
 	}
+	c.AddCommand(serveCommand(reload), checkCommand(), routesCommand(), demoCommand(), &cobra.Command{
+		Use: "version", Short: "Say which build this is", Args: cobra.NoArgs,
+		Run: func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), version()) },
+	})
+	return c
 }
 
-// reread takes the configuration's file again: the watch goes to the discovery that it names, all else stays as it
-// is. Danger: a file that makes no sense must not cost what is in service.
-func reread(path string, watch *discovery.Watch) {
-	o, err := readOrders(path)
-	if err != nil {
-		log.Printf("event=reload step=kept fault=%q", err)
-		return
+// version is what the tool chain put into the program.
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "ottershift, of an unknown build"
+	}
+	revision, changed := "without a revision", ""
+	for _, s := range info.Settings {
+		switch {
+		case s.Key == "vcs.revision":
+			revision = s.Value[:min(12, len(s.Value))]
+		case s.Key == "vcs.modified" && s.Value == "true":
+			changed = ", changed"
+		}
 	}
-	log.Printf("event=reload step=taken discovery=%s moved=%t", o.discovery, watch.Move(o.discovery))
+	return fmt.Sprintf("ottershift %s%s, %s", revision, changed, info.GoVersion)
 }
--- a/cmd/ottershift/ottershift_test.go
+++ b/cmd/ottershift/ottershift_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"os"
@@ -18,6 +19,7 @@
 	"time"
 
 	"ottershift/internal/desk"
+	"ottershift/internal/plan"
 )
 
 // The stand-ins speak as the protocol says and no more: an upstream that answers as it is told, a discovery that
@@ -1170,16 +1172,17 @@
 		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
-		o, err := readOrders(file)
+		o, err := plan.ReadPlatform(file)
 		if err != nil {
 			return
 		}
-		d, err := desk.New(o.book)
+		pool := o.Pools[0]
+		d, err := desk.New(pool.Book, slog.New(slog.DiscardHandler))
 		if err != nil {
 			return
 		}
-		d.List(o.known.Entries, true)
-		for n := range o.book.Terms.Tariffs {
+		d.List(pool.List.Known.Entries, true)
+		for n := range pool.Book.Terms.Tariffs {
 			d.Vanish(d.Arrive(n, -1, time.Second, false))
 		}
 	})
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -5,7 +5,7 @@
 
 import (
 	"context"
-	"log"
+	"log/slog"
 	"runtime/debug"
 	"sync"
 	"time"
@@ -65,6 +65,7 @@
 // Desk serialises all that is said to one Balancer. Its lock's order settles races.
 type Desk struct {
 	mu     sync.Mutex
+	log    *slog.Logger
 	b      *logic.Balancer
 	roster *roster.Roster[string]
 	epoch  time.Time // with its monotonic reading, from which all times are taken
@@ -79,9 +80,9 @@
 }
 
 // New starts the module.
-func New(book *terms.Book) (*Desk, error) {
+func New(book *terms.Book, log *slog.Logger) (*Desk, error) {
 	d := &Desk{
-		epoch: time.Now(), follow: make(chan struct{}, 1), probes: make(chan Probe, 256),
+		log: log, epoch: time.Now(), follow: make(chan struct{}, 1), probes: make(chan Probe, 256),
 		open: map[*Case]struct{}{}, room: min(book.Terms.MaxPushes, 64),
 	}
 	b, err := logic.New(book.Terms, d.now())
@@ -103,7 +104,7 @@
 	defer d.mu.Unlock()
 	defer func() {
 		if fault := recover(); fault != nil {
-			log.Printf("event=panic where=module fault=%q stack=%q", fault, debug.Stack())
+			d.log.Error("panic", "where", "module", "fault", fault, "stack", string(debug.Stack()))
 		}
 	}()
 	now := d.now()
@@ -124,6 +125,13 @@
 	return left
 }
 
+// Entries is the list as it stands.
+func (d *Desk) Entries() []roster.Entry[string] {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.roster.Entries()
+}
+
 // Unlisted says that the list could not be had, or that following it has ended.
 func (d *Desk) Unlisted() {
 	d.tell(func(now int64) { d.b.Listed(false, now) })
@@ -183,9 +191,19 @@
 	})
 }
 
+// Turn counts a transaction that was deferred before the module knew of it.
+func (d *Desk) Turn() {
+	d.mu.Lock()
+	d.tally.Arrived++
+	d.tally.Edge++
+	d.tally.Endings[Deferred]++
+	d.mu.Unlock()
+}
+
 // Tally is what has happened since the last one was taken.
 type Tally struct {
 	Arrived, Vanished int
+	Edge              int // deferred before the module knew of them; they stand among the deferred too
 	Endings           [Rejected + 1]int
 	Results           [logic.Rejected + 1]int // of pushes
 	Open              int                     // transactions now
@@ -214,6 +232,12 @@
 	return ended
 }
 
+// Stop ends a desk at which nothing is open any more.
+func (d *Desk) Stop() {
+	d.Close()
+	d.wake.Stop()
+}
+
 // finish gives the answer, unless the case is over.
 func (d *Desk) finish(c *Case, a Answer) {
 	if c.over {
@@ -281,7 +305,10 @@
 }
 
 func (w writer) Wake(at int64) {
+	if w.closed && len(w.open) == 0 {
+		return // Danger: a timer that goes on holds all of a pool that is gone
+	}
 	w.wake.Reset(time.Duration(at - w.now()))
 }
 
-func (w writer) Note(text string) { log.Printf("event=note text=%q", text) }
+func (w writer) Note(text string) { w.log.Info("note", "text", text) }
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -1,4 +1,4 @@
-// Package discovery follows the list of upstreams and tells the desk of each change.
+// Package discovery follows the list of upstreams and tells of each change.
 package discovery
 
 import (
@@ -7,9 +7,8 @@
 	"context"
 	"errors"
 	"fmt"
-	"hash/fnv"
 	"io"
-	"log"
+	"log/slog"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -20,7 +19,7 @@
 
 	"github.com/valyala/fastjson"
 
-	"ottershift/internal/desk"
+	"ottershift/internal/lists"
 	"ottershift/internal/roster"
 	"ottershift/logic"
 )
@@ -34,9 +33,11 @@
 	soonest  = 250 * time.Millisecond  // until a broken watch is opened anew, where the module doesn't say
 	latest   = 4 * time.Second         // and after many failures
 	urgent   = 500 * time.Millisecond  // but where nothing has been heard at an address yet
-	unknown  = -1                      // version, where none was told
 )
 
+// Unknown is the version of a list where none was told.
+const Unknown = -1
+
 var errMoved = errors.New("moved to another address")
 
 // Report is the list, or what changed of it.
@@ -64,13 +65,10 @@
 		if e.Exists("weight") {
 			weight = e.GetFloat64("weight")
 		}
-		// The number is the same at every balancer, as the name is.
-		number := fnv.New32a()
-		number.Write([]byte(name))
 		r.Entries = append(r.Entries, roster.Entry[string]{
 			Name: name, Zone: string(e.GetStringBytes("zone")), Address: address,
 			Up: logic.Upstream{
-				Number: number.Sum32(), Weight: weight, Cell: e.GetInt("group"),
+				Number: roster.Number(name), Weight: weight, Cell: e.GetInt("group"),
 				Born: e.GetInt64("since_ms") * millisec,
 			},
 			Gone: status == "DELETED", Ends: status == "DRAINING",
@@ -81,9 +79,9 @@
 
 // Watch follows discovery at one address at a time.
 type Watch struct {
-	desk      *desk.Desk
-	asked     bool                // only when the module asks
-	came      func(left []string) // called with each report
+	sink      lists.Sink
+	log       *slog.Logger
+	asked     bool // only when the module asks
 	transport *http.Transport
 
 	mu      sync.Mutex
@@ -94,11 +92,9 @@
 }
 
 // New makes a watch that goes on after the version that is known already.
-func New(
-	d *desk.Desk, address string, asked bool, index int64, dial time.Duration, came func(left []string),
-) *Watch {
+func New(sink lists.Sink, log *slog.Logger, address string, asked bool, index int64, dial time.Duration) *Watch {
 	return &Watch{
-		desk: d, address: address, asked: asked, index: index, came: came, moved: make(chan struct{}, 1),
+		sink: sink, log: log, address: address, asked: asked, index: index, moved: make(chan struct{}, 1),
 		transport: &http.Transport{
 			DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: 32 << 10,
 			DialContext: (&net.Dialer{Timeout: dial}).DialContext,
@@ -115,7 +111,7 @@
 	}
 	// Danger: a version of the old address may stand for something else at the new one, and what has changed
 	// since would never be told.
-	w.address, w.index = address, unknown
+	w.address, w.index = address, Unknown
 	if w.end != nil {
 		w.end(errMoved)
 	}
@@ -126,19 +122,26 @@
 	return true
 }
 
-// Run follows until the process ends.
-func (w *Watch) Run() {
+// Run implements lists.Source.
+func (w *Watch) Run(ctx context.Context) {
 	for pause := soonest; ; {
 		if w.asked {
-			<-w.desk.Follow()
+			select {
+			case <-w.sink.Follow():
+			case <-ctx.Done():
+				return
+			}
 		}
-		heard, err := w.follow()
-		for errors.Is(err, errMoved) {
+		heard, err := w.follow(ctx)
+		for errors.Is(err, errMoved) && ctx.Err() == nil {
 			pause = soonest
-			heard, err = w.follow()
+			heard, err = w.follow(ctx)
+		}
+		if ctx.Err() != nil {
+			return
 		}
-		log.Printf("event=watch step=broken heard=%t fault=%q", heard, err)
-		w.desk.Unlisted()
+		w.log.Warn("watch", "step", "broken", "heard", heard, "fault", err)
+		w.sink.Unlisted()
 		if w.asked {
 			continue // the module says when to ask again
 		}
@@ -153,13 +156,15 @@
 			}
 		case <-w.moved:
 			pause = soonest
+		case <-ctx.Done():
+			return
 		}
 	}
 }
 
 // follow opens one watch and reads it to its end.
-func (w *Watch) follow() (heard bool, err error) {
-	ctx, end := context.WithCancelCause(context.Background())
+func (w *Watch) follow(within context.Context) (heard bool, err error) {
+	ctx, end := context.WithCancelCause(within)
 	defer end(nil)
 	select {
 	case <-w.moved: // noticed herewith
@@ -173,7 +178,7 @@
 	silent := time.AfterFunc(silence, func() { end(errors.New("silent for two beats")) })
 	defer silent.Stop()
 	query := "watch=1"
-	if index != unknown {
+	if index != Unknown {
 		query += "&after=" + strconv.FormatInt(index, 10)
 	}
 	answer, err := w.open(ctx, address, query)
@@ -238,7 +243,7 @@
 func (w *Watch) unheard() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.index == unknown
+	return w.index == Unknown
 }
 
 // whole takes the whole list.
@@ -266,7 +271,7 @@
 		return err
 	}
 	if odd > 0 {
-		log.Printf("event=watch step=odd entries=%d", odd)
+		w.log.Warn("watch", "step", "odd", "entries", odd)
 	}
 	w.mu.Lock()
 	if err = ctx.Err(); err == nil {
@@ -275,7 +280,7 @@
 	}
 	w.mu.Unlock()
 	if err == nil {
-		w.came(w.desk.List(r.Entries, r.Whole || whole))
+		w.sink.List(r.Entries, r.Whole || whole)
 	}
 	return err
 }
--- a/internal/httpwire/httpwire_test.go
+++ b/internal/httpwire/httpwire_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -21,16 +22,28 @@
 	"ottershift/logic"
 )
 
-func front(t testing.TB) *Front {
+// front is a front with one pool, which takes all.
+func front(t testing.TB) (*Front, *Pool) {
 	book := terms.Read(fastjson.MustParse(`{"fleet_size":1,"layer":1,"zone":"a","limits":{"max_pushes":2},
 		"guarantees":{"cold_from":0.5},"tenants":[{"name":"acme","quota_rps":9}],
 		"tariffs":[{"name":"view","hard_stop":1000000,"effect":"idempotent"},
 		{"name":"load","hard_stop":1000000,"effect":"deduplicated"}]}`), 1)
-	d, err := desk.New(book)
+	f := New(slog.New(slog.DiscardHandler))
+	f.Limit(100)
+	p, err := f.NewPool("main", book)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return New(d, book, 100)
+	f.Alone()
+	f.Show(&Board{Only: p})
+	t.Cleanup(p.Retire)
+	return f, p
+}
+
+// outwards is a pool's connections.
+func outwards(t testing.TB) *outbound {
+	_, p := front(t)
+	return p.out
 }
 
 // stay is the place of an upstream that listens at l.
@@ -51,13 +64,22 @@
 	} {
 		f.Add(s)
 	}
-	front := front(f)
+	front, pool := front(f)
 	f.Fuzz(func(t *testing.T, text string) {
 		r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(text)))
 		if err != nil {
 			return
 		}
-		q, no := read(httptest.NewRecorder(), r, front.book)
+		p, tariff, no := front.route(r, nil)
+		var q *transaction
+		if no == nil {
+			p.exit()
+			if q, no = read(r, pool.book, tariff); no == nil {
+				if no = q.wait(httptest.NewRecorder(), r); no != nil {
+					q = nil
+				}
+			}
+		}
 		if no != nil {
 			if q != nil || no.status != 400 && no.status != 404 && no.status != 411 && no.status != 413 || no.text == "" {
 				t.Errorf("refused with %+v", no)
@@ -77,13 +99,16 @@
 	})
 }
 
+// hand holds nothing of a pool's part.
+func hand(p *Pool) *inHand { return &inHand{part: p.part, over: true} }
+
 // broken is a context that panics in the middle of a transaction's life.
 type broken struct{ context.Context }
 
 func (broken) Done() <-chan struct{} { panic("a fault of ours") }
 
 func TestPanicIsAnsweredAndTheTransactionGivenUp(t *testing.T) {
-	f := front(t)
+	f, p := front(t)
 	r := httptest.NewRequest("GET", "/view", nil)
 	r.Header.Set("X-Txn", "1")
 	w := httptest.NewRecorder()
@@ -91,16 +116,17 @@
 	if w.Code != http.StatusInternalServerError {
 		t.Errorf("%d", w.Code)
 	}
-	if n := f.desk.Close(); n != 0 {
+	if n := p.desk.Close(); n != 0 {
 		t.Errorf("%d still open", n)
 	}
 }
 
 // A push that panics may have run all the same, and its outcome reaches the module.
 func TestPanicOfAPushIsAnOutcome(t *testing.T) {
-	f := front(t)
-	f.desk.List([]roster.Entry[string]{{Name: "u", Zone: "a", Up: logic.Upstream{Weight: 1}}}, true)
-	f.transport = nil
+	f, p := front(t)
+	p.desk.List([]roster.Entry[string]{{Name: "u", Zone: "a", Up: logic.Upstream{Weight: 1}}}, true)
+	p.out.transport = nil
+	t.Cleanup(func() { p.out.transport = &http.Transport{} })
 	for path, want := range map[string]int{"/view": http.StatusServiceUnavailable, "/load": http.StatusBadGateway} {
 		r := httptest.NewRequest("POST", path, nil)
 		r.Header.Set("X-Txn", "1")
@@ -113,19 +139,21 @@
 }
 
 func TestCountsAreGivenBackOnce(t *testing.T) {
-	s := newSockets(100)
+	o := outwards(t)
+	s := o.sockets
 	server := httptest.NewServer(http.NotFoundHandler())
 	defer server.Close()
-	c, err := s.transport(&terms.Book{}).DialContext(toward(t.Context(), stay(server.Listener)), "tcp", "u1:80")
-	if err != nil || s.out.Load() != 1 {
+	to := toward(t.Context(), stay(server.Listener), time.Now().Add(time.Second))
+	c, err := o.transport.DialContext(to, "tcp", "u1:80")
+	if err != nil || s.out.Load() != 1 || o.part.out.Used() != 1 {
 		t.Fatal(err, s.out.Load())
 	}
 	c.Close()
-	if c.Close(); s.out.Load() != 0 {
+	if c.Close(); s.out.Load() != 0 || o.part.out.Used() != 0 {
 		t.Errorf("%d out", s.out.Load())
 	}
-	s.in.Store(s.limit)
-	if _, err := s.transport(&terms.Book{}).DialContext(t.Context(), "tcp", "127.0.0.1:1"); err != errFull {
+	s.in.Store(s.limit.Load())
+	if _, err := o.transport.DialContext(to, "tcp", "127.0.0.1:1"); err != errFull {
 		t.Errorf("dialled beyond the limit: %v", err)
 	}
 	if ended(t.Context(), errFull, false, false) != logic.Unsent {
@@ -137,23 +165,23 @@
 func TestNothingGoesOutAfterTheAnswer(t *testing.T) {
 	arrived := 0
 	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { arrived++ }))
-	f := front(t)
+	_, pool := front(t)
 	p := &desk.Push{Context: t.Context(), Place: stay(server.Listener), Until: time.Now().Add(time.Second)}
 	for _, size := range []int{0, 10, mostBody} { // with the headers, and past the writer's buffer
 		q := &transaction{method: "POST", url: &url.URL{Path: "/load"}, header: http.Header{}, body: make([]byte, size)}
 		out := &gate{}
-		if r := f.carry(p, q, out, &reply{}); r != logic.Settled {
+		if r := pool.carry(p, q, out, hand(pool), &reply{}); r != logic.Settled {
 			t.Fatalf("%d bytes: %d", size, r)
 		}
 		out.close()
-		if r := f.carry(p, q, out, &reply{}); r != logic.Unsent { // on a kept connection
+		if r := pool.carry(p, q, out, hand(pool), &reply{}); r != logic.Unsent { // on a kept connection
 			t.Errorf("%d bytes: %d after the answer", size, r)
 		}
-		f.transport.CloseIdleConnections()
-		if r := f.carry(p, q, out, &reply{}); r != logic.Unsent { // on a new one
+		pool.out.transport.CloseIdleConnections()
+		if r := pool.carry(p, q, out, hand(pool), &reply{}); r != logic.Unsent { // on a new one
 			t.Errorf("%d bytes: %d after the answer", size, r)
 		}
-		if !f.ping(p.Place) {
+		if !pool.ping(t.Context(), p.Place) {
 			t.Error("a probe is held up")
 		}
 	}
@@ -228,9 +256,9 @@
 			}()
 		}
 	}()
-	f := front(t)
-	dial, dials := f.transport.DialContext, make(chan struct{}, 9)
-	f.transport.DialContext = func(ctx context.Context, network, host string) (net.Conn, error) {
+	_, pool := front(t)
+	dial, dials := pool.out.transport.DialContext, make(chan struct{}, 9)
+	pool.out.transport.DialContext = func(ctx context.Context, network, host string) (net.Conn, error) {
 		if dials <- struct{}{}; len(dials) > 1 {
 			time.Sleep(100 * time.Millisecond) // so that the first connection is free before a second one stands
 		}
@@ -241,7 +269,7 @@
 			Place: stay(l)}
 		q := &transaction{method: "GET", url: &url.URL{Path: "/view"}, header: http.Header{"X-Txn": {id}}}
 		into := &reply{}
-		return f.carry(p, q, &gate{}, into), string(into.body)
+		return pool.carry(p, q, &gate{}, hand(pool), into), string(into.body)
 	}
 	go func() {
 		<-asked
@@ -270,8 +298,8 @@
 	}
 	defer l.Close()
 	board := func() (*ride, net.Conn) {
-		ctx := toward(t.Context(), stay(l))
-		ours, err := newSockets(100).transport(&terms.Book{}).DialContext(ctx, "tcp", "u1:80")
+		ctx := toward(t.Context(), stay(l), time.Now().Add(time.Second))
+		ours, err := outwards(t).transport.DialContext(ctx, "tcp", "u1:80")
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/httpwire/outward.go
+++ b/internal/httpwire/outward.go
@@ -18,15 +18,16 @@
 // found nothing, and looks once more before its first byte goes out.
 type outward struct {
 	counted
-	sockets *sockets
-	host    string
-	raw     syscall.RawConn
+	owner *outbound
+	host  string
+	raw   syscall.RawConn
 
 	mu     sync.Mutex
 	change *sync.Cond // of empty, closed
 	empty  bool       // the reader waits, and all that came is read
 	closed bool
-	idle   bool          // counted in kept
+	idle   bool // counted in kept
+	hangUp sync.Once
 	kept   *atomic.Int32 // of its upstream
 	last   bool          // its upstream has left: nothing more after this ride
 	ride   *ride
@@ -43,12 +44,12 @@
 
 var errStray = errors.New("bytes on the connection that belong to no push")
 
-func newOutward(c *net.TCPConn, s *sockets, at roster.Place) (*outward, error) {
+func newOutward(c *net.TCPConn, b *outbound, at roster.Place) (*outward, error) {
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return nil, err
 	}
-	o := &outward{counted: counted{TCPConn: c, count: &s.out}, sockets: s, host: at.Host, raw: raw, kept: at.Kept}
+	o := &outward{counted: counted{TCPConn: c, count: &b.sockets.out}, owner: b, host: at.Host, raw: raw, kept: at.Kept}
 	o.change = sync.NewCond(&o.mu)
 	o.rest(true)
 	return o, nil
@@ -206,6 +207,7 @@
 	o.rest(false)
 	o.change.Broadcast()
 	o.mu.Unlock()
-	o.sockets.forget(o)
+	o.owner.forget(o)
+	o.hangUp.Do(o.owner.part.hangUp)
 	return o.counted.Close()
 }
--- a/internal/httpwire/push.go
+++ b/internal/httpwire/push.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"io"
-	"log"
 	"maps"
 	"net/http"
 	"net/http/httptrace"
@@ -29,23 +28,23 @@
 func (once) Close() error { return nil }
 
 // push carries one push to its outcome.
-func (f *Front) push(c *desk.Case, p *desk.Push, q *transaction, out *gate, into *reply) {
+func (p *Pool) push(c *desk.Case, o *desk.Push, q *transaction, out *gate, hand *inHand, into *reply) {
 	result := logic.Broken // it may have run, unless it is known better
 	defer func() {
 		if what := recover(); what != nil {
-			log.Printf("event=panic where=push fault=%q stack=%q", what, debug.Stack())
+			p.log.Error("panic", "where", "push", "fault", what, "stack", string(debug.Stack()))
 		}
-		f.desk.Outcome(c, p, result)
+		p.desk.Outcome(c, o, result)
 	}()
-	result = f.carry(p, q, out, into)
+	result = p.carry(o, q, out, hand, into)
 }
 
 // strike gives back the pushes that were ordered and not begun when the transaction ended.
-func (f *Front) strike(c *desk.Case) {
+func (p *Pool) strike(c *desk.Case) {
 	for {
 		select {
-		case p := <-c.Pushes:
-			f.desk.Outcome(c, p, logic.Unsent)
+		case o := <-c.Pushes:
+			p.desk.Outcome(c, o, logic.Unsent)
 		default:
 			return
 		}
@@ -53,27 +52,27 @@
 }
 
 // carry sends the request once and takes what comes back.
-func (f *Front) carry(p *desk.Push, q *transaction, out *gate, into *reply) logic.Result {
+func (p *Pool) carry(o *desk.Push, q *transaction, out *gate, hand *inHand, into *reply) logic.Result {
 	on := &ride{gate: out}
 	defer on.alight()
 	var cut atomic.Bool // before its last byte was written
-	ctx := httptrace.WithClientTrace(toward(p.Context, p.Place), &httptrace.ClientTrace{
+	ctx := httptrace.WithClientTrace(toward(o.Context, o.Place, o.Until), &httptrace.ClientTrace{
 		GotConn:      on.board,
 		WroteRequest: func(i httptrace.WroteRequestInfo) { cut.Store(i.Err != nil) },
 	})
 	header := maps.Clone(q.header)
-	header["X-Remaining"] = []string{strconv.FormatFloat(max(0, time.Until(p.Until).Seconds()), 'f', 6, 64)}
+	header["X-Remaining"] = []string{strconv.FormatFloat(max(0, time.Until(o.Until).Seconds()), 'f', 6, 64)}
 	if header["User-Agent"] == nil {
 		header["User-Agent"] = []string{""} // none, instead of the library's
 	}
 	to := *q.url
-	to.Scheme, to.Host, to.User, to.Fragment = "http", p.Place.Host, nil, ""
+	to.Scheme, to.Host, to.User, to.Fragment = "http", o.Place.Host, nil, ""
 	r := (&http.Request{
 		Method: q.method, URL: &to, Host: q.host, Header: header,
 		Body: once{bytes.NewReader(q.body)}, ContentLength: int64(len(q.body)),
 	}).WithContext(ctx)
 
-	answer, err := f.transport.RoundTrip(r)
+	answer, err := p.out.transport.RoundTrip(r)
 	if err != nil {
 		begun := on.bar()
 		return ended(ctx, err, on.kept && !begun, begun && !cut.Load())
@@ -83,19 +82,21 @@
 		return logic.Unsent // what came was the answer to something else
 	}
 	status := answer.StatusCode
+	settled := status == http.StatusOK || p.book.Plain && status >= 200 && status < 400
 	// Danger: 429 says to a client that its transaction has not run, which only the module may say.
 	rejected := status >= 400 && status < 500 && status != http.StatusTooManyRequests
-	if status != http.StatusOK {
+	if !settled {
 		// What comes with it is read, so that the connection can be kept. Danger: where it doesn't come, the error
 		// would be known only at the hard stop.
 		defer time.AfterFunc(restWithin, func() { answer.Body.Close() }).Stop()
 	}
 	body, err := take(answer.Body, answer.ContentLength)
+	hand.grow(int64(len(body)))
 	switch {
 	case rejected:
-		into.status, into.header, into.body = status, endToEnd(answer.Header), body
+		p.into(into, answer, body)
 		return logic.Rejected
-	case status != http.StatusOK:
+	case !settled:
 		turned := status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout
 		if turned && answer.Header.Get("X-Turned-Away") == "1" {
 			return logic.TurnedAway
@@ -106,10 +107,15 @@
 	case err != nil:
 		return ended(ctx, err, false, true) // cut
 	}
-	into.status, into.header, into.body = status, endToEnd(answer.Header), body
+	p.into(into, answer, body)
 	return logic.Settled
 }
 
+// into keeps an answer for its client.
+func (p *Pool) into(r *reply, answer *http.Response, body []byte) {
+	*r = reply{answer.StatusCode, endToEnd(answer.Header), answer.Header["Content-Length"], body}
+}
+
 // ended names the outcome of a push without a whole answer. Only what provably never left whole is said not to
 // have run. Danger: an answer that makes no sense may be known before the library says that the push was written,
 // so what has begun counts as written unless writing it failed. A kept connection that had ended before it began
@@ -130,31 +136,37 @@
 	return logic.Broken
 }
 
-// Probe carries out the module's probes until the process ends.
-func (f *Front) Probe() {
-	for p := range f.desk.Probes() {
-		go func() {
-			ok := false
-			defer func() { f.desk.Probed(p.Upstream, ok) }()
-			ok = f.ping(p.Place)
-		}()
+// probe carries out the module's probes until the pool ends.
+func (p *Pool) probe(ctx context.Context) {
+	for {
+		select {
+		case order := <-p.desk.Probes():
+			go func() {
+				ok := false
+				defer func() { p.desk.Probed(order.Upstream, ok) }()
+				ok = p.ping(ctx, order.Place)
+			}()
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
 // ping asks an upstream for a sign of life, which may take as long as two connections to it.
-func (f *Front) ping(at roster.Place) bool {
-	ctx, end := context.WithTimeout(context.Background(), 2*f.book.DialTimeout)
+func (p *Pool) ping(ctx context.Context, at roster.Place) bool {
+	until := time.Now().Add(2 * p.book.DialTimeout)
+	ctx, end := context.WithDeadline(ctx, until)
 	defer end()
 	on := &ride{}
 	defer on.alight()
-	ctx = httptrace.WithClientTrace(toward(ctx, at), &httptrace.ClientTrace{
+	ctx = httptrace.WithClientTrace(toward(ctx, at, until), &httptrace.ClientTrace{
 		GotConn: on.board,
 	})
 	r := (&http.Request{
-		Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: at.Host, Path: "/ping"},
+		Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: at.Host, Path: p.book.Probe},
 		Header: http.Header{"User-Agent": {""}}, Body: once{bytes.NewReader(nil)},
 	}).WithContext(ctx)
-	answer, err := f.transport.RoundTrip(r)
+	answer, err := p.out.transport.RoundTrip(r)
 	if err != nil {
 		return false
 	}
--- a/internal/httpwire/reply.go
+++ b/internal/httpwire/reply.go
@@ -13,28 +13,39 @@
 type reply struct {
 	status int
 	header http.Header
+	length []string // as its Content-Length said, which counts where there is no body
 	body   []byte
 }
 
 // write gives a client its final answer. 503 tells it that trying again is harmless: nothing but the module's
 // deferral may be written so, nor 429.
-func (f *Front) write(w http.ResponseWriter, a desk.Answer, replies map[int]*reply) {
+func (f *Front) write(w http.ResponseWriter, a desk.Answer, replies map[int]*reply, method string) {
 	switch a.Ending {
 	case desk.Settled, desk.Rejected:
 		from := replies[a.Push]
 		maps.Copy(w.Header(), from.header)
 		w.Header()["Content-Type"] = from.header["Content-Type"] // and none is guessed
+		if method == http.MethodHead || from.status == http.StatusNoContent || from.status == http.StatusNotModified {
+			w.Header()["Content-Length"] = from.length
+			f.out(w, from.status, nil)
+			return
+		}
 		f.send(w, from.status, from.body)
 	case desk.Deferred:
-		if a.Backoff > 0 {
-			w.Header()["Retry-After"] = []string{strconv.FormatFloat(a.Backoff.Seconds(), 'f', 3, 64)}
-		}
-		f.say(w, http.StatusServiceUnavailable, "deferred")
+		f.defers(w, a.Backoff)
 	default:
 		f.say(w, http.StatusBadGateway, "forfeited")
 	}
 }
 
+// defers tells a client that trying again is harmless, and when.
+func (f *Front) defers(w http.ResponseWriter, backoff time.Duration) {
+	if backoff > 0 {
+		w.Header()["Retry-After"] = []string{strconv.FormatFloat(backoff.Seconds(), 'f', 3, 64)}
+	}
+	f.say(w, http.StatusServiceUnavailable, "deferred")
+}
+
 // say writes an answer of our own.
 func (f *Front) say(w http.ResponseWriter, status int, text string) {
 	w.Header()["Content-Type"] = []string{"text/plain; charset=utf-8"}
@@ -43,10 +54,14 @@
 
 // send writes an answer whole and at once.
 func (f *Front) send(w http.ResponseWriter, status int, body []byte) {
-	h := w.Header()
-	h["Content-Length"] = []string{strconv.Itoa(len(body))}
+	w.Header()["Content-Length"] = []string{strconv.Itoa(len(body))}
+	f.out(w, status, body)
+}
+
+// out lets an answer out.
+func (f *Front) out(w http.ResponseWriter, status int, body []byte) {
 	if f.last.Load() {
-		h["Connection"] = []string{"close"}
+		w.Header()["Connection"] = []string{"close"}
 	}
 	// Danger: a client that doesn't read would hold its connection for good.
 	out := http.NewResponseController(w)
--- a/internal/httpwire/request.go
+++ b/internal/httpwire/request.go
@@ -4,8 +4,11 @@
 	"errors"
 	"io"
 	"maps"
+	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -16,7 +19,7 @@
 )
 
 const (
-	mostBody = 64 << 10
+	mostBody = 64 << 10  // of a message, either way
 	mostWait = time.Hour // what a client may ask for
 	underway = 5 * time.Millisecond
 
@@ -51,49 +54,40 @@
 
 func bad(text string) *fault { return &fault{http.StatusBadRequest, text} }
 
-// read decodes what a client sent, its body included.
-func read(w http.ResponseWriter, r *http.Request, book *terms.Book) (*transaction, *fault) {
+// read decodes what a client sent but for its body, which take reads. tariff is what its route says, "" for nothing.
+func read(r *http.Request, book *terms.Book, tariff string) (*transaction, *fault) {
 	q := &transaction{method: r.Method, host: r.Host, url: r.URL, customer: -1}
-	// Danger: the server drops a length that comes beside a transfer coding, and what one side takes for the body
-	// holds a message of its own for the other; in HTTP/1.0 it drops the coding, unseen from here.
-	if len(r.TransferEncoding) > 0 {
-		return nil, &fault{http.StatusLengthRequired, "a body comes with its length, not with a transfer coding"}
-	}
-	if !r.ProtoAtLeast(1, 1) {
-		return nil, bad("not HTTP/1.1")
-	}
 	for _, name := range []string{"X-Txn", "X-Lane", "X-Org", "X-Remaining", "Idempotency-Key"} {
 		if len(r.Header[name]) > 1 {
 			return nil, bad("more than one " + name) // Danger: who reads the other would take it for another's
 		}
 	}
-	if r.Method != http.MethodGet && r.Method != http.MethodPost {
+	if !book.Plain && r.Method != http.MethodGet && r.Method != http.MethodPost {
 		return nil, bad("the method is neither GET nor POST")
 	}
+	q.header = endToEnd(r.Header)
 	if q.id = r.Header.Get("X-Txn"); q.id == "" {
-		return nil, bad("no X-Txn")
-	}
-	first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
-	name := r.Header.Get("X-Lane")
-	if name == "" {
-		name = first
-	} else if name != first {
-		return nil, bad("X-Lane and path differ")
+		if !book.Plain {
+			return nil, bad("no X-Txn")
+		}
+		q.id = strconv.FormatUint(rand.Uint64(), 16)
+		q.header["X-Txn"] = []string{q.id}
 	}
-	known := false
-	if q.tariff, known = book.Tariffs[name]; !known {
-		return nil, &fault{http.StatusNotFound, "unknown tariff"}
+	var no *fault
+	if q.tariff, no = kind(r, book, tariff); no != nil {
+		return nil, no
 	}
-	tariff := book.Terms.Tariffs[q.tariff]
-	if tariff.Repeat == logic.Tagged && r.Header.Get("Idempotency-Key") == "" {
+	f := book.Terms.Tariffs[q.tariff]
+	if f.Repeat == logic.Tagged && r.Header.Get("Idempotency-Key") == "" {
 		return nil, bad("a tagged transaction without Idempotency-Key") // Danger: its repeats would be unknown
 	}
+	known := false
 	if org := r.Header.Get("X-Org"); org != "" && len(book.Customers) > 0 {
 		if q.customer, known = book.Customers[org]; !known {
 			return nil, bad("unknown customer")
 		}
 	}
-	q.left = time.Duration(tariff.HardStop)
+	q.left = time.Duration(f.HardStop)
 	var err error
 	if text, said := r.Header["X-Remaining"]; said {
 		if q.left, err = seconds(text[0]); err != nil {
@@ -103,18 +97,60 @@
 	// Danger: the client counts from when it sent, and an answer given at its hard stop is still on the way then.
 	q.left = max(0, q.left-underway)
 	q.again = r.Header.Get("X-Resent") == "1"
-	q.header = endToEnd(r.Header)
+	if book.Plain {
+		forwarded(q.header, r.RemoteAddr)
+	}
+	if r.ContentLength > mostBody {
+		return nil, tooLong
+	}
+	return q, nil
+}
 
+// kind is a transaction's tariff: what its route says; else what it says of itself, by X-Lane or the first part of its
+// path; else the pool's own.
+func kind(r *http.Request, book *terms.Book, said string) (tariff int, no *fault) {
+	if said != "" {
+		return book.Tariffs[said], nil
+	}
+	first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	name := r.Header.Get("X-Lane")
+	if name == "" {
+		name = first
+	} else if name != first && !book.Plain {
+		return 0, bad("X-Lane and path differ")
+	}
+	if n, known := book.Tariffs[name]; known {
+		return n, nil
+	}
+	if book.Default < 0 || r.Header.Get("X-Lane") != "" {
+		return 0, &fault{http.StatusNotFound, "unknown tariff"}
+	}
+	return book.Default, nil
+}
+
+// forwarded tells an upstream where a transaction came from.
+func forwarded(h http.Header, address string) {
+	if host, _, err := net.SplitHostPort(address); err == nil {
+		h["X-Forwarded-For"] = append(slices.Clone(h["X-Forwarded-For"]), host)
+	}
+	h["X-Forwarded-Proto"] = []string{"http"}
+}
+
+var tooLong = &fault{http.StatusRequestEntityTooLarge, "the body is over 64 KiB"}
+
+// wait reads a transaction's body.
+func (q *transaction) wait(w http.ResponseWriter, r *http.Request) *fault {
+	var err error
 	q.body, err = take(r.Body, r.ContentLength)
 	switch {
 	case err == errLong:
-		return nil, &fault{http.StatusRequestEntityTooLarge, "the body is over 64 KiB"}
+		return tooLong
 	case err != nil:
-		return nil, bad("the body is cut, late or malformed")
+		return bad("the body is cut, late or malformed")
 	}
 	// Danger: the server watches the connection from here on; a limit left behind looks like a client gone.
 	http.NewResponseController(w).SetReadDeadline(time.Time{})
-	return q, nil
+	return nil
 }
 
 var errLong = errors.New("a body over the limit")
--- a/internal/httpwire/serve.go
+++ b/internal/httpwire/serve.go
@@ -1,63 +1,87 @@
 // Package httpwire serves transactions over HTTP/1.1: net/http's server towards clients, http.Transport towards
-// upstreams. Its files follow a transaction: request.go reads it, serve.go lives its life, push.go carries one
-// push, gate.go lets it out, reply.go writes the answer, drain.go ends the process; sockets.go keeps count of
-// connections, tally.go logs. It decides nothing: the desk is asked at each point of choice.
+// upstreams. Its files follow a transaction: serve.go finds its pool and lives its life, request.go reads it, share.go
+// asks whether its pool may have it, push.go carries one push, gate.go lets it out, reply.go writes the answer, drain.go
+// ends the process; pool.go is one service, sockets.go keeps count of clients' connections, outbound.go and outward.go
+// of those to upstreams, tally.go logs. It decides nothing: routes, shares and the desk are asked at each point of
+// choice.
 package httpwire
 
 import (
-	"log"
+	"log/slog"
 	"net/http"
+	"net/url"
 	"runtime/debug"
 	"sync/atomic"
 	"time"
 
 	"ottershift/internal/desk"
-	"ottershift/internal/terms"
+	"ottershift/internal/logs"
+	"ottershift/internal/routes"
 )
 
 // Front is the door for transactions.
 type Front struct {
-	desk      *desk.Desk
-	book      *terms.Book
-	sockets   *sockets
-	ids       ids
-	transport *http.Transport
-	server    *http.Server
-	stands    atomic.Bool // the list does
-	closing   atomic.Bool // no new clients are wanted
-	last      atomic.Bool // connections end with their answers
+	log     *slog.Logger
+	base    *slog.Logger // for the pools' own
+	sockets *sockets
+	common  *common
+	server  *http.Server
+	board   atomic.Pointer[Board]
+	closing atomic.Bool // no new clients are wanted
+	last    atomic.Bool // connections end with their answers
 }
 
-// New makes a front that holds no more than limit descriptors.
-func New(d *desk.Desk, book *terms.Book, limit int) *Front {
-	f := &Front{desk: d, book: book, sockets: newSockets(limit), ids: ids{open: map[string]struct{}{}}}
-	f.transport = f.sockets.transport(book)
+// Board is which pool takes what. It is replaced whole.
+type Board struct {
+	Only  *Pool // takes all that comes, if there is one
+	Table *routes.Table
+	Pools map[string]*Pool
+}
+
+// New makes a front, which serves nobody until it has a board.
+func New(log *slog.Logger) *Front {
+	f := &Front{log: logs.Own(log), base: log, sockets: newSockets(), common: newCommon()}
+	f.board.Store(&Board{})
 	f.server = &http.Server{
 		Handler: f, ReadHeaderTimeout: headLimit, IdleTimeout: idleLimit, MaxHeaderBytes: mostHeader,
 		ConnState: f.sockets.state, ConnContext: withClient,
-		ErrorLog: log.New(log.Writer(), "event=http fault=", log.Flags()|log.Lmsgprefix),
+		ErrorLog: logs.Lines(logs.Own(log), "http"),
 	}
 	return f
 }
 
-// Listed says that there is a list to work with, and which hosts have left by it.
-func (f *Front) Listed(left []string) {
-	f.stands.Store(true)
-	f.sockets.leave(left)
+// Limit is how many descriptors the front may hold. It comes before any pool.
+func (f *Front) Limit(descriptors int) { f.sockets.limit.Store(int64(descriptors)) }
+
+// Alone lets the one pool there is have all that is common.
+func (f *Front) Alone() { f.common.alone() }
+
+// Deal sets what each pool has of what is common from now on; bodies are bytes in hand, within the time until a pool has
+// what is guaranteed to it back, refusals those a second that all together may write before connections rest.
+func (f *Front) Deal(bodies int64, within time.Duration, refusals float64, to map[*Pool]Share) {
+	parts := map[*part]Share{}
+	for p, s := range to {
+		parts[p.part] = s
+	}
+	f.common.deal(f.sockets.limit.Load(), bodies, within, refusals, parts)
 }
 
+// Show replaces the board. A transaction stays with the pool that took it.
+func (f *Front) Show(b *Board) { f.board.Store(b) }
+
 // ServeHTTP is the life of one transaction.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var p *Pool
 	var c *desk.Case
 	client := clientOf(r.Context())
 	out := gateOf(client)
 	defer func() {
 		if what := recover(); what != nil {
-			log.Printf("event=panic where=serve fault=%q stack=%q", what, debug.Stack())
+			f.log.Error("panic", "where", "serve", "fault", what, "stack", string(debug.Stack()))
 			if c != nil {
-				f.desk.Vanish(c)
+				p.desk.Vanish(c)
 				out.close()
-				f.strike(c)
+				p.strike(c)
 			}
 			f.say(w, http.StatusInternalServerError, "internal error")
 		}
@@ -65,35 +89,58 @@
 	// Danger: a body that trickles in holds a connection, also where it belongs to no transaction.
 	http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyLimit))
 	if r.URL.Path == "/_health" {
-		f.health(w)
+		f.health(w, r)
 		return
 	}
 
-	q, no := read(w, r, f.book)
-	if no == nil && !f.ids.claim(q.id) {
+	p, tariff, no := f.route(r, client)
+	if p == nil {
+		f.reject(w, no)
+		return
+	}
+	defer p.exit()
+	q, no := read(r, p.book, tariff)
+	if no == nil && !p.ids.claim(q.id) {
 		no = bad("X-Txn is that of an open transaction")
 	}
 	if no != nil {
-		w.Header()["Connection"] = []string{"close"} // Danger: a body may be on its way that nobody waits for
-		f.say(w, no.status, no.text)
+		f.reject(w, no)
+		return
+	}
+	defer p.ids.free(q.id)
+	f.sockets.busy(client, p.part)
+	held := max(r.ContentLength, 0)
+	if ok, rest := p.part.take(held, q.left); !ok {
+		p.desk.Turn()
+		f.defers(w, time.Duration(p.book.Terms.Backoff(p.book.Terms.Tariffs[q.tariff])))
+		// Danger: a flood that is refused as fast as it comes uses up the core. It has its answer; what rests is the
+		// connection, before its next message is read.
+		time.Sleep(rest)
 		return
 	}
-	defer f.ids.free(q.id)
-	f.sockets.busy(client)
-	c = f.desk.Arrive(q.tariff, q.customer, q.left, q.again)
-	defer f.strike(c)
+	hand := &inHand{part: p.part, bytes: held}
+	defer hand.end()
+	if no := q.wait(w, r); no != nil {
+		f.reject(w, no)
+		return
+	}
+	c = p.desk.Arrive(q.tariff, q.customer, q.left, q.again)
+	defer p.strike(c)
 	replies := map[int]*reply{} // by push
 	for {
 		select {
-		case p := <-c.Pushes:
-			replies[p.Number] = &reply{}
-			go f.push(c, p, q, out, replies[p.Number])
+		case push := <-c.Pushes:
+			replies[push.Number] = &reply{}
+			go p.push(c, push, q, out, hand, replies[push.Number])
 		case a := <-c.Answer:
 			out.close()
-			f.write(w, a, replies)
+			if client != nil && client.listener.gone.Load() {
+				w.Header()["Connection"] = []string{"close"}
+			}
+			f.write(w, a, replies, r.Method)
 			return
 		case <-r.Context().Done():
-			f.desk.Vanish(c)
+			p.desk.Vanish(c)
 			out.close()
 			// Danger: a handler that ends without a word answers 200, and a client that has only stopped sending
 			// would take that for settled.
@@ -103,8 +150,96 @@
 	}
 }
 
-func (f *Front) health(w http.ResponseWriter) {
-	if !f.stands.Load() || f.closing.Load() {
+// route finds the pool of a message, which it is counted into, and the tariff if its route says one. What no route
+// takes is nobody's transaction.
+func (f *Front) route(r *http.Request, client *counted) (p *Pool, tariff string, no *fault) {
+	// Danger: the server drops a length that comes beside a transfer coding, and what one side takes for the body
+	// holds a message of its own for the other; in HTTP/1.0 it drops the coding, unseen from here.
+	if len(r.TransferEncoding) > 0 {
+		return nil, "", &fault{http.StatusLengthRequired, "a body comes with its length, not with a transfer coding"}
+	}
+	if !r.ProtoAtLeast(1, 1) {
+		return nil, "", bad("not HTTP/1.1")
+	}
+	q := routes.Query{Method: r.Method}
+	for {
+		board := f.board.Load()
+		if board.Only != nil {
+			p = board.Only
+		} else {
+			if q.Header == nil {
+				if q, no = query(r, client); no != nil {
+					return nil, "", no
+				}
+			}
+			found := (*routes.Route)(nil)
+			if board.Table != nil {
+				found = board.Table.Find(&q)
+			}
+			if found == nil {
+				return nil, "", &fault{http.StatusNotFound, "no route takes this host and path"}
+			}
+			p, tariff = board.Pools[found.Pool], found.Tariff
+		}
+		if p.enter() {
+			return p, tariff, nil
+		} // Danger: it was retired since the board was read; there is a new one, or will be in a moment
+		if f.board.Load() == board {
+			return nil, "", &fault{http.StatusNotFound, "no route takes this host and path"}
+		}
+	}
+}
+
+// query is what a message says to the route table. Its path goes on as it was routed. Danger: an upstream that reads it
+// in another way would let through what a route of ours guards.
+func query(r *http.Request, client *counted) (q routes.Query, no *fault) {
+	var ok bool
+	q.Method, q.Header = r.Method, func(name string) (string, bool) {
+		if v := r.Header[name]; len(v) == 1 {
+			return v[0], true
+		}
+		return "", false // Danger: of two values one side may read the first and the other the last
+	}
+	if client != nil {
+		q.Listener = client.listener.name()
+	}
+	if q.Host, ok = routes.Host(r.Host); !ok {
+		return q, bad("the host makes no sense")
+	}
+	sent := r.URL.EscapedPath()
+	if q.Path, ok = routes.Path(sent); !ok {
+		return q, bad("the path makes no sense")
+	}
+	if q.Path != sent {
+		plain, err := url.PathUnescape(q.Path)
+		if err != nil {
+			return q, bad("the path makes no sense")
+		}
+		r.URL.Path, r.URL.RawPath = plain, q.Path
+	}
+	return q, nil
+}
+
+// reject answers what is no transaction.
+func (f *Front) reject(w http.ResponseWriter, no *fault) {
+	w.Header()["Connection"] = []string{"close"} // Danger: a body may be on its way that nobody waits for
+	f.say(w, no.status, no.text)
+}
+
+// health says whether there is a list of upstreams: of any pool, or of the one that ?pool= names.
+func (f *Front) health(w http.ResponseWriter, r *http.Request) {
+	board, stands := f.board.Load(), false
+	if p := board.Only; p != nil {
+		stands = p.stands.Load()
+	} else if name := r.URL.Query().Get("pool"); name != "" {
+		p := board.Pools[name]
+		stands = p != nil && p.stands.Load()
+	} else {
+		for _, p := range board.Pools {
+			stands = stands || p.stands.Load()
+		}
+	}
+	if !stands || f.closing.Load() {
 		f.say(w, http.StatusServiceUnavailable, "no list of upstreams, or closing")
 		return
 	}
--- a/internal/httpwire/sockets.go
+++ b/internal/httpwire/sockets.go
@@ -2,17 +2,14 @@
 
 import (
 	"container/list"
-	"context"
 	"errors"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
-
-	"ottershift/internal/roster"
-	"ottershift/internal/terms"
 )
 
 const (
@@ -26,25 +23,25 @@
 // sockets counts the connections on both sides. Danger: a process without a free descriptor can't accept, and what
 // waits in the backlog is owed an answer already.
 type sockets struct {
-	limit int64
+	limit atomic.Int64
 	in    atomic.Int64
 	out   atomic.Int64
 
 	mu        sync.Mutex
-	strangers list.List // clients' connections that never had a transaction, the longest so first
-	kept      list.List // those that had, and have none now
+	strangers list.List            // clients' connections that never had a transaction, the longest so first
+	kept      map[*part]*list.List // those that had, and have none now, by the pool of the last one
 	place     map[*counted]*list.Element
-	hosts     map[string]map[*outward]struct{} // connections to upstreams
+	pools     map[*part]*Pool
 }
 
-func newSockets(limit int) *sockets {
-	return &sockets{
-		limit: int64(limit), place: map[*counted]*list.Element{}, hosts: map[string]map[*outward]struct{}{},
-	}
+func newSockets() *sockets {
+	return &sockets{kept: map[*part]*list.List{}, place: map[*counted]*list.Element{}, pools: map[*part]*Pool{}}
 }
 
 // reserve is left free, also for clients that have yet to be accepted.
-func (s *sockets) reserve() int64 { return min(mostReserve, s.limit/4) }
+func (s *sockets) reserve() int64 { return reserveOf(s.limit.Load()) }
+
+func reserveOf(limit int64) int64 { return min(mostReserve, limit/4) }
 
 // state follows clients' connections. Danger: clients that connect and say nothing, or begin a message and never
 // end it, would use up the descriptors; once they hold too many, the one that has been without a transaction for
@@ -60,19 +57,28 @@
 	s.unquiet(c)
 	switch {
 	case now == http.StateClosed || now == http.StateHijacked:
+		s.belong(c, nil)
 		return
-	case c.served:
-		s.place[c] = s.kept.PushBack(c)
+	case now == http.StateIdle && c.listener.gone.Load():
+		c.Close()
+		return
+	case c.pool != nil:
+		if s.kept[c.pool] == nil {
+			s.kept[c.pool] = list.New()
+		}
+		s.place[c] = s.kept[c.pool].PushBack(c)
 	default:
 		s.place[c] = s.strangers.PushBack(c)
 	}
-	if now != http.StateNew || s.in.Load() <= s.limit*3/5 {
+	if now != http.StateNew || s.in.Load() <= s.limit.Load()*3/5 {
 		return
 	}
 	// Danger: one that has just connected may be a good client with its message on the way.
 	first := s.strangers.Front() // there is one: the new one itself
-	if time.Since(first.Value.(*counted).since) < fresh && s.kept.Len() > 0 {
-		first = s.kept.Front()
+	if time.Since(first.Value.(*counted).since) < fresh {
+		if kept := s.crowded(); kept != nil {
+			first = kept.Front()
+		}
 	}
 	if old := first.Value.(*counted); old != c {
 		s.unquiet(old)
@@ -80,15 +86,39 @@
 	}
 }
 
+// crowded are the kept connections of the pool whose clients hold the most for its part. Danger: those that are used
+// all the time are never the oldest, and a flood at one pool would close the connections of the others' clients.
+func (s *sockets) crowded() (kept *list.List) {
+	most := -1.0
+	for p, l := range s.kept {
+		if load := float64(p.clients) / float64(max(p.weight.Load(), 1)); l.Len() > 0 && load > most {
+			kept, most = l, load
+		}
+	}
+	return kept
+}
+
+// belong says to which pool a connection's last transaction came.
+func (s *sockets) belong(c *counted, p *part) {
+	if c.pool != nil {
+		if c.pool.clients--; c.pool.clients == 0 {
+			delete(s.kept, c.pool)
+		}
+	}
+	if c.pool = p; p != nil {
+		p.clients++
+	}
+}
+
 // busy says that a client's connection carries a transaction, until its next state.
-func (s *sockets) busy(c *counted) {
+func (s *sockets) busy(c *counted, p *part) {
 	if c == nil {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.unquiet(c)
-	c.served = true
+	s.belong(c, p)
 }
 
 func (s *sockets) unquiet(c *counted) {
@@ -96,83 +126,65 @@
 	switch {
 	case e == nil:
 		return
-	case c.served:
-		s.kept.Remove(e)
+	case c.pool != nil:
+		s.kept[c.pool].Remove(e)
 	default:
 		s.strangers.Remove(e)
 	}
 	delete(s.place, c)
 }
 
-// forget takes a connection to an upstream off the books.
-func (s *sockets) forget(o *outward) {
+// join and part keep count of the pools, whose idle connections can be recalled.
+func (s *sockets) join(p *Pool) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if delete(s.hosts[o.host], o); len(s.hosts[o.host]) == 0 {
-		delete(s.hosts, o.host)
+	s.pools[p.part] = p
+	s.mu.Unlock()
+}
+
+func (s *sockets) part(p *Pool) {
+	s.mu.Lock()
+	delete(s.pools, p.part)
+	s.mu.Unlock()
+}
+
+// recall closes what lies idle of some pools.
+func (s *sockets) recall(parts []*part) {
+	for _, p := range parts {
+		s.mu.Lock()
+		pool := s.pools[p]
+		s.mu.Unlock()
+		if pool != nil {
+			pool.out.transport.CloseIdleConnections()
+		}
+	}
+}
+
+// recallAll does so with all of them.
+func (s *sockets) recallAll() {
+	for _, p := range s.all() {
+		p.out.transport.CloseIdleConnections()
 	}
 }
 
-// leave closes what is kept of hosts that have left.
-func (s *sockets) leave(hosts []string) {
-	var all []*outward
+// all pools there are, those that are retiring included.
+func (s *sockets) all() []*Pool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Values(s.pools))
+}
+
+// close closes the clients' connections of a listener that are without a transaction.
+func (s *sockets) close(of *Listener) {
+	var idle []*counted
 	s.mu.Lock()
-	for _, host := range hosts {
-		for o := range s.hosts[host] {
-			all = append(all, o)
+	for c := range s.place {
+		if c.listener == of {
+			idle = append(idle, c)
 		}
 	}
 	s.mu.Unlock()
-	for _, o := range all {
-		o.leave()
-	}
-}
-
-type placeKey struct{}
-
-// toward lets a dial know where its upstream is. The pool goes by host.
-func toward(ctx context.Context, at roster.Place) context.Context {
-	return context.WithValue(ctx, placeKey{}, at)
-}
-
-// transport makes the one pool of connections to upstreams.
-func (s *sockets) transport(book *terms.Book) *http.Transport {
-	dialer := net.Dialer{Timeout: book.DialTimeout}
-	return &http.Transport{
-		DisableCompression:     true, // bodies go on unchanged
-		MaxResponseHeaderBytes: mostHeader,
-		MaxIdleConns:           int(s.limit / 3), MaxIdleConnsPerHost: int(s.limit / 3),
-		// Danger: what is written to a connection that its upstream has closed may have run.
-		IdleConnTimeout: book.IdleClose * 9 / 10,
-		DialContext: func(ctx context.Context, network, _ string) (net.Conn, error) {
-			// Danger: many dial at once, so each counts before it does.
-			if s.out.Add(1)+s.in.Load() > s.limit-s.reserve() {
-				s.out.Add(-1)
-				return nil, errFull
-			}
-			at := ctx.Value(placeKey{}).(roster.Place)
-			c, err := dialer.DialContext(ctx, network, at.Address)
-			if err != nil {
-				s.out.Add(-1)
-				if errors.Is(err, syscall.EMFILE) {
-					err = errFull
-				}
-				return nil, err
-			}
-			o, err := newOutward(c.(*net.TCPConn), s, at)
-			if err != nil {
-				s.out.Add(-1)
-				c.Close()
-				return nil, err
-			}
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			if s.hosts[at.Host] == nil {
-				s.hosts[at.Host] = map[*outward]struct{}{}
-			}
-			s.hosts[at.Host][o] = struct{}{}
-			return o, nil
-		},
+	for _, c := range idle {
+		c.Close()
 	}
 }
 
@@ -180,10 +192,11 @@
 // server can't end a connection softly, and a reset overtakes its last answer.
 type counted struct {
 	*net.TCPConn
-	count  *atomic.Int64
-	once   sync.Once
-	since  time.Time
-	served bool // a client's: it has had a transaction; under the lock of sockets
+	count    *atomic.Int64
+	once     sync.Once
+	since    time.Time
+	listener *Listener // a client's
+	pool     *part     // a client's: to which its last transaction came, nil for a stranger; under the lock of sockets
 }
 
 func (c *counted) Close() error {
@@ -191,21 +204,29 @@
 	return c.TCPConn.Close()
 }
 
-// listener counts what clients connect. When descriptors grow short, connections to upstreams that nobody uses go.
-type listener struct {
+// Listener is where clients connect. It counts them; when descriptors grow short, connections to upstreams that
+// nobody uses go.
+type Listener struct {
 	net.Listener
-	sockets   *sockets
-	transport *http.Transport
+	called  atomic.Pointer[string]
+	sockets *sockets
+	gone    atomic.Bool // its clients' connections end with their answers
 }
 
-func (l listener) Accept() (net.Conn, error) {
+// Rename changes its name, as routes know it.
+func (l *Listener) Rename(name string) { l.called.Store(&name) }
+
+func (l *Listener) name() string { return *l.called.Load() }
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
 	s := l.sockets
-	if s.in.Add(1)+s.out.Load() > s.limit-s.reserve()/2 {
-		l.transport.CloseIdleConnections()
+	if s.in.Add(1)+s.out.Load() > s.limit.Load()-s.reserve()/2 {
+		s.recallAll()
 	}
-	return &counted{TCPConn: c.(*net.TCPConn), count: &s.in}, nil
+	return &counted{TCPConn: c.(*net.TCPConn), count: &s.in, listener: l}, nil
 }
--- a/internal/httpwire/tally.go
+++ b/internal/httpwire/tally.go
@@ -1,7 +1,7 @@
 package httpwire
 
 import (
-	"log"
+	"context"
 	"time"
 
 	"ottershift/internal/desk"
@@ -10,23 +10,32 @@
 
 const tallyEvery = 10 * time.Second
 
-// Tally logs now and then what has become of transactions and pushes, unless there was nothing.
-func (f *Front) Tally() {
-	for range time.Tick(tallyEvery) {
-		f.logTally()
+// tallies logs now and then what has become of transactions and pushes, unless there was nothing.
+func (p *Pool) tallies(ctx context.Context) {
+	tick := time.NewTicker(tallyEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			p.logTally()
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
-func (f *Front) logTally() {
-	t := f.desk.Tally()
+func (p *Pool) logTally() {
+	t := p.desk.Tally()
 	if t.Arrived == 0 && t.Open == 0 {
 		return
 	}
-	r := t.Results
-	log.Printf("event=tally arrived=%d settled=%d deferred=%d forfeited=%d rejected=%d vanished=%d open=%d"+
-		" push_settled=%d push_errored=%d push_turned_away=%d push_timed_out=%d push_unreachable=%d push_broken=%d"+
-		" push_called_off=%d push_unsent=%d push_rejected=%d clients=%d upstream_connections=%d",
-		t.Arrived, t.Endings[desk.Settled], t.Endings[desk.Deferred], t.Endings[desk.Forfeited], t.Endings[desk.Rejected], t.Vanished, t.Open,
-		r[logic.Settled], r[logic.Errored], r[logic.TurnedAway], r[logic.TimedOut], r[logic.Unreachable],
-		r[logic.Broken], r[logic.Cancelled], r[logic.Unsent], r[logic.Rejected], f.sockets.in.Load(), f.sockets.out.Load())
+	r, s := t.Results, p.front.sockets
+	_, out, bodies, owed := p.part.holds()
+	p.log.Info("tally", "arrived", t.Arrived, "settled", t.Endings[desk.Settled], "deferred", t.Endings[desk.Deferred],
+		"forfeited", t.Endings[desk.Forfeited], "rejected", t.Endings[desk.Rejected], "vanished", t.Vanished,
+		"open", t.Open, "at_edge", t.Edge, "owed", owed,
+		"push_settled", r[logic.Settled], "push_errored", r[logic.Errored], "push_turned_away", r[logic.TurnedAway],
+		"push_timed_out", r[logic.TimedOut], "push_unreachable", r[logic.Unreachable], "push_broken", r[logic.Broken],
+		"push_called_off", r[logic.Cancelled], "push_unsent", r[logic.Unsent], "push_rejected", r[logic.Rejected],
+		"clients", s.in.Load(), "upstream_connections", out, "bytes_in_hand", bodies)
 }
--- /dev/null
+++ b/internal/plan/plan.go
@@ -0,0 +1,93 @@
+// Package plan reads what a process is told: listeners, pools, routes and limits. There are two formats, the platform's
+// JSON for one pool (platform.go) and TOML for any number (pools.go); both end in a Plan.
+package plan
+
+import (
+	"time"
+
+	"ottershift/internal/discovery"
+	"ottershift/internal/roster"
+	"ottershift/internal/routes"
+	"ottershift/internal/terms"
+)
+
+// Plan is all that a process is told.
+type Plan struct {
+	Name      string
+	Platform  bool // one pool for all that comes, by the platform's protocol
+	Seed      uint64
+	Listeners []Listener
+	Pools     []*Pool
+	Routes    []routes.Route
+	Table     *routes.Table // of Routes; nil on the platform
+	Limits    Limits
+	Log       Log
+}
+
+// Listener is an address where clients connect.
+type Listener struct{ Name, Address string }
+
+// Limits are what all pools have in common.
+type Limits struct {
+	Cores       int
+	Memory      int64 // bytes, 0 for no bound
+	Descriptors int
+	Bodies      int64         // bytes of bodies in hand
+	Within      time.Duration // until a pool has what is guaranteed to it back
+	Refusals    float64       // a second, over all pools, before refused connections rest
+}
+
+// Log says how lines are logged.
+type Log struct{ Level, Format string }
+
+// Pool is one service.
+type Pool struct {
+	Name  string
+	Book  *terms.Book
+	Print string  // two books of one print say the same
+	Share float64 // of what is common, guaranteed; below zero if not stated
+
+	Open, Connections int64 // most that it may hold; 0 for all there is
+	Bodies            int64
+
+	List List
+}
+
+// List is where a pool's list of upstreams comes from: one of the three.
+type List struct {
+	Fixed     []roster.Entry[string]
+	File      string
+	Every     time.Duration // between two looks at File
+	Discovery string
+	Known     discovery.Report // from before
+}
+
+// Defaults, for both formats.
+const (
+	descriptors  = 1024 // that a process has by custom
+	bodies       = 64 << 20
+	bodiesOf     = 4 // part of the memory, where that is stated
+	returnWithin = time.Second
+	refusals     = 4000
+)
+
+// limits fills in what isn't said.
+func (l *Limits) complete() {
+	if l.Cores <= 0 {
+		l.Cores = 1
+	}
+	if l.Descriptors <= 0 {
+		l.Descriptors = descriptors
+	}
+	if l.Bodies <= 0 {
+		if l.Bodies = bodies; l.Memory > 0 {
+			l.Bodies = l.Memory / bodiesOf
+		}
+	}
+	if l.Within <= 0 {
+		l.Within = returnWithin
+	}
+	if l.Refusals <= 0 {
+		l.Refusals = refusals
+	}
+}
--- a/cmd/ottershift/config.go
+++ b/internal/plan/platform.go
@@ -1,7 +1,6 @@
-package main
+package plan
 
 import (
-	"errors"
 	"fmt"
 	"os"
 	"strconv"
@@ -12,25 +11,8 @@
 	"ottershift/internal/terms"
 )
 
-// unsaid is the descriptors that a process has by custom, where nothing is said.
-const unsaid = 1024
-
-// orders is what the program is told at its start.
-type orders struct {
-	name      string
-	listen    string
-	discovery string
-	memory    int64 // bytes
-	sockets   int
-	book      *terms.Book
-	known     discovery.Report
-}
-
-// readOrders decodes the configuration; the environment fills in what it leaves out.
-func readOrders(path string) (*orders, error) {
-	if path == "" {
-		return nil, errors.New("PROXY_CONFIG names no file")
-	}
+// ReadPlatform decodes the platform's configuration; the environment fills in what it leaves out.
+func ReadPlatform(path string) (*Plan, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, err
@@ -45,19 +27,11 @@
 		}
 		return os.Getenv(variable)
 	}
-	o := &orders{
-		name: or("name", "PROXY_NAME"), listen: or("listen", "PROXY_LISTEN"),
-		discovery: or("discovery", "PROXY_DISCOVERY"),
-		memory:    int64(v.GetFloat64("limits", "memory_mb") * (1 << 20)),
-		sockets:   v.GetInt("limits", "sockets"),
-	}
-	if o.sockets <= 0 {
-		o.sockets = unsaid
-	}
+	listen, asked := or("listen", "PROXY_LISTEN"), or("discovery", "PROXY_DISCOVERY")
 	switch {
-	case o.listen == "":
+	case listen == "":
 		return nil, fmt.Errorf("%s: no address to listen on", path)
-	case o.discovery == "":
+	case asked == "":
 		return nil, fmt.Errorf("%s: no address of discovery", path)
 	case v.Get("settings") == nil || v.Get("settings").Type() != fastjson.TypeObject:
 		return nil, fmt.Errorf("%s: no settings", path)
@@ -66,11 +40,26 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: the seed is not a hexadecimal number", path)
 	}
-	o.book = terms.Read(v.Get("settings"), seed)
+	pool := &Pool{
+		Name: "main", Book: terms.Read(v.Get("settings"), seed), Share: -1, List: List{Discovery: asked},
+	}
 	if known := v.Get("known"); known != nil && known.Type() != fastjson.TypeNull {
-		if o.known, _, err = discovery.Read(known); err != nil {
+		if pool.List.Known, _, err = discovery.Read(known); err != nil {
 			return nil, fmt.Errorf("%s: known: %w", path, err)
 		}
 	}
-	return o, nil
+	p := &Plan{
+		Name: or("name", "PROXY_NAME"), Platform: true, Seed: seed, Pools: []*Pool{pool},
+		Listeners: []Listener{{"main", listen}},
+		Limits: Limits{
+			Memory: int64(v.GetFloat64("limits", "memory_mb") * (1 << 20)), Descriptors: v.GetInt("limits", "sockets"),
+		},
+	}
+	p.Limits.complete()
+	// Danger: the platform's memory is small and its balancer has one pool; what is in hand there is bounded by
+	// descriptors as ever.
+	p.Limits.Bodies = int64(p.Limits.Descriptors) * mostBody * int64(max(pool.Book.Terms.MaxPushes, 1)+1)
+	return p, nil
 }
+
+const mostBody = 64 << 10
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -2,6 +2,7 @@
 package roster
 
 import (
+	"hash/fnv"
 	"strconv"
 	"sync/atomic"
 
@@ -18,6 +19,13 @@
 	Gone    bool
 }
 
+// Number orders upstreams: it is the same at every balancer, as the name is.
+func Number(name string) uint32 {
+	number := fnv.New32a()
+	number.Write([]byte(name))
+	return number.Sum32()
+}
+
 // Place is one upstream's stay at one address. Danger: addresses are used again, and what is kept of one upstream
 // (connections first of all) must not pass for its successor's.
 type Place struct {
@@ -33,6 +41,7 @@
 	index map[Name]int
 	names []Name
 	place []Place
+	entry []Entry[Name]
 	stays int // so far
 }
 
@@ -64,6 +73,7 @@
 		if r.place[i].Address != e.Address {
 			left = r.move(i, e.Address, left)
 		}
+		r.entry[i] = e
 		e.Up.Zone = r.zone(e.Zone)
 		r.b.List(i, e.Up, now)
 		if e.Ends {
@@ -96,6 +106,16 @@
 	return left
 }
 
+// Entries is the list as it stands.
+func (r *Roster[Name]) Entries() (all []Entry[Name]) {
+	for i, e := range r.entry {
+		if r.b.Known(i) {
+			all = append(all, e)
+		}
+	}
+	return all
+}
+
 // Index finds an upstream by its name.
 func (r *Roster[Name]) Index(name Name) (i int, known bool) {
 	i, known = r.index[name]
@@ -113,6 +133,7 @@
 	i := r.b.Join()
 	if i == len(r.names) {
 		r.names, r.place = append(r.names, name), append(r.place, Place{Kept: new(atomic.Int32)})
+		r.entry = append(r.entry, Entry[Name]{})
 	} else {
 		if r.index[r.names[i]] == i {
 			delete(r.index, r.names[i])
--- /dev/null
+++ b/internal/routes/normal.go
@@ -0,0 +1,130 @@
+package routes
+
+import "strings"
+
+// Host brings a host to the form in which it is looked up: small letters, no port, no final dot. It is not ok if it
+// can't be a host; an absent one is "" and matches routes for any host only.
+func Host(host string) (plain string, ok bool) {
+	name := host
+	if strings.HasPrefix(name, "[") { // an IPv6 address keeps its brackets
+		end := strings.IndexByte(name, ']')
+		if end < 0 || !port(name[end+1:]) {
+			return "", false
+		}
+		return strings.ToLower(name[:end+1]), true
+	}
+	if colon := strings.IndexByte(name, ':'); colon >= 0 {
+		if !port(name[colon:]) {
+			return "", false
+		}
+		name = name[:colon]
+	}
+	name = strings.TrimSuffix(name, ".")
+	if name == "" {
+		return "", host == ""
+	}
+	if strings.HasPrefix(name, ".") || strings.Contains(name, "..") || len(name) > 253 ||
+		strings.ContainsAny(name, "/\\@?# \t\x00%") {
+		return "", false
+	}
+	return strings.ToLower(name), true
+}
+
+func port(text string) bool {
+	return text == "" || text[0] == ':' && len(text) <= 6 && strings.Trim(text[1:], "0123456789") == ""
+}
+
+// Path brings a path, as it stands encoded in a request, to its normal form. Danger: where the balancer and the
+// upstream read a path in two ways, one guards what the other lets through; so what is routed is what is sent on.
+//
+//   - an encoded letter, digit, "-", ".", "_" or "~" is decoded, any other stays encoded, in capitals: %2f is never a "/"
+//   - "//" is "/"
+//   - "." and ".." are taken out by segment; a path that leaves its root so is not ok
+//   - a final "/" stays
+//
+// An encoded zero or a "%" without two hexadecimal digits is not ok.
+func Path(path string) (plain string, ok bool) {
+	if path == "" {
+		return "/", true
+	}
+	if path[0] != '/' {
+		return "", false
+	}
+	if normal(path) {
+		return path, true
+	}
+	var out strings.Builder
+	for i := 0; i < len(path); i++ {
+		c := path[i]
+		if c != '%' {
+			if c == 0 {
+				return "", false
+			}
+			out.WriteByte(c)
+			continue
+		}
+		if i+2 >= len(path) || !hex(path[i+1]) || !hex(path[i+2]) {
+			return "", false
+		}
+		switch c = digit(path[i+1])<<4 | digit(path[i+2]); {
+		case c == 0:
+			return "", false
+		case unreserved(c):
+			out.WriteByte(c)
+		default:
+			out.WriteString(strings.ToUpper(path[i : i+3]))
+		}
+		i += 2
+	}
+	segments := strings.Split(out.String(), "/")
+	kept := segments[:0]
+	for n, s := range segments {
+		last := n == len(segments)-1
+		switch s {
+		case "..":
+			if len(kept) == 0 {
+				return "", false
+			}
+			kept = kept[:len(kept)-1]
+		case ".", "":
+		default:
+			kept = append(kept, s)
+			continue
+		}
+		if last && len(kept) > 0 {
+			kept = append(kept, "")
+		}
+	}
+	return "/" + strings.Join(kept, "/"), true
+}
+
+// normal reports whether a path is in its normal form for certain, which nearly all are.
+func normal(path string) bool {
+	for i := 0; i < len(path); i++ {
+		switch path[i] {
+		case '%', 0:
+			return false
+		case '/':
+			if i+1 < len(path) && (path[i+1] == '/' || path[i+1] == '.') {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func hex(c byte) bool { return c >= '0' && c <= '9' || c >= 'a' && c <= 'f' || c >= 'A' && c <= 'F' }
+
+func digit(c byte) byte {
+	switch {
+	case c >= 'a':
+		return c - 'a' + 10
+	case c >= 'A':
+		return c - 'A' + 10
+	}
+	return c - '0'
+}
+
+func unreserved(c byte) bool {
+	return c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || strings.IndexByte("-._~", c) >= 0
+}
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -13,6 +13,7 @@
 const (
 	microsecond = 1000
 	unsaidDial  = time.Second // where nothing is said; without any limit a push to a machine cut off would hang
+	unsaidProbe = "/ping"     // as the platform has it
 )
 
 // Book is the settings as a balancer uses them: the module's terms, the names behind its numbers, and what only
@@ -25,6 +26,24 @@
 
 	DialTimeout time.Duration // until a connection counts as not to be had
 	IdleClose   time.Duration // an upstream closes what stood idle so long
+
+	Plain   bool   // ordinary HTTP towards clients and upstreams, not the platform's protocol
+	Default int    // tariff of a plain transaction that names none; -1 for none
+	Probe   string // path of a probe
+}
+
+// Complete fills in what isn't said, for every format.
+func (b *Book) Complete(zone string) {
+	if b.DialTimeout <= 0 {
+		b.DialTimeout = unsaidDial
+	}
+	if b.Probe == "" {
+		b.Probe = unsaidProbe
+	}
+	if b.Terms.Zone = slices.Index(b.Zones, zone); b.Terms.Zone < 0 {
+		b.Terms.Zone = len(b.Zones)
+		b.Zones = append(b.Zones, zone)
+	}
 }
 
 // Read decodes the settings. What is absent stays zero: logic.New refuses what it can't work with.
@@ -43,21 +62,14 @@
 		Punctual: env.GetFloat64("result_mix", "tail"), Resolution: env.GetInt64("resolution") * microsecond,
 	}
 	b := &Book{
-		Terms: t, Tariffs: map[string]int{}, Customers: map[string]int{},
+		Terms: t, Tariffs: map[string]int{}, Customers: map[string]int{}, Default: -1,
 		DialTimeout: time.Duration(limits.GetInt64("dial_timeout")) * time.Microsecond,
 		IdleClose:   time.Duration(limits.GetInt64("idle_close")) * time.Microsecond,
 	}
-	if b.DialTimeout <= 0 {
-		b.DialTimeout = unsaidDial
-	}
-	own := string(env.GetStringBytes("zone"))
 	for _, z := range env.GetArray("zones") {
 		b.Zones = append(b.Zones, string(z.GetStringBytes()))
 	}
-	if t.Zone = slices.Index(b.Zones, own); t.Zone < 0 {
-		t.Zone = len(b.Zones)
-		b.Zones = append(b.Zones, own)
-	}
+	b.Complete(string(env.GetStringBytes("zone")))
 	for n, c := range env.GetArray("tariffs") {
 		b.Tariffs[string(c.GetStringBytes("name"))] = n
 		t.Tariffs = append(t.Tariffs, tariff(c))
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -382,11 +382,7 @@
 	t.recall()
 	b.close(t)
 	if t.anchor < 0 || t.harmless() {
-		var backoff int64
-		if b.terms.AdviseBackoff {
-			backoff = min(b.terms.MaxBackoff, t.tariff.ContractTime/16)
-		}
-		b.w.Defer(t, backoff)
+		b.w.Defer(t, b.terms.Backoff(t.tariff))
 	} else {
 		b.w.Forfeit(t)
 	}
--- a/logic/types.go
+++ b/logic/types.go
@@ -67,6 +67,14 @@
 	Resolution     int64   // rounds are at least this far apart
 }
 
+// Backoff is the advice to a client whose transaction is deferred, 0 for none.
+func (t *Terms) Backoff(f *Tariff) int64 {
+	if !t.AdviseBackoff {
+		return 0
+	}
+	return min(t.MaxBackoff, f.ContractTime/16)
+}
+
 // Upstream describes one entry of the list.
 type Upstream struct {
 	Number uint32 // the same at every balancer; it tells nothing else
