--- a/cmd/ottershift/ottershift_test.go
+++ b/cmd/ottershift/ottershift_test.go
@@ -199,10 +199,28 @@
 	file    string // its configuration
 	address string
 	command *exec.Cmd
-	log     *bytes.Buffer
+	log     *lockedBuffer
 	exit    <-chan error
 }
 
+// lockedBuffer is read while the program writes into it.
+type lockedBuffer struct {
+	mu sync.Mutex
+	bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Buffer.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Buffer.String()
+}
+
 // start runs the program over some upstreams and waits until it is ready.
 func start(t *testing.T, r *registry, sockets int, settings string, upstreams ...*upstream) *balancer {
 	t.Helper()
@@ -210,7 +228,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	b := &balancer{t: t, address: free.Addr().String(), log: &bytes.Buffer{}}
+	b := &balancer{t: t, address: free.Addr().String(), log: &lockedBuffer{}}
 	free.Close()
 	var known []string
 	for n, u := range upstreams {
@@ -533,7 +551,7 @@
 		strings.Replace(head, "ff", "xx", 1) + `"settings":` + settings + `}`:               "seed",
 		strings.Replace(head, "127.0.0.1:0", "nowhere", 1) + `"settings":` + settings + `}`: "listen tcp",
 	} {
-		b := &balancer{t: t, log: &bytes.Buffer{}}
+		b := &balancer{t: t, log: &lockedBuffer{}}
 		b.run(config)
 		if err := <-b.exit; err == nil || strings.Count(b.log.String(), "\n") != 1 || !strings.Contains(b.log.String(), want) {
 			t.Errorf("%s: %v, log %q", config, err, b.log)
--- /dev/null
+++ b/internal/plan/plan_test.go
@@ -0,0 +1,201 @@
+package plan
+
+import (
+	"os"
+	"path/filepath"
+	"reflect"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	"ottershift/internal/settings"
+)
+
+func nothing(string) (string, bool) { return "", false }
+
+const whole = `name = "n"
+[listeners.public]
+address = "127.0.0.1:8000"
+[tariffs.view]
+repeat = "repeatable"
+contract_time = "500ms"
+hard_stop = "2s"
+[pools.album]
+upstreams = [{ name = "a", address = "127.0.0.1:9001" }]
+[[routes]]
+pool = "album"
+`
+
+// Every fault of a file is named at once, with its line, its key and what would be right.
+func TestAllFaultsAtOnce(t *testing.T) {
+	text := `name = 7
+[limits]
+memory = "192 Megabytes"
+descriptors = 10
+[listeners.public]
+address = "127.0.0.1"
+[listeners.other]
+adress = "127.0.0.1:8000"
+[tariffs.view]
+repeat = "idempotent"
+contract_time = "3s"
+hard_stop = "2s"
+[tariffs.up]
+repeat = "tagged"
+contract_time = 500
+[pools.album]
+tariffs = ["view", "views"]
+share = 1.5
+max_pushes = 2.5
+upstreams = [
+  { name = "a", address = "127.0.0.1:9001" },
+  { name = "a", address = "127.0.0.1:90010" },
+]
+upstreams_file = "none.toml"
+[pools.www]
+share = 0.7
+second_copies = "yes"
+limits = { open = "${UNSET}" }
+[[routes]]
+name = "one"
+pool = "albun"
+hosts = ["ALBUM"]
+[[routes]]
+name = "one"
+pool = "www"
+tariff = "wiew"
+paths = ["/a//b"]
+listeners = ["inside"]
+`
+	p, faults := Parse("f.toml", []byte(text), nothing)
+	if p != nil {
+		t.Fatal("taken")
+	}
+	want := []string{
+		`1: name: 7 is no text`, `3: limits.memory: "192 Megabytes" is no size`, `4: limits.descriptors: 10 lies outside 64`,
+		`6: listeners.public.address: "127.0.0.1" is no address`, `8: listeners.other.adress: is no key here; address is`,
+		`7: listeners.other.address: is missing`, `10: tariffs.view.repeat: "idempotent" is none of once-only, tagged, repeatable`,
+		`11: tariffs.view.contract_time: 3s is beyond the hard stop, 2s`, `15: tariffs.up.contract_time: 500 is no time`,
+		`13: tariffs.up: hard_stop is missing`, `13: tariffs.up: remembered is missing`,
+		`17: pools.album.tariffs[1]: "views" is no tariff; there are up, view`, `18: pools.album.share: 1.5 lies outside 0 to 1`,
+		`19: pools.album.max_pushes: 2.5 is no whole number`, `22: pools.album.upstreams[1].name: "a" is another's name`,
+		`22: pools.album.upstreams[1].address: "127.0.0.1:90010" has no port`, `24: pools.album.upstreams_file: a list comes from one place`,
+		`24: pools.album.upstreams_file: stat none.toml: no such file`, `25: pools.www: it has no list`,
+		`27: pools.www.second_copies: "yes" is neither true nor false`, `28: pools.www.limits.open: the environment has no UNSET`,
+		`31: routes[0].pool: "albun" is no pool; there are album, www`, `32: routes[0].hosts: "ALBUM" is no host`,
+		`34: routes[1].name: "one" is another's name`, `36: routes[1].tariff: "wiew" is no tariff of pool "www"`,
+		`37: routes[1].paths: "/a//b" is no path in its normal form; that is "/a/b"`, `38: routes[1].listeners: "inside" is no listener`,
+	}
+	var got []string
+	for _, f := range faults {
+		got = append(got, strings.TrimPrefix(f.Error(), "f.toml:"))
+	}
+	for _, w := range want {
+		if !slices.ContainsFunc(got, func(g string) bool { return strings.HasPrefix(g, w) }) {
+			t.Errorf("not said: %s", w)
+		}
+	}
+	if t.Failed() || len(got) > len(want)+3 {
+		t.Errorf("said:\n%s", strings.Join(got, "\n"))
+	}
+}
+
+func TestNoTOML(t *testing.T) {
+	p, faults := Parse("f.toml", []byte(whole+"[pools\n"), nothing)
+	if p != nil || len(faults) != 1 || faults[0].Line != 12 {
+		t.Errorf("%+v", faults)
+	}
+}
+
+// Variables fill in texts, numbers and yes or no; what isn't set has its other value or is a fault.
+func TestEnvironment(t *testing.T) {
+	env := map[string]string{"PORT": "8123", "SHARE": "0.25", "COPIES": "false"}
+	text := strings.Replace(whole, "127.0.0.1:8000", "${HOST:-127.0.0.1}:${PORT}", 1)
+	text = strings.Replace(text, "[pools.album]\n", "[pools.album]\nshare = \"${SHARE}\"\nsecond_copies = \"${COPIES}\"\n", 1)
+	p, faults := Parse("f.toml", []byte(text), func(name string) (string, bool) { v, ok := env[name]; return v, ok })
+	if p == nil {
+		t.Fatal(faults)
+	}
+	if p.Listeners[0].Address != "127.0.0.1:8123" || p.Pools[0].Share != 0.25 || p.Pools[0].Book.Terms.SecondCopies {
+		t.Errorf("%+v %+v", p.Listeners, p.Pools[0])
+	}
+}
+
+// Both formats end in the same values, and what neither says is the same in both.
+func TestBothFormatsMeanTheSame(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "config.json")
+	json := `{"listen":"127.0.0.1:8000","discovery":"127.0.0.1:8500","seed":"7","limits":{"sockets":300},
+		"settings":{"fleet_size":1,"zone":"a","zones":["a"],"limits":{"cancelling":true,"max_pushes":3,"probes":true,
+		"second_copies":true,"retry_after":true,"max_retry_after":2000000,"idle_close":60000000},
+		"guarantees":{"cold_from":0.2,"ramp_time":10000000,"fall_multiple":3,"overload_for":1000000},"beyond_share_earnings":0.2,
+		"tariffs":[{"name":"view","effect":"idempotent","contract_time":500000,"hard_stop":2000000,"earnings":1,"late_earnings":0.5}]}}`
+	if err := os.WriteFile(file, []byte(json), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	a, err := ReadPlatform(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := strings.Replace(whole, "upstreams = [{ name = \"a\", address = \"127.0.0.1:9001\" }]",
+		"protocol = \"platform\"\nzone = \"a\"\nzones = [\"a\"]\ndiscovery = \"127.0.0.1:8500\"", 1)
+	b, faults := Parse("f.toml", []byte("limits.descriptors = 300\n"+text), nothing)
+	if b == nil {
+		t.Fatal(faults)
+	}
+	one, other := *a.Pools[0].Book, *b.Pools[0].Book
+	one.Terms.Seed = 0
+	if !reflect.DeepEqual(one, other) {
+		t.Errorf("%+v\n%+v\n%+v\n%+v", one, other, one.Terms, other.Terms)
+	}
+	if a.Limits.Bodies = b.Limits.Bodies; a.Limits != b.Limits {
+		t.Errorf("%+v %+v", a.Limits, b.Limits)
+	}
+}
+
+// The examples are in order, and every key that stands in one is told of in the page.
+func TestExamples(t *testing.T) {
+	page, err := os.ReadFile("../../docs/configuration.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	files, _ := filepath.Glob("../../examples/*.toml")
+	if len(files) < 4 {
+		t.Fatalf("%v", files)
+	}
+	for _, file := range files {
+		if !strings.Contains(file, ".upstreams.") {
+			if p, faults := Read(file); p == nil {
+				t.Errorf("%v", faults)
+			}
+		}
+		text, _ := os.ReadFile(file)
+		for _, m := range regexp.MustCompile(`(?m)(?:^|[{,])\s*([a-z_]+) =`).FindAllSubmatch(text, -1) {
+			if !strings.Contains(string(page), "`"+string(m[1])+"`") {
+				t.Errorf("%s: docs/configuration.md does not tell of %s", file, m[1])
+			}
+		}
+	}
+}
+
+// FuzzParse: whatever stands in a file, it is taken or refused with words, and never both.
+func FuzzParse(f *testing.F) {
+	f.Add(whole)
+	text, _ := os.ReadFile("../../examples/every-key.toml")
+	f.Add(string(text))
+	for _, c := range [][2]string{{`"`, ""}, {"=", "= -"}, {"[", "[["}, {"500ms", "${A"}, {"pool", "a.b.c"}, {"127", "[{a=[[]]}]"}} {
+		f.Add(strings.ReplaceAll(whole, c[0], c[1]))
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		p, faults := Parse(filepath.Join(t.TempDir(), "f.toml"), []byte(text), nothing)
+		wrong := slices.ContainsFunc(faults, func(x settings.Fault) bool { return !x.Remark })
+		if (p == nil) != wrong {
+			t.Errorf("%v %v", p, faults)
+		}
+		for _, f := range faults {
+			if f.Text == "" || f.Line < 0 {
+				t.Errorf("%+v", f)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/process/process_test.go
@@ -0,0 +1,303 @@
+package process
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"ottershift/internal/plan"
+)
+
+// stand is a stand-in for the upstreams of a pool: it says its name after some time, and counts what is open to it.
+type stand struct {
+	*httptest.Server
+	name  string
+	takes atomic.Int64 // nanoseconds
+	conns atomic.Int64
+}
+
+func newStand(t *testing.T, name string) *stand {
+	s := &stand{name: name}
+	s.Server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(time.Duration(s.takes.Load()))
+		fmt.Fprintf(w, "%s %s", s.name, r.Host)
+	}))
+	s.Config.ConnState = func(_ net.Conn, now http.ConnState) {
+		switch now {
+		case http.StateNew:
+			s.conns.Add(1)
+		case http.StateClosed:
+			s.conns.Add(-1)
+		}
+	}
+	s.Start()
+	t.Cleanup(s.Close)
+	return s
+}
+
+const head = `limits.descriptors = 2000
+[tariffs.view]
+repeat = "repeatable"
+contract_time = "2s"
+hard_stop = "5s"
+`
+
+// text is a configuration: host and stand by pool, and addresses to listen on.
+func text(listen []string, pools ...[2]any) string {
+	var b strings.Builder
+	b.WriteString(head)
+	for n, address := range listen {
+		fmt.Fprintf(&b, "[listeners.l%d]\naddress = %q\n", n, address)
+	}
+	for n, p := range pools {
+		s := p[1].(*stand)
+		fmt.Fprintf(&b, "[pools.p%d]\ndefault_tariff = \"view\"\nupstreams = [{ name = \"u\", address = %q }]\n", n, s.Listener.Addr())
+		fmt.Fprintf(&b, "[[routes]]\nname = \"r%d\"\nhosts = [%q]\npool = \"p%d\"\n", n, p[0], n)
+	}
+	return b.String()
+}
+
+func parse(t testing.TB, text string) *plan.Plan {
+	t.Helper()
+	p, faults := plan.Parse("f.toml", []byte(text), os.LookupEnv)
+	if p == nil {
+		t.Fatal(faults)
+	}
+	return p
+}
+
+func begin(t testing.TB, text string) *Process {
+	t.Helper()
+	s, err := Start(parse(t, text), slog.New(slog.DiscardHandler), &slog.LevelVar{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// finish ends a process and sees that nothing of it is left.
+func finish(t *testing.T, s *Process, client *http.Transport, stands ...*stand) {
+	t.Helper()
+	client.CloseIdleConnections()
+	s.front.Drain()
+	s.Close()
+	for _, u := range stands {
+		for n := 0; u.conns.Load() != 0; n++ {
+			if n == 200 {
+				t.Errorf("%d connections to %s are left", u.conns.Load(), u.name)
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		u.Close()
+	}
+	goleak.VerifyNone(t)
+}
+
+func free(t testing.TB) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func ask(client *http.Transport, address, host string) (status int, body string, err error) {
+	r, _ := http.NewRequest(http.MethodGet, "http://"+address+"/x", nil)
+	r.Host = host
+	a, err := client.RoundTrip(r)
+	if err != nil {
+		return 0, "", err
+	}
+	defer a.Body.Close()
+	text, err := io.ReadAll(a.Body)
+	return a.StatusCode, string(text), err
+}
+
+// The hosts of two pools are swapped again and again under load, while a third pool comes and goes: no transaction is
+// lost, each is answered by a pool that was its host's at some moment of its life, and at the end nothing is left.
+func TestReloadsUnderLoad(t *testing.T) {
+	one, two, three := newStand(t, "one"), newStand(t, "two"), newStand(t, "three")
+	three.takes.Store(int64(20 * time.Millisecond))
+	address := []string{free(t)}
+	plans := []*plan.Plan{
+		parse(t, text(address, [2]any{"a.org", one}, [2]any{"b.org", two}, [2]any{"c.org", three})),
+		parse(t, text(address, [2]any{"b.org", one}, [2]any{"a.org", two})),
+	}
+	s := begin(t, text(address, [2]any{"a.org", one}, [2]any{"b.org", two}, [2]any{"c.org", three}))
+	client := &http.Transport{MaxIdleConnsPerHost: 64}
+
+	var turn atomic.Int64 // odd while a reload goes on; a half of it is the number of reloads
+	var stop atomic.Bool
+	var load sync.WaitGroup
+	var asked, gone atomic.Int64
+	for n := range 12 {
+		load.Go(func() {
+			host := []string{"a.org", "b.org", "c.org"}[n%3]
+			for !stop.Load() {
+				before := turn.Load()
+				status, body, err := ask(client, address[0], host)
+				after := turn.Load()
+				asked.Add(1)
+				swapped := before/2%2 == 1
+				want := map[string]string{"a.org": "one", "b.org": "two", "c.org": "three"}[host]
+				if swapped {
+					want = map[string]string{"a.org": "two", "b.org": "one"}[host]
+				}
+				still := before == after && before%2 == 0
+				switch {
+				case host == "c.org" && status == http.StatusNotFound && (!still || want == ""):
+					gone.Add(1)
+				case err != nil || status != http.StatusOK || !strings.HasSuffix(body, host):
+					t.Errorf("%s was answered %d %q, %v", host, status, body, err)
+				case still && body != want+" "+host:
+					t.Errorf("%s was answered by %q instead of %q", host, body, want)
+				}
+			}
+		})
+	}
+	for n := range 60 {
+		time.Sleep(20 * time.Millisecond)
+		turn.Add(1)
+		if err := s.Reload(plans[(n+1)%2]); err != nil {
+			t.Error(err)
+		}
+		turn.Add(1)
+	}
+	stop.Store(true)
+	load.Wait()
+	if asked.Load() < 500 || gone.Load() == 0 {
+		t.Errorf("%d asked, %d of them of a pool that had gone", asked.Load(), gone.Load())
+	}
+	finish(t, s, client, one, two, three)
+}
+
+// A pool that is removed with transactions open finishes them; a pool that stays keeps its connections and what its
+// module knows; one whose terms change is another, with the old one's list; a plan that can't be put in force changes
+// nothing.
+func TestReloadKeepsWhatStays(t *testing.T) {
+	one, two := newStand(t, "one"), newStand(t, "two")
+	list := filepath.Join(t.TempDir(), "list.toml")
+	os.WriteFile(list, fmt.Appendf(nil, "[[upstreams]]\nname = \"u\"\naddress = %q\n", two.Listener.Addr()), 0o600)
+	address := []string{free(t), free(t)}
+	both := text(address[:1], [2]any{"a.org", one}, [2]any{"b.org", two})
+	s := begin(t, both)
+	client := &http.Transport{MaxIdleConnsPerHost: 64}
+	must := func(host string, want int) {
+		t.Helper()
+		if status, body, err := ask(client, address[0], host); err != nil || status != want {
+			t.Fatalf("%s: %d %q %v", host, status, body, err)
+		}
+	}
+	must("a.org", 200)
+	must("b.org", 200)
+	kept, conns := s.pools["p0"].Pool, one.conns.Load()
+
+	two.takes.Store(int64(300 * time.Millisecond))
+	slow := make(chan string, 5)
+	for range cap(slow) {
+		go func() {
+			status, body, _ := ask(client, address[0], "b.org")
+			slow <- fmt.Sprint(status, " ", body)
+		}()
+	}
+	time.Sleep(50 * time.Millisecond)
+	if err := s.Reload(parse(t, text(address[:1], [2]any{"a.org", one}))); err != nil {
+		t.Fatal(err)
+	}
+	must("b.org", 404)
+	for range cap(slow) {
+		if got := <-slow; got != "200 two b.org" {
+			t.Errorf("open when its pool was removed: %s", got)
+		}
+	}
+	must("a.org", 200)
+	if s.pools["p0"].Pool != kept || one.conns.Load() != conns {
+		t.Errorf("a pool that stayed is another, or has %d connections instead of %d", one.conns.Load(), conns)
+	}
+
+	// Listeners come and go; what can't be put in force is undone.
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	before := s.plan
+	if err := s.Reload(parse(t, text([]string{address[1], taken.Addr().String()}, [2]any{"a.org", two}))); err == nil || s.plan != before {
+		t.Errorf("taken: %v", err)
+	}
+	must("a.org", 200)
+	if _, _, err := ask(client, address[1], "a.org"); err == nil {
+		t.Error("a listener of a plan that was refused answers")
+	}
+	if err := s.Reload(parse(t, text(address[1:], [2]any{"a.org", one}))); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := ask(&http.Transport{DisableKeepAlives: true}, address[0], "a.org"); err == nil {
+		t.Error("a listener that was removed answers")
+	}
+	address = address[1:]
+	must("a.org", 200)
+
+	// Other terms make another pool, which serves from its first moment; another source tells the same pool.
+	changed := strings.Replace(text(address, [2]any{"a.org", one}), "[pools.p0]\n", "[pools.p0]\nmax_pushes = 2\n", 1)
+	if err := s.Reload(parse(t, changed)); err != nil {
+		t.Fatal(err)
+	}
+	must("a.org", 200)
+	if kept == s.pools["p0"].Pool {
+		t.Error("a pool of other terms is the same")
+	}
+	kept = s.pools["p0"].Pool
+	from := strings.Index(changed, "upstreams = ")
+	to := from + strings.IndexByte(changed[from:], '\n')
+	if err := s.Reload(parse(t, changed[:from]+fmt.Sprintf("upstreams_file = %q", list)+changed[to:])); err != nil {
+		t.Fatal(err)
+	}
+	two.takes.Store(0)
+	for n := 0; ; n++ {
+		if _, body, _ := ask(client, address[0], "a.org"); body == "two a.org" {
+			break
+		} else if n == 300 {
+			t.Fatalf("still answered by %q", body)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if kept != s.pools["p0"].Pool {
+		t.Error("a pool whose list comes from elsewhere is another")
+	}
+
+	// The last upstream leaves in the middle of traffic: what comes is deferred at once, and served when it is back.
+	os.WriteFile(list, []byte("empty = true\n"), 0o600)
+	for n := 0; ; n++ {
+		start := time.Now()
+		status, body, err := ask(client, address[0], "a.org")
+		if err != nil || status != 200 && status != 503 {
+			t.Fatalf("%d %q %v", status, body, err)
+		}
+		if status == 503 {
+			if took := time.Since(start); took > 200*time.Millisecond {
+				t.Errorf("deferred after %s", took)
+			}
+			break
+		}
+		if n == 300 {
+			t.Fatal("still answered")
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	finish(t, s, client, one, two)
+}
