The tests' log buffer is locked on every way in

Need: the race detector saw the copy of a program's log write past the lock, by a method that an embedded buffer lends. Change: the buffer is a field.

--- a/cmd/ottershift/ottershift_test.go
+++ b/cmd/ottershift/ottershift_test.go
@@ -205,20 +205,20 @@
 
 // lockedBuffer is read while the program writes into it.
 type lockedBuffer struct {
-	mu sync.Mutex
-	bytes.Buffer
+	mu   sync.Mutex
+	text bytes.Buffer
 }
 
 func (b *lockedBuffer) Write(p []byte) (int, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.Buffer.Write(p)
+	return b.text.Write(p)
 }
 
 func (b *lockedBuffer) String() string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.Buffer.String()
+	return b.text.String()
 }
 
 // start runs the program over some upstreams and waits until it is ready.
