The lab: emulated upstreams, clients, faults by script, a judge and experiments with reports

Change: internal/lab in packages by job (work, spec, emulate, load, judge, baseline, run, report), ottershift lab run, list, plan and compare, six experiments; the desk takes another module for comparisons only.

--- a/cmd/ottershift/ottershift_test.go
+++ b/cmd/ottershift/ottershift_test.go
@@ -1195,7 +1195,7 @@
 			return
 		}
 		pool := o.Pools[0]
-		d, err := desk.New(pool.Book, slog.New(slog.DiscardHandler))
+		d, err := desk.New(pool.Book, slog.New(slog.DiscardHandler), desk.Design)
 		if err != nil {
 			return
 		}
--- a/cmd/ottershift/serve.go
+++ b/cmd/ottershift/serve.go
@@ -42,7 +42,7 @@
 	log, level := logs.New(os.Stderr, "text")
 	p, err := plan.ReadPlatform(path)
 	if err == nil {
-		err = run(p, log, level, reload, func() (*plan.Plan, []faults.Fault, error) {
+		err = live(p, log, level, reload, func() (*plan.Plan, []faults.Fault, error) {
 			p, err := plan.ReadPlatform(path)
 			return p, nil, err
 		})
@@ -59,7 +59,7 @@
 	}
 	log, level := logs.New(os.Stderr, p.Log.Format)
 	remarks(log, wrong)
-	return stopped(log, run(p, log, level, reload, func() (*plan.Plan, []faults.Fault, error) {
+	return stopped(log, live(p, log, level, reload, func() (*plan.Plan, []faults.Fault, error) {
 		p, wrong := plan.Read(path)
 		if p == nil {
 			return nil, wrong, fmt.Errorf("%d faults", len(wrong))
@@ -76,8 +76,8 @@
 	return nil
 }
 
-// run is the life of the process.
-func run(
+// live is the life of the process.
+func live(
 	p *plan.Plan, log *slog.Logger, level *slog.LevelVar, reload <-chan os.Signal,
 	reread func() (*plan.Plan, []faults.Fault, error),
 ) error {
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -62,11 +62,27 @@
 	over   bool // has its answer, or its client is gone
 }
 
+// Module decides: a Balancer, or what the lab sets in its place to compare it with.
+type Module interface {
+	roster.Module
+	Arrive(t *logic.Transaction, tariff, customer int, work, left int64, again bool, now int64)
+	Outcome(t *logic.Transaction, n int, r logic.Result, took int64, final bool, now int64)
+	Vanish(t *logic.Transaction)
+	Probed(i int, ok bool)
+	Round(now int64, w logic.Writer)
+}
+
+// Make starts a module.
+type Make func(terms *logic.Terms, now int64) (Module, error)
+
+// Design is the module of this project, the only one that serves.
+func Design(terms *logic.Terms, now int64) (Module, error) { return logic.New(terms, now) }
+
 // Desk serialises all that is said to one Balancer. Its lock's order settles races.
 type Desk struct {
 	mu     sync.Mutex
 	log    *slog.Logger
-	b      *logic.Balancer
+	b      Module
 	roster *roster.Roster[string]
 	epoch  time.Time // with its monotonic reading, from which all times are taken
 	wake   *time.Timer
@@ -80,12 +96,12 @@
 }
 
 // New starts the module.
-func New(book *terms.Book, log *slog.Logger) (*Desk, error) {
+func New(book *terms.Book, log *slog.Logger, module Make) (*Desk, error) {
 	d := &Desk{
 		log: log, epoch: time.Now(), follow: make(chan struct{}, 1), probes: make(chan Probe, 256),
 		open: map[*Case]struct{}{}, room: min(book.Terms.MaxPushes, 64),
 	}
-	b, err := logic.New(book.Terms, d.now())
+	b, err := module(book.Terms, d.now())
 	if err != nil {
 		return nil, err
 	}
@@ -262,7 +278,7 @@
 func (w writer) Push(t *logic.Transaction, upstream int, until int64) {
 	c := t.Mark.(*Case)
 	p := &Push{
-		Number: t.Pushes() - 1, Place: w.roster.Place(upstream), sent: w.now(),
+		Number: len(c.sent), Place: w.roster.Place(upstream), sent: w.now(),
 		Until: w.epoch.Add(time.Duration(until - w.epoch.UnixNano())),
 	}
 	p.Context, p.end = context.WithDeadline(context.Background(), p.Until)
--- a/internal/httpwire/httpwire_test.go
+++ b/internal/httpwire/httpwire_test.go
@@ -28,7 +28,7 @@
 		"guarantees":{"cold_from":0.5},"tenants":[{"name":"acme","quota_rps":9}],
 		"tariffs":[{"name":"view","hard_stop":1000000,"effect":"idempotent"},
 		{"name":"load","hard_stop":1000000,"effect":"deduplicated"}]}`), 1)
-	f := New(slog.New(slog.DiscardHandler))
+	f := New(slog.New(slog.DiscardHandler), desk.Design)
 	f.Limit(100)
 	p, err := f.NewPool("main", book)
 	if err != nil {
--- a/internal/httpwire/pool.go
+++ b/internal/httpwire/pool.go
@@ -39,7 +39,7 @@
 		empty: make(chan struct{}),
 	}
 	var err error
-	if p.desk, err = desk.New(book, p.log); err != nil {
+	if p.desk, err = desk.New(book, p.log, f.module); err != nil {
 		return nil, err
 	}
 	p.part = f.common.enter()
--- a/internal/httpwire/serve.go
+++ b/internal/httpwire/serve.go
@@ -26,6 +26,7 @@
 	sockets *sockets
 	common  *common
 	server  *http.Server
+	module  desk.Make
 	board   atomic.Pointer[Board]
 	closing atomic.Bool // no new clients are wanted
 	last    atomic.Bool // connections end with their answers
@@ -38,9 +39,9 @@
 	Pools map[string]*Pool
 }
 
-// New makes a front, which serves nobody until it has a board.
-func New(log *slog.Logger) *Front {
-	f := &Front{log: logs.Own(log), base: log, sockets: newSockets(), common: newCommon()}
+// New makes a front, which serves nobody until it has a board; module decides for each of its pools.
+func New(log *slog.Logger, module desk.Make) *Front {
+	f := &Front{module: module, log: logs.Own(log), base: log, sockets: newSockets(), common: newCommon()}
 	f.board.Store(&Board{})
 	f.server = &http.Server{
 		Handler: f, ReadHeaderTimeout: headLimit, IdleTimeout: idleLimit, MaxHeaderBytes: mostHeader,
--- /dev/null
+++ b/internal/lab/emulate/upstream.go
@@ -0,0 +1,453 @@
+// Package emulate plays upstreams and discovery on real loopback sockets, hundreds in one process. How long work takes
+// is decided by the model of package work; nothing burns a core.
+package emulate
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log"
+	"math"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"ottershift/internal/lab/record"
+	"ottershift/internal/lab/spec"
+	"ottershift/internal/lab/work"
+	"ottershift/logic"
+)
+
+// Fleet is all upstreams of a run.
+type Fleet struct {
+	e         *spec.Experiment
+	epoch     atomic.Pointer[time.Time]
+	tariffs   map[string]*spec.Tariff
+	Upstreams []*Upstream
+	Call      func(ctx context.Context, from *spec.Group, root uint64, left time.Duration) bool // asks the next tier
+
+	mu    sync.Mutex // guards known
+	known map[string]*effect
+}
+
+// effect is a tagged transaction's first run within its group.
+type effect struct {
+	began int64
+	over  chan struct{}
+	done  bool // took place
+}
+
+// Upstream is one of them.
+type Upstream struct {
+	spec.Upstream
+	Index   int
+	Address string
+	fleet   *Fleet
+
+	mu      sync.Mutex
+	server  *work.Server
+	timer   *time.Timer
+	due     int64
+	http    *http.Server
+	conns   map[net.Conn]struct{}
+	arrived []record.Arrival
+	overfed []record.Overfed
+	lag     []int64
+	ticks   int
+	chance  *rand.Rand
+	life    int
+	trouble map[string]float64 // share of what comes that is met by a fault, by its kind
+	down    bool
+	deaf    atomic.Bool
+}
+
+// NewFleet opens all upstreams of an experiment. Its time runs from now on, until Begin starts it anew.
+func NewFleet(e *spec.Experiment) (*Fleet, error) {
+	f := &Fleet{e: e, tariffs: map[string]*spec.Tariff{}, known: map[string]*effect{}}
+	f.Begin(time.Now())
+	for _, t := range e.Tariffs {
+		f.tariffs[t.Name] = t
+	}
+	for i, up := range e.Upstreams {
+		u := &Upstream{
+			Upstream: up, Index: i, fleet: f, server: work.New(up.Group.Terms, 0), chance: rand.New(rand.NewPCG(e.Seed, uint64(i))),
+			trouble: map[string]float64{}, due: math.MaxInt64,
+		}
+		u.timer = time.AfterFunc(time.Hour, u.tick)
+		f.Upstreams = append(f.Upstreams, u)
+		if err := u.open("127.0.0.1:0"); err != nil {
+			f.Close()
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+// Begin sets the start of the run; nothing is at work yet.
+func (f *Fleet) Begin(epoch time.Time) { f.epoch.Store(&epoch) }
+
+// Now is the time since the start of the run.
+func (f *Fleet) Now() int64 { return int64(time.Since(*f.epoch.Load())) }
+
+// Close ends all of them.
+func (f *Fleet) Close() {
+	for _, u := range f.Upstreams {
+		u.Die()
+		u.timer.Stop()
+	}
+}
+
+// Gather puts what they saw into a record.
+func (f *Fleet) Gather(r *record.Run) {
+	for _, u := range f.Upstreams {
+		u.mu.Lock()
+		r.Arrived = append(r.Arrived, u.arrived...)
+		r.Overfed = append(r.Overfed, u.overfed...)
+		r.Lag = append(r.Lag, u.lag...)
+		u.mu.Unlock()
+	}
+}
+
+// listener holds back who connects while its upstream is deaf.
+type listener struct {
+	net.Listener
+	u *Upstream
+}
+
+func (l listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	for err == nil && l.u.deaf.Load() {
+		time.Sleep(10 * time.Millisecond)
+	}
+	return c, err
+}
+
+func (u *Upstream) open(address string) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	s := &http.Server{Handler: u, ErrorLog: log.New(io.Discard, "", 0)}
+	conns := map[net.Conn]struct{}{}
+	s.ConnState = func(c net.Conn, now http.ConnState) {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		if now == http.StateNew {
+			conns[c] = struct{}{}
+		} else if now == http.StateClosed || now == http.StateHijacked {
+			delete(conns, c)
+		}
+	}
+	u.mu.Lock()
+	u.Address, u.http, u.conns, u.down = l.Addr().String(), s, conns, false
+	u.mu.Unlock()
+	go s.Serve(listener{l, u})
+	return nil
+}
+
+// Die ends it at once: its connections are reset, what it had is lost.
+func (u *Upstream) Die() {
+	u.mu.Lock()
+	s, conns := u.http, u.conns
+	u.down = true
+	for _, j := range u.server.Stop(u.fleet.Now()) {
+		j.Mark.(*visit).end(false)
+	}
+	var all []net.Conn
+	for c := range conns {
+		all = append(all, c)
+	}
+	u.mu.Unlock()
+	for _, c := range all {
+		if t, ok := c.(*net.TCPConn); ok {
+			t.SetLinger(0)
+		}
+		c.Close()
+	}
+	s.Close()
+}
+
+// Rise starts it again at its address, cold; as another, if renamed.
+func (u *Upstream) Rise(renamed bool) {
+	u.mu.Lock()
+	address := u.Address
+	if renamed {
+		u.life++
+	}
+	u.server.Start(u.fleet.Now())
+	u.mu.Unlock()
+	for range 50 {
+		if u.open(address) == nil {
+			return
+		}
+		time.Sleep(10 * time.Millisecond) // what was open there is still closing
+	}
+}
+
+// Name is what discovery calls it: each life has another.
+func (u *Upstream) Name() string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.life == 0 {
+		return u.Upstream.Name
+	}
+	return fmt.Sprintf("%s.%d", u.Upstream.Name, u.life+1)
+}
+
+// Trouble has a share of what comes met by a fault of some kind; 0 ends it.
+func (u *Upstream) Trouble(kind string, share float64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.trouble[kind] = share; share == 0 {
+		delete(u.trouble, kind)
+	}
+	if kind == "deaf" {
+		u.deaf.Store(share > 0)
+	}
+}
+
+// Hamper makes it slower, or leaves it fewer cores.
+func (u *Upstream) Hamper(slow float64, cores int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.advance()
+	u.server.Hamper(slow, cores)
+	u.arm()
+}
+
+// visit is a push at an upstream.
+type visit struct {
+	over   chan struct{}
+	done   bool
+	effect int64
+}
+
+func (v *visit) end(done bool) {
+	v.done = done
+	close(v.over)
+}
+
+// advance brings the model up to now.
+func (u *Upstream) advance() int64 {
+	now := u.fleet.Now()
+	for _, j := range u.server.Advance(now) {
+		v := j.Mark.(*visit)
+		v.effect = now
+		v.end(true)
+	}
+	return now
+}
+
+// arm sets the timer to what the model does next.
+func (u *Upstream) arm() {
+	if u.due = u.server.Next(); u.due != math.MaxInt64 {
+		u.timer.Reset(time.Duration(max(0, u.due-u.fleet.Now())))
+	}
+}
+
+func (u *Upstream) tick() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.due == math.MaxInt64 {
+		return
+	}
+	due := u.due
+	now := u.advance()
+	if u.ticks++; u.ticks%16 == 0 && now >= due {
+		u.lag = append(u.lag, now-due)
+	}
+	u.arm()
+}
+
+// meets draws which fault meets what comes now, "" for none.
+func (u *Upstream) meets() string {
+	for _, kind := range []string{"hang", "reset", "garbage", "half", "fail"} {
+		if share := u.trouble[kind]; share > 0 && (share >= 1 || u.chance.Float64() < share) {
+			return kind
+		}
+	}
+	return ""
+}
+
+// ServeHTTP is one push at an upstream.
+func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
+	if r.URL.Path == "/ping" {
+		u.mu.Lock()
+		kind := u.meets()
+		u.mu.Unlock()
+		switch kind {
+		case "":
+		case "hang":
+			<-r.Context().Done()
+		default:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		return
+	}
+	name, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	tariff := u.fleet.tariffs[name]
+	id := r.Header.Get("X-Txn")
+	root, _ := strconv.ParseUint(r.URL.Query().Get("root"), 16, 64)
+	if tariff == nil || id == "" {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	v := &visit{over: make(chan struct{})}
+	u.mu.Lock()
+	now := u.advance()
+	a := record.Arrival{ID: id, Root: root, Upstream: u.Index, At: now, Cold: u.server.Warmth(now) < 1}
+	place := len(u.arrived)
+	kind := u.meets()
+	var first, mine *effect
+	if kind == "" && tariff.Repeat == logic.Tagged {
+		first, mine = u.fleet.tag(u, tariff, r.Header.Get("Idempotency-Key"), now)
+	}
+	j := &work.Job{Mark: v, Work: tariff.Work(u.fleet.e.Seed, root, u.Upstream.Name, place)}
+	switch {
+	case kind != "":
+		a.Ran = kind != "fail"
+	case first != nil:
+		a.Dropped = true
+	default:
+		before := u.server.Overfed
+		if a.Ran = u.server.Arrive(j, now); !a.Ran {
+			a.Turned = true
+		}
+		if u.server.Overfed > before && before == 0 {
+			u.overfed = append(u.overfed, record.Overfed{Upstream: u.Index, At: now, Of: u.server.Overfed})
+		}
+	}
+	u.arrived = append(u.arrived, a)
+	u.arm()
+	u.mu.Unlock()
+
+	switch {
+	case kind != "":
+		u.spoil(w, r, kind)
+		return
+	case a.Turned:
+		u.fleet.untag(mine, false)
+		w.Header().Set("X-Turned-Away", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case a.Dropped:
+		select {
+		case <-first.over:
+		case <-r.Context().Done():
+			return
+		}
+	default:
+		select {
+		case <-v.over:
+		case <-r.Context().Done():
+			u.mu.Lock()
+			u.advance()
+			u.server.Cancel(j)
+			u.arm()
+			u.mu.Unlock()
+			select {
+			case <-v.over: // it was done all the same
+			default:
+			}
+		}
+		u.mu.Lock()
+		u.arrived[place].Effect = v.effect
+		u.mu.Unlock()
+		u.fleet.untag(mine, v.effect != 0)
+		if !v.done {
+			return
+		}
+	}
+	if u.Group.Calls != nil && !u.next(r, root) {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	fmt.Fprintf(w, "ok %s %s\n", id, u.Upstream.Name)
+}
+
+// next asks the next tier for what a transaction needs of it.
+func (u *Upstream) next(r *http.Request, root uint64) bool {
+	left, err := strconv.ParseFloat(r.Header.Get("X-Remaining"), 64)
+	if err != nil {
+		left = 1
+	}
+	end := time.Now().Add(time.Duration(left * float64(time.Second)))
+	c := u.Group.Calls
+	u.mu.Lock()
+	n := c.Least + u.chance.IntN(c.Most-c.Least+1)
+	u.mu.Unlock()
+	for range n {
+		if !u.fleet.Call(r.Context(), u.Group, root, time.Until(end)) {
+			return false
+		}
+	}
+	return true
+}
+
+// spoil is what comes back in a fault.
+func (u *Upstream) spoil(w http.ResponseWriter, r *http.Request, kind string) {
+	if kind == "hang" {
+		<-r.Context().Done()
+		return
+	}
+	if kind == "fail" {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	switch kind {
+	case "reset":
+		if t, ok := c.(*net.TCPConn); ok {
+			t.SetLinger(0)
+		}
+	case "garbage":
+		io.WriteString(c, "\x16\x03\x01HTPP/7 ok\r\n\r\n\x00\x00")
+	case "half":
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nok half")
+	}
+}
+
+// tag notes the first run of a tagged transaction within its group, or finds it.
+func (f *Fleet) tag(u *Upstream, t *spec.Tariff, key string, now int64) (first, mine *effect) {
+	scope := fmt.Sprintf("%s/%d", u.Group.Name, u.Cell)
+	switch t.Group {
+	case logic.SameZone:
+		scope = u.Group.Zone
+	case logic.Everywhere:
+		scope = ""
+	}
+	scope = t.Name + "\n" + scope + "\n" + key
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if e := f.known[scope]; e != nil && now < e.began+t.Remembered {
+		return e, nil
+	}
+	e := &effect{began: now, over: make(chan struct{})}
+	f.known[scope] = e
+	return nil, e
+}
+
+// untag says how a first run ended. One without an effect is forgotten.
+func (f *Fleet) untag(e *effect, done bool) {
+	if e == nil {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if e.done = done; !done {
+		e.began = math.MinInt64 / 2
+	}
+	close(e.over)
+}
--- /dev/null
+++ b/internal/lab/record/record.go
@@ -0,0 +1,68 @@
+// Package record holds what an experiment saw from outside: what clients sent and were answered, and what reached each
+// upstream. Times are nanoseconds since the start of the run, on one clock.
+package record
+
+// Try is one transaction as its client saw it. A client that asks again makes a new Try of the same Root.
+type Try struct {
+	Root     uint64 // the work that is asked for, over all tries
+	ID       string // X-Txn
+	Group    int    // of clients
+	Tariff   int
+	Number   int   // 0 for the first
+	Balancer int   // -1 if none could be reached
+	Due      int64 // when its first try was to be sent
+	Sent     int64 // when it was written whole; 0 if it wasn't
+	Answered int64 // when its answer was read whole; 0 if none came
+	Left     int64 // that its client waits, from Sent
+	Status   int   // 0 if no answer came
+	Extra    bool  // more came than its answer
+	Gone     bool  // its client gave up first
+	Closed   bool  // the connection ended without an answer
+	Refused  bool  // no connection came about
+}
+
+// Arrival is one push as its upstream saw it, from the last byte of its request.
+type Arrival struct {
+	ID       string
+	Root     uint64
+	Upstream int
+	At       int64
+	Ran      bool  // it was worked on, to its end or not
+	Effect   int64 // when its effect took place, 0 if it didn't
+	Dropped  bool  // known as a repeat: no second effect
+	Turned   bool  // rejected without a look
+	Cold     bool
+}
+
+// Told is what a balancer was told of an upstream.
+type Told struct {
+	Balancer, Upstream int
+	At                 int64
+	Serving            bool
+}
+
+// Overfed is an upstream that was sent more than it bears while it was cold.
+type Overfed struct {
+	Upstream int
+	At       int64
+	Of       float64 // what came, as a multiple of what it could do then
+}
+
+// Outage is a span in which a balancer was killed or stopped by the experiment.
+type Outage struct {
+	Balancer int
+	From, To int64
+	Killed   bool
+}
+
+// Run is all that one run saw.
+type Run struct {
+	Length  int64
+	Tries   []Try
+	Arrived []Arrival
+	Told    []Told
+	Overfed []Overfed
+	Outages []Outage
+	Lag     []int64 // of the lab itself: how late it did what was due, sampled
+	Broken  string  // why the run ended before its time
+}
--- /dev/null
+++ b/internal/lab/report/report.go
@@ -0,0 +1,247 @@
+// Package report words what experiments showed: a table and a verdict for the terminal, JSON to keep, HTML to look at.
+package report
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"ottershift/internal/lab/judge"
+	"ottershift/internal/lab/spec"
+)
+
+// Variant is one way that was tried, over all runs of it.
+type Variant struct {
+	Name string
+	Runs []*judge.Result
+}
+
+// Fault is what went wrong, for pictures.
+type Fault struct {
+	Kind     string
+	From, To float64 // seconds
+}
+
+// Outcome is what one experiment showed.
+type Outcome struct {
+	Name, Title string
+	About       string
+	Seed        uint64
+	Short       bool
+	Length      float64 // seconds
+	Settle      float64
+	Faults      []Fault
+	Variants    []*Variant
+	Verdict     string   // "held", "short" or "void"
+	Words       []string // what the verdict rests on
+}
+
+// New begins an outcome.
+func New(e *spec.Experiment) *Outcome {
+	o := &Outcome{
+		Name: e.Name, Title: e.Title, About: e.About, Seed: e.Seed, Short: e.Short, Length: float64(e.Length) / 1e9,
+		Settle: float64(e.Settle) / 1e9,
+	}
+	for _, f := range e.Faults {
+		o.Faults = append(o.Faults, Fault{f.Kind, float64(f.At) / 1e9, float64(f.At+f.For) / 1e9})
+	}
+	for _, v := range e.Variants {
+		o.Variants = append(o.Variants, &Variant{Name: v})
+	}
+	return o
+}
+
+// ts are the 0.975 quantiles of Student's t by degrees of freedom, from 1.
+var ts = []float64{12.706, 4.303, 3.182, 2.776, 2.571, 2.447, 2.365, 2.306, 2.262, 2.228, 2.201, 2.179, 2.160, 2.145, 2.131, 2.120, 2.110, 2.101, 2.093, 2.086}
+
+// Interval is a mean and the half of its 95% confidence interval, which is NaN for one value alone.
+func Interval(values []float64) (mean, half float64) {
+	n := float64(len(values))
+	for _, v := range values {
+		mean += v / n
+	}
+	if len(values) < 2 {
+		return mean, math.NaN()
+	}
+	sum := 0.0
+	for _, v := range values {
+		sum += (v - mean) * (v - mean)
+	}
+	t := 1.96
+	if len(values)-2 < len(ts) {
+		t = ts[len(values)-2]
+	}
+	return mean, t * math.Sqrt(sum/(n-1)/n)
+}
+
+// Values are a figure in all runs.
+func (v *Variant) Values(figure string) (all []float64) {
+	for _, r := range v.Runs {
+		if f, some := r.Figures[figure]; some {
+			all = append(all, f)
+		}
+	}
+	return all
+}
+
+// Judge comes to the verdict, from the means of all runs; breaches count from each.
+func (o *Outcome) Judge(e *spec.Experiment) {
+	means := map[string]*judge.Result{}
+	o.Verdict = "held"
+	for _, v := range o.Variants {
+		m := &judge.Result{Figures: map[string]float64{}}
+		for _, r := range v.Runs {
+			for name := range r.Figures {
+				values := v.Values(name)
+				if mean, _ := Interval(values); !strings.HasPrefix(name, "rule") && name != "breaches" {
+					m.Figures[name] = mean
+				} else {
+					m.Figures[name] = slices.Max(values)
+				}
+			}
+			if r.Void != "" {
+				o.Verdict = "void"
+				o.Words = append(o.Words, v.Name+": "+r.Void)
+			}
+			if r.Broken != "" && o.Verdict != "void" {
+				o.Verdict = "short"
+				o.Words = append(o.Words, v.Name+" broke off: "+r.Broken)
+			}
+		}
+		means[v.Name] = m
+		// The rules hold for the design without anybody asking.
+		if (v.Name == "design" || v.Name == "no-copies") && m.Figures["breaches"] > 0 && o.Verdict != "void" {
+			o.Verdict = "short"
+			o.Words = append(o.Words, fmt.Sprintf("%s broke the rules %g times", v.Name, m.Figures["breaches"]))
+		}
+	}
+	for _, c := range e.Verdict {
+		ok, left, right := judge.Holds(c, means)
+		word := "held"
+		if !ok {
+			word = "short"
+			if o.Verdict == "held" {
+				o.Verdict = "short"
+			}
+		}
+		o.Words = append(o.Words, fmt.Sprintf("%s: %s (%.4g and %.4g)", word, c.Text, left, right))
+	}
+}
+
+// columns of the table, and how each is written.
+var columns = []struct{ figure, format string }{
+	{"service", "%.4f"}, {"settled", "%.4f"}, {"deferred", "%.4f"}, {"failed", "%.4f"}, {"lost", "%.4f"}, {"attempts", "%.3f"},
+	{"p50", "%.1f"}, {"p99", "%.1f"}, {"p999", "%.1f"}, {"worst", "%.3f"}, {"recover", "%.1f"}, {"breaches", "%g"},
+}
+
+// Table writes what was seen, and the verdict as its last line.
+func (o *Outcome) Table(w io.Writer) {
+	fmt.Fprintf(w, "%s: %s\n", o.Name, o.Title)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprint(t, "variant")
+	for _, c := range columns {
+		fmt.Fprint(t, "\t", c.figure)
+	}
+	fmt.Fprintln(t, "\tlag99")
+	for _, v := range o.Variants {
+		fmt.Fprint(t, v.Name)
+		for _, c := range columns {
+			fmt.Fprint(t, "\t", cell(v.Values(c.figure), c.format))
+		}
+		lag := 0.0
+		for _, r := range v.Runs {
+			lag = max(lag, r.Lag99)
+		}
+		fmt.Fprintf(t, "\t%.1f\n", lag)
+	}
+	t.Flush()
+	for _, v := range o.Variants {
+		for _, r := range v.Runs {
+			for _, x := range r.Examples {
+				fmt.Fprintf(w, "%s: %s\n", v.Name, x)
+			}
+		}
+	}
+	for _, word := range o.Words {
+		fmt.Fprintln(w, word)
+	}
+	fmt.Fprintf(w, "verdict=%s experiment=%s", o.Verdict, o.Name)
+	for _, v := range o.Variants {
+		fmt.Fprintf(w, " %s=%s", v.Name, cell(v.Values("service"), "%.4f"))
+	}
+	fmt.Fprintln(w)
+}
+
+func cell(values []float64, format string) string {
+	if len(values) == 0 {
+		return "-"
+	}
+	mean, half := Interval(values)
+	text := fmt.Sprintf(format, mean)
+	if !math.IsNaN(half) && half > 0 {
+		text += "±" + fmt.Sprintf(format, half)
+	}
+	return text
+}
+
+// Save keeps all of it.
+func (o *Outcome) Save(file string) error {
+	text, err := json.MarshalIndent(o, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(file, append(text, '\n'), 0o644)
+}
+
+// Load reads what Save kept.
+func Load(file string) (*Outcome, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	o := &Outcome{}
+	if err := json.Unmarshal(text, o); err != nil {
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	if len(o.Variants) == 0 {
+		return nil, fmt.Errorf("%s: not the outcome of an experiment", file)
+	}
+	return o, nil
+}
+
+// Compare writes the differences of pairs of runs, b less a, with their intervals.
+func Compare(w io.Writer, nameA, nameB string, a, b []*judge.Result) {
+	n := min(len(a), len(b))
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "figure\t%s\t%s\tdifference\t95%% interval\t\n", nameA, nameB)
+	for _, c := range columns {
+		var as, bs, diff []float64
+		for i := range n {
+			x, one := a[i].Figures[c.figure]
+			y, other := b[i].Figures[c.figure]
+			if one && other {
+				as, bs, diff = append(as, x), append(bs, y), append(diff, y-x)
+			}
+		}
+		if len(diff) == 0 {
+			continue
+		}
+		ma, _ := Interval(as)
+		mb, _ := Interval(bs)
+		d, half := Interval(diff)
+		word := ""
+		switch {
+		case math.IsNaN(half):
+			word = "one pair tells nothing"
+		case d-half > 0 || d+half < 0:
+			word = "differs"
+		}
+		fmt.Fprintf(t, "%s\t"+c.format+"\t"+c.format+"\t"+strings.Replace(c.format, "%", "%+", 1)+"\t[%.4g, %.4g]\t%s\n", c.figure, ma, mb, d, d-half, d+half, word)
+	}
+	t.Flush()
+}
--- /dev/null
+++ b/internal/lab/run/run.go
@@ -0,0 +1,365 @@
+// Package run plays an experiment once: it starts emulated upstreams, discovery and the balancers under test, lets
+// clients loose and faults happen, and returns what was seen from outside.
+package run
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"ottershift/internal/lab/emulate"
+	"ottershift/internal/lab/load"
+	"ottershift/internal/lab/record"
+	"ottershift/internal/lab/spec"
+)
+
+// Options say what is under test.
+type Options struct {
+	Program  string // of the balancers
+	Variant  string // of spec.Variants
+	Dir      string // for configurations and logs
+	Progress func(done float64)
+}
+
+const (
+	readyWithin = 15 * time.Second
+	drainsFor   = 1700 * time.Millisecond // in a deploy, from the word to the end
+	noticed     = 300 * time.Millisecond  // until clients leave a balancer that died
+	longer      = 5 * time.Second         // than all that is out may take
+)
+
+// arguments start a balancer of a variant.
+func arguments(variant, config string) []string {
+	if variant == "design" || variant == "no-copies" {
+		return []string{"serve", "--config", config}
+	}
+	return []string{"lab", "balancer", "--policy", variant, "--config", config}
+}
+
+// balancer is one under test.
+type balancer struct {
+	s       *stage
+	index   int
+	address string
+	args    []string
+	log     *os.File
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	killed  bool // by us
+	ended   chan struct{}
+}
+
+// stage is all that a run consists of.
+type stage struct {
+	e         *spec.Experiment
+	o         Options
+	epoch     time.Time
+	fleet     *emulate.Fleet
+	lists     *emulate.Lists
+	load      *load.Load
+	balancers []*balancer
+	broke     context.CancelCauseFunc
+
+	mu      sync.Mutex
+	outages []record.Outage
+}
+
+// Play plays an experiment. An error means that it could not begin; what broke it later stands in the record.
+func Play(ctx context.Context, e *spec.Experiment, plan []spec.Call, o Options) (*record.Run, error) {
+	s := &stage{e: e, o: o}
+	var err error
+	if s.fleet, err = emulate.NewFleet(e); err != nil {
+		return nil, err
+	}
+	defer s.fleet.Close()
+	if s.lists, err = emulate.NewLists(s.fleet, e.Balancers); err != nil {
+		return nil, err
+	}
+	defer s.lists.Close()
+	ctx, s.broke = context.WithCancelCause(ctx)
+	defer s.broke(nil)
+	defer s.kill()
+	var addresses []string
+	for n := range e.Balancers {
+		b, err := s.balancer(n)
+		if err != nil {
+			return nil, err
+		}
+		s.balancers = append(s.balancers, b)
+		addresses = append(addresses, b.address)
+	}
+	for _, b := range s.balancers {
+		if err := b.ready(ctx); err != nil {
+			return nil, err
+		}
+	}
+
+	s.epoch = time.Now()
+	s.fleet.Begin(s.epoch)
+	s.load = load.New(e, s.epoch, addresses)
+	s.fleet.Call = s.load.Call
+	length := time.Duration(e.Length)
+	longest := time.Duration(0)
+	for _, c := range e.Clients {
+		longest = max(longest, time.Duration(c.Patience))
+	}
+	// Danger: a balancer that hangs must not hold up the lab; clients have limits of their own, and the run has one.
+	ctx, end := context.WithTimeout(ctx, length+longest+longer)
+	defer end()
+	var faults sync.WaitGroup
+	for _, f := range e.Faults {
+		faults.Go(func() { s.fault(ctx, f) })
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.load.Run(ctx, plan)
+	}()
+	tick := time.NewTicker(100 * time.Millisecond)
+	defer tick.Stop()
+	for open := true; open; {
+		select {
+		case <-done:
+			open = false
+		case <-tick.C:
+			if o.Progress != nil {
+				o.Progress(min(1, float64(time.Since(s.epoch))/float64(length)))
+			}
+		}
+	}
+	time.Sleep(100 * time.Millisecond) // what goes out after an answer is seen as well
+	broken := ""
+	if cause := context.Cause(ctx); cause != nil {
+		broken = cause.Error()
+	}
+	end()
+	s.broke(nil)
+	faults.Wait()
+
+	r := &record.Run{Length: e.Length, Told: s.lists.Told(), Outages: s.outages, Broken: broken}
+	s.load.Gather(r)
+	s.fleet.Gather(r)
+	return r, nil
+}
+
+// balancer starts one.
+func (s *stage) balancer(n int) (*balancer, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	address := l.Addr().String()
+	l.Close()
+	file := filepath.Join(s.o.Dir, fmt.Sprintf("balancer-%d.toml", n+1))
+	if err := os.WriteFile(file, s.e.Configuration(n, address, s.lists.Addresses(n), s.o.Variant != "no-copies"), 0o600); err != nil {
+		return nil, err
+	}
+	log, err := os.Create(strings.TrimSuffix(file, ".toml") + ".log")
+	if err != nil {
+		return nil, err
+	}
+	b := &balancer{s: s, index: n, address: address, args: arguments(s.o.Variant, file), log: log}
+	return b, b.start()
+}
+
+func (b *balancer) start() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c := exec.Command(b.s.o.Program, b.args...)
+	c.Stderr, c.Stdout = b.log, b.log
+	if err := c.Start(); err != nil {
+		return err
+	}
+	b.command, b.killed, b.ended = c, false, make(chan struct{})
+	ended := b.ended
+	go func() {
+		err := c.Wait()
+		b.mu.Lock()
+		killed := b.killed
+		b.mu.Unlock()
+		if !killed {
+			b.s.broke(fmt.Errorf("balancer %d ended by itself: %v; its last words: %s", b.index+1, err, b.words()))
+		}
+		close(ended)
+	}()
+	return nil
+}
+
+// words are the last that it logged.
+func (b *balancer) words() string {
+	text, _ := os.ReadFile(b.log.Name())
+	lines := strings.Split(strings.TrimSpace(string(text)), "\n")
+	return lines[len(lines)-1]
+}
+
+// ready waits until it has the list of each pool.
+func (b *balancer) ready(ctx context.Context) error {
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for end := time.Now().Add(readyWithin); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if ctx.Err() != nil {
+			return context.Cause(ctx)
+		}
+		all := true
+		for _, pool := range b.s.e.Pools {
+			a, err := client.Get("http://" + b.address + "/_health?pool=" + pool)
+			if err == nil {
+				a.Body.Close()
+			}
+			all = all && err == nil && a.StatusCode == http.StatusOK
+		}
+		if all {
+			return nil
+		}
+	}
+	return fmt.Errorf("balancer %d was not ready within %s; its last words: %s", b.index+1, readyWithin, b.words())
+}
+
+// stop ends it at once.
+func (b *balancer) stop() {
+	b.mu.Lock()
+	b.killed = true
+	c, ended := b.command, b.ended
+	b.mu.Unlock()
+	c.Process.Kill()
+	<-ended
+}
+
+func (s *stage) kill() {
+	for _, b := range s.balancers {
+		b.stop()
+		b.log.Close()
+	}
+}
+
+// now is the time since the start.
+func (s *stage) now() int64 { return int64(time.Since(s.epoch)) }
+
+// wait waits until some time, and tells whether the run is still on.
+func (s *stage) wait(ctx context.Context, until int64) bool {
+	select {
+	case <-time.After(time.Duration(until - s.now())):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// fault has one thing go wrong, and sets it right again.
+func (s *stage) fault(ctx context.Context, f *spec.Fault) {
+	if !s.wait(ctx, f.At) {
+		return
+	}
+	end := f.At + f.For
+	some := func(do func(u *emulate.Upstream)) {
+		for _, i := range f.Upstreams {
+			do(s.fleet.Upstreams[i])
+		}
+	}
+	share := f.Factor
+	if share == 0 {
+		share = 1
+	}
+	switch f.Kind {
+	case "hang", "fail", "reset", "garbage", "half", "deaf":
+		some(func(u *emulate.Upstream) { u.Trouble(f.Kind, share) })
+		s.wait(ctx, end)
+		some(func(u *emulate.Upstream) { u.Trouble(f.Kind, 0) })
+	case "slow":
+		some(func(u *emulate.Upstream) { u.Hamper(share, u.Group.Cores) })
+		s.wait(ctx, end)
+		some(func(u *emulate.Upstream) { u.Hamper(1, u.Group.Cores) })
+	case "cores":
+		some(func(u *emulate.Upstream) { u.Hamper(1, int(f.Factor)) })
+		s.wait(ctx, end)
+		some(func(u *emulate.Upstream) { u.Hamper(1, u.Group.Cores) })
+	case "die":
+		some(func(u *emulate.Upstream) { u.Die() })
+		s.wait(ctx, end)
+		some(func(u *emulate.Upstream) {
+			u.Rise(false)
+			s.lists.Set(u, "SERVING", true)
+		})
+	case "drain":
+		some(func(u *emulate.Upstream) { s.lists.Set(u, "DRAINING", false) })
+		if s.wait(ctx, end) {
+			some(func(u *emulate.Upstream) { s.lists.Set(u, "SERVING", false) })
+		}
+	case "deploy":
+		var all sync.WaitGroup
+		for n, i := range f.Upstreams {
+			all.Go(func() { s.replace(ctx, s.fleet.Upstreams[i], f.At+f.For*int64(n)/int64(len(f.Upstreams))) })
+		}
+		all.Wait()
+	case "list-down":
+		s.lists.Down(f.Pool, true)
+		s.wait(ctx, end)
+		s.lists.Down(f.Pool, false)
+	case "list-late":
+		s.lists.Late(f.Pool, time.Duration(share*float64(time.Second)))
+		s.wait(ctx, end)
+		s.lists.Late(f.Pool, 0)
+	case "list-lacks":
+		s.lists.Lacks(f.Upstreams, true)
+		s.wait(ctx, end)
+		s.lists.Lacks(f.Upstreams, false)
+	case "balancer-kill", "balancer-stop":
+		var all sync.WaitGroup
+		for _, n := range f.Balancers {
+			all.Go(func() { s.outage(ctx, s.balancers[n], f.Kind == "balancer-kill", end) })
+		}
+		all.Wait()
+	}
+}
+
+// replace is one step of a deploy: an upstream drains, ends, and its successor starts cold under another name.
+func (s *stage) replace(ctx context.Context, u *emulate.Upstream, from int64) {
+	if !s.wait(ctx, from) {
+		return
+	}
+	s.lists.Set(u, "DRAINING", false)
+	if !s.wait(ctx, from+int64(drainsFor)) {
+		return
+	}
+	s.lists.Set(u, "DELETED", false)
+	time.Sleep(time.Duration(s.e.Listed) + 20*time.Millisecond)
+	u.Die()
+	u.Rise(true)
+	s.lists.Set(u, "SERVING", true)
+}
+
+// outage kills or stops a balancer until some time.
+func (s *stage) outage(ctx context.Context, b *balancer, kill bool, end int64) {
+	o := record.Outage{Balancer: b.index, From: s.now(), Killed: kill}
+	var told atomic.Bool
+	if kill {
+		b.stop()
+		time.AfterFunc(noticed, func() { told.Store(true); s.load.Down(b.index, true) })
+	} else {
+		b.command.Process.Signal(syscall.SIGSTOP)
+	}
+	s.wait(ctx, end)
+	if !kill {
+		b.command.Process.Signal(syscall.SIGCONT)
+	} else if ctx.Err() == nil {
+		if b.start() == nil {
+			b.ready(ctx)
+		}
+		if told.Load() {
+			s.load.Down(b.index, false)
+		}
+	}
+	o.To = s.now()
+	s.mu.Lock()
+	s.outages = append(s.outages, o)
+	s.mu.Unlock()
+}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"ottershift/internal/desk"
 	"ottershift/internal/discovery"
 	"ottershift/internal/httpwire"
 	"ottershift/internal/listfile"
@@ -48,8 +49,13 @@
 
 // Start puts a plan to work. Nothing of it is left if that fails.
 func Start(p *plan.Plan, log *slog.Logger, level *slog.LevelVar) (*Process, error) {
+	return StartWith(p, log, level, desk.Design)
+}
+
+// StartWith does so with another module, for the lab.
+func StartWith(p *plan.Plan, log *slog.Logger, level *slog.LevelVar, module desk.Make) (*Process, error) {
 	s := &Process{
-		log: log, own: logs.Own(log), level: level, seed: p.Seed, front: httpwire.New(log), plan: &plan.Plan{},
+		log: log, own: logs.Own(log), level: level, seed: p.Seed, front: httpwire.New(log, module), plan: &plan.Plan{},
 		ended: make(chan error, 1), pools: map[string]*pool{}, listeners: map[string]*httpwire.Listener{},
 	}
 	if s.seed == 0 {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -34,9 +34,19 @@
 	Kept    *atomic.Int32 // connections to it that wait for a push; whoever owns them counts
 }
 
+// Module is what is told of the list: a Balancer, or what the lab sets in its place.
+type Module interface {
+	Known(i int) bool
+	Join() int
+	List(i int, u logic.Upstream, now int64)
+	Drain(i int)
+	Leave(i int)
+	Listed(ok bool, now int64)
+}
+
 // Roster knows which index stands for which upstream of one balancer.
 type Roster[Name comparable] struct {
-	b     *logic.Balancer
+	b     Module
 	zones map[string]int
 	index map[Name]int
 	names []Name
@@ -46,7 +56,7 @@
 }
 
 // New starts an empty roster; zones are numbered by their place.
-func New[Name comparable](b *logic.Balancer, zones []string) *Roster[Name] {
+func New[Name comparable](b Module, zones []string) *Roster[Name] {
 	r := &Roster[Name]{b: b, zones: map[string]int{}, index: map[Name]int{}}
 	for _, z := range zones {
 		r.zone(z)
--- a/internal/settings/tree.go
+++ b/internal/settings/tree.go
@@ -538,3 +538,29 @@
 	t.F.Fault(path, "%s is no point in time with its zone; write it as 2026-12-01T13:00:00Z", show(v))
 	return 0
 }
+
+// Raw is a key's value as it stands, for what another reader understands; variables in it are filled in.
+func (t *Table) Raw(key string) any {
+	v, _ := t.take(key)
+	return plain(v)
+}
+
+func plain(v any) any {
+	switch v := v.(type) {
+	case filled:
+		return string(v)
+	case map[string]any:
+		m := map[string]any{}
+		for k := range v {
+			m[k] = plain(v[k])
+		}
+		return m
+	case []any:
+		all := make([]any, len(v))
+		for i := range v {
+			all[i] = plain(v[i])
+		}
+		return all
+	}
+	return v
+}
