--- a/internal/lab/spec/spec.go
+++ b/internal/lab/spec/spec.go
@@ -223,6 +223,16 @@
 	for _, name := range t.Table("tariffs").Names() {
 		r.e.Tariffs = append(r.e.Tariffs, &Tariff{Name: name, Sizes: work.Sizes{Kind: "exponential", Mean: 10e6}})
 	}
+	// Danger: upstreams warm up sooner in the short form, and a balancer that isn't told so spares them for far longer.
+	if pools, _ := r.e.base["pools"].(map[string]any); r.scale != 1 {
+		for _, p := range pools {
+			if p, ok := p.(map[string]any); ok {
+				if d, err := time.ParseDuration(fmt.Sprint(p["warm_up"])); err == nil {
+					p["warm_up"] = time.Duration(r.scaled(d)).String()
+				}
+			}
+		}
+	}
 	r.e.Customers = t.Table("customers").Names()
 	r.e.Pools = t.Table("pools").Names()
 	if len(r.e.Tariffs) == 0 {
