--- a/cmd/ottershift/flood_test.go
+++ b/cmd/ottershift/flood_test.go
@@ -59,8 +59,8 @@
 	return s.took[int(part*float64(len(s.took)-1))]
 }
 
-// load asks a host at a rate, at times that don't hang on the answers.
-func load(client *http.Transport, address, host string, rate float64, span time.Duration) *seen {
+// openLoad asks a host at a rate, at times that don't hang on the answers.
+func openLoad(client *http.Transport, address, host string, rate float64, span time.Duration) *seen {
 	s := &seen{kinds: map[int]int{}}
 	var open sync.WaitGroup
 	due, end := time.Now(), time.Now().Add(span)
@@ -124,13 +124,13 @@
 				if n == 0 && flooded {
 					rate = flood
 				}
-				all[n] = load(clients[n], balancer.address, host, rate, span)
+				all[n] = openLoad(clients[n], balancer.address, host, rate, span)
 			})
 		}
 		parts.Wait()
 		return all
 	}
-	load(clients[0], balancer.address, hosts[0], part, 3*time.Second)
+	openLoad(clients[0], balancer.address, hosts[0], part, 3*time.Second)
 	for range b.N {
 		var medians, tails []float64
 		for pair := range 4 {
--- a/cmd/ottershift/lab.go
+++ b/cmd/ottershift/lab.go
@@ -12,11 +12,13 @@
 	"slices"
 	"strings"
 	"syscall"
+	"time"
 
 	"github.com/spf13/cobra"
 
 	"ottershift/internal/lab/baseline"
 	"ottershift/internal/lab/judge"
+	"ottershift/internal/lab/load"
 	outcome "ottershift/internal/lab/report"
 	"ottershift/internal/lab/run"
 	"ottershift/internal/lab/spec"
@@ -31,7 +33,7 @@
 		Long: `The lab plays experiments (experiments/*.toml) on loopback: emulated upstreams, clients and faults around balancers that
 are started as processes of their own, judged from outside. docs/lab.md tells how to write one and how to read a outcome.`,
 	}
-	c.AddCommand(labRun(), labList(), labPlan(), labCompare(), labBalancer(reload))
+	c.AddCommand(labRun(), labList(), labPlan(), labCompare(), labReport(), labCeiling(), labRate(), labBalancer(reload))
 	return c
 }
 
@@ -138,14 +140,8 @@
 					return err
 				}
 			}
-			if page != "" {
-				f, err := os.Create(page)
-				if err != nil {
-					return err
-				}
-				if err := errors.Join(out.HTML(f), f.Close()); err != nil {
-					return err
-				}
+			if err := write(out, page); err != nil {
+				return err
 			}
 			if out.Verdict != "held" {
 				return errSaid
@@ -260,6 +256,138 @@
 	return c
 }
 
+func labReport() *cobra.Command {
+	var page, pictures string
+	c := &cobra.Command{
+		Use: "report FILE", Short: "Show again what run --json kept", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			o, err := outcome.Load(args[0])
+			if err != nil {
+				return err
+			}
+			if pictures != "" {
+				if _, err := o.Pictures(pictures); err != nil {
+					return err
+				}
+			}
+			if err := write(o, page); err != nil {
+				return err
+			}
+			o.Table(c.OutOrStdout())
+			return nil
+		},
+	}
+	c.Flags().StringVar(&page, "html", "", "write a report to look at")
+	c.Flags().StringVar(&pictures, "pictures", "", "write its pictures into this folder")
+	return c
+}
+
+// write puts a report into a file, if there is one to write.
+func write(o *outcome.Outcome, file string) error {
+	if file == "" {
+		return nil
+	}
+	f, err := os.Create(file)
+	if err != nil {
+		return err
+	}
+	return errors.Join(o.HTML(f), f.Close())
+}
+
+func labCeiling() *cobra.Command {
+	var span time.Duration
+	c := &cobra.Command{
+		Use: "ceiling", Short: "Measure the lab itself, against an upstream that answers at once", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			top, err := load.Ceiling(span)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(c.OutOrStdout(), "ceiling %.0f calls a second\n", top)
+			for _, share := range []float64{0.01, 0.1, 0.5} {
+				own, err := load.Own(top*share, span)
+				if err != nil {
+					return err
+				}
+				fmt.Fprintf(c.OutOrStdout(), "at %g%%: %.0f calls a second, own error of latency: half within %s, 99 in 100 within %s, at most %s\n",
+					100*share, own.Rate, own.P50, own.P99, own.Most)
+			}
+			return nil
+		},
+	}
+	c.Flags().DurationVar(&span, "for", 5*time.Second, "how long each measurement lasts")
+	return c
+}
+
+// labRate measures what balancers pass on at most, in turns.
+func labRate() *cobra.Command {
+	var span time.Duration
+	var clients []int
+	var rounds int
+	var cores float64
+	c := &cobra.Command{
+		Use: "rate [PROGRAM...]", Short: "Measure what balancers pass on at most, before upstreams that answer at once",
+		Long: `Each program is started by the platform's JSON, which every build understands, and asked by clients that ask again as soon
+as they are answered; "straight" asks an upstream without a balancer. Programs take turns, round by round.`,
+		RunE: func(c *cobra.Command, programs []string) error {
+			if len(programs) == 0 {
+				own, err := os.Executable()
+				if err != nil {
+					return err
+				}
+				programs = []string{own}
+			}
+			best := map[string]map[int][]float64{}
+			for round := range rounds {
+				for _, name := range append([]string{"straight"}, programs...) {
+					program := name
+					if name == "straight" {
+						program = ""
+					}
+					if best[name] == nil {
+						best[name] = map[int][]float64{}
+					}
+					for _, n := range clients {
+						dir, err := os.MkdirTemp("", "ottershift-lab")
+						if err != nil {
+							return err
+						}
+						rig, err := load.NewRig(program, dir, cores)
+						if err != nil {
+							return err
+						}
+						t := rig.Closed(n, span)
+						rig.Close()
+						os.RemoveAll(dir)
+						best[name][n] = append(best[name][n], t.Rate)
+						fmt.Fprintf(c.OutOrStdout(), "round %d %-28s clients=%d rate=%.0f p50=%s p99=%s pushes=%.4f other=%d memory=%.1fMB\n", round+1,
+							name, n, t.Rate, t.P50, t.P99, t.Pushes, t.Other, float64(t.Memory)/(1<<20))
+					}
+				}
+			}
+			for _, n := range clients {
+				fmt.Fprintf(c.OutOrStdout(), "clients=%d", n)
+				first := 0.0
+				for i, name := range append([]string{"straight"}, programs...) {
+					mean, _ := outcome.Interval(best[name][n])
+					if fmt.Fprintf(c.OutOrStdout(), " %s=%.0f", name, mean); i == 1 {
+						first = mean
+					} else if i > 1 {
+						fmt.Fprintf(c.OutOrStdout(), " (%.2f of the first)", mean/first)
+					}
+				}
+				fmt.Fprintln(c.OutOrStdout())
+			}
+			return nil
+		},
+	}
+	c.Flags().DurationVar(&span, "for", 3*time.Second, "how long each measurement lasts")
+	c.Flags().IntSliceVar(&clients, "clients", []int{1, 8, 32, 128, 512}, "how many ask at once")
+	c.Flags().IntVar(&rounds, "rounds", 1, "how often")
+	c.Flags().Float64Var(&cores, "cores", 1, "limits.cores of the balancers")
+	return c
+}
+
 // labBalancer serves with a plain policy, for comparisons only.
 func labBalancer(reload <-chan os.Signal) *cobra.Command {
 	var policy, file string
--- a/cmd/ottershift/ottershift_test.go
+++ b/cmd/ottershift/ottershift_test.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"ottershift/internal/desk"
+	"ottershift/internal/lateness"
 	"ottershift/internal/plan"
 )
 
@@ -1195,7 +1196,7 @@
 			return
 		}
 		pool := o.Pools[0]
-		d, err := desk.New(pool.Book, slog.New(slog.DiscardHandler), desk.Design)
+		d, err := desk.New(pool.Book, slog.New(slog.DiscardHandler), desk.Design, lateness.New())
 		if err != nil {
 			return
 		}
--- a/internal/httpwire/drain.go
+++ b/internal/httpwire/drain.go
@@ -60,7 +60,7 @@
 	if f.server.Shutdown(ctx) != nil {
 		forfeited := 0
 		for _, p := range pools {
-			forfeited += p.desk.Close()
+			forfeited += p.forfeit()
 		}
 		ctx, stop := context.WithTimeout(context.Background(), 150*time.Millisecond)
 		defer stop()
--- a/internal/httpwire/httpwire_test.go
+++ b/internal/httpwire/httpwire_test.go
@@ -23,13 +23,13 @@
 )
 
 // front is a front with one pool, which takes all.
-func front(t testing.TB) (*Front, *Pool) {
+func front(t testing.TB) (*Front, *shard) {
 	book := terms.Read(fastjson.MustParse(`{"fleet_size":1,"layer":1,"zone":"a","limits":{"max_pushes":2},
 		"guarantees":{"cold_from":0.5},"tenants":[{"name":"acme","quota_rps":9}],
 		"tariffs":[{"name":"view","hard_stop":1000000,"effect":"idempotent"},
 		{"name":"load","hard_stop":1000000,"effect":"deduplicated"}]}`), 1)
 	f := New(slog.New(slog.DiscardHandler), desk.Design)
-	f.Limit(100)
+	f.Limit(100, 1)
 	p, err := f.NewPool("main", book)
 	if err != nil {
 		t.Fatal(err)
@@ -37,7 +37,7 @@
 	f.Alone()
 	f.Show(&Board{Only: p})
 	t.Cleanup(p.Retire)
-	return f, p
+	return f, p.shards[0]
 }
 
 // outwards is a pool's connections.
@@ -100,7 +100,7 @@
 }
 
 // hand holds nothing of a pool's part.
-func hand(p *Pool) *inHand { return &inHand{part: p.part, over: true} }
+func hand(p *shard) *inHand { return &inHand{part: p.part, over: true} }
 
 // broken is a context that panics in the middle of a transaction's life.
 type broken struct{ context.Context }
--- a/internal/httpwire/pool.go
+++ b/internal/httpwire/pool.go
@@ -3,25 +3,27 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"ottershift/internal/desk"
+	"ottershift/internal/pressure"
 	"ottershift/internal/roster"
 	"ottershift/internal/terms"
 )
 
-// Pool is one service: its desk, its connections to upstreams, its part of what is common.
+// Pool is one service: its shards, its part of what is common.
 type Pool struct {
-	Name  string
-	front *Front
-	desk  *desk.Desk
-	book  *terms.Book
-	log   *slog.Logger
-	part  *part
-	out   *outbound
-	ids   ids
+	Name   string
+	front  *Front
+	shards []*shard
+	book   *terms.Book
+	log    *slog.Logger
+	part   *part
+	ids    ids
+	valve  valve
 
 	stands atomic.Bool // the list does
 
@@ -32,26 +34,84 @@
 	end     context.CancelFunc
 }
 
+// shard is what a pool does on one core: a desk with a module of its own, and connections to upstreams of its own. To
+// the modules the shards of a process are as many balancers as there are; clients belong to one by their connection.
+type shard struct {
+	*Pool
+	desk *desk.Desk
+	out  *outbound
+}
+
 // NewPool makes a pool, which takes transactions once a board shows it. Retire ends it.
 func (f *Front) NewPool(name string, book *terms.Book) (*Pool, error) {
 	p := &Pool{
 		Name: name, front: f, book: book, log: f.base.With("pool", name), ids: ids{open: map[string]struct{}{}},
 		empty: make(chan struct{}),
 	}
-	var err error
-	if p.desk, err = desk.New(book, p.log, f.module); err != nil {
-		return nil, err
-	}
 	p.part = f.common.enter()
-	p.out = newOutbound(f.sockets, p.part, book)
+	for n := range f.cores {
+		sh := &shard{Pool: p}
+		var err error
+		if sh.desk, err = desk.New(book.Part(n, f.cores), p.log, f.module, f.late); err != nil {
+			for _, made := range p.shards {
+				made.desk.Stop()
+			}
+			f.common.exit(p.part)
+			return nil, err
+		}
+		sh.out = newOutbound(f.sockets, p.part, book)
+		p.shards = append(p.shards, sh)
+	}
+	p.valve.Valve = newValve(book)
 	f.sockets.join(p)
 	ctx, end := context.WithCancel(context.Background())
 	p.end = end
-	go p.probe(ctx)
+	for _, sh := range p.shards {
+		go sh.probe(ctx)
+	}
 	go p.tallies(ctx)
 	return p, nil
 }
 
+// valve turns work away while the process itself is the slow part.
+type valve struct {
+	mu sync.Mutex
+	*pressure.Valve
+}
+
+const (
+	lateFor   = 8                     // a part of the shortest contract time, by which the process may be late
+	leastLate = 10 * time.Millisecond // and by which it may in any case
+)
+
+func newValve(book *terms.Book) *pressure.Valve {
+	bound, worth := int64(time.Second), []float64{}
+	for _, f := range book.Terms.Tariffs {
+		bound = min(bound, f.ContractTime/lateFor)
+		worth = append(worth, f.Earnings)
+	}
+	return pressure.NewValve(max(bound, int64(leastLate)), worth)
+}
+
+// bears reports whether the process may take work of a tariff now.
+func (p *Pool) bears(tariff int) bool {
+	own := int64(p.front.late.Own())
+	p.valve.mu.Lock()
+	defer p.valve.mu.Unlock()
+	return p.valve.Admit(tariff, own, p.front.common.now(), rand.Float64())
+}
+
+// shard is the one that a client's connection belongs to.
+func (p *Pool) shard(client *counted) *shard {
+	if client == nil {
+		return p.shards[0]
+	}
+	return p.shards[client.number%uint64(len(p.shards))]
+}
+
+// Shards is how many there are.
+func (p *Pool) Shards() int { return len(p.shards) }
+
 // Book is what the pool was told.
 func (p *Pool) Book() *terms.Book { return p.book }
 
@@ -60,19 +120,24 @@
 
 // List implements lists.Sink, as do Unlisted and Follow.
 func (p *Pool) List(entries []roster.Entry[string], whole bool) {
-	left := p.desk.List(entries, whole)
+	for _, sh := range p.shards {
+		sh.out.leave(sh.desk.List(entries, whole))
+	}
 	p.stands.Store(true)
-	p.out.leave(left)
 }
 
 // Unlisted implements lists.Sink.
-func (p *Pool) Unlisted() { p.desk.Unlisted() }
+func (p *Pool) Unlisted() {
+	for _, sh := range p.shards {
+		sh.desk.Unlisted()
+	}
+}
 
-// Follow implements lists.Sink.
-func (p *Pool) Follow() <-chan struct{} { return p.desk.Follow() }
+// Follow implements lists.Sink. All shards are told whatever one of them asks for.
+func (p *Pool) Follow() <-chan struct{} { return p.shards[0].desk.Follow() }
 
 // Entries is the pool's list as it stands.
-func (p *Pool) Entries() []roster.Entry[string] { return p.desk.Entries() }
+func (p *Pool) Entries() []roster.Entry[string] { return p.shards[0].desk.Entries() }
 
 // enter counts a transaction in, unless the pool is retired.
 func (p *Pool) enter() bool {
@@ -120,15 +185,17 @@
 	select {
 	case <-p.empty:
 	case <-time.After(p.longest() + lastAnswers):
-		forfeited = p.desk.Close() // Danger: the module lost track of one, and the pool would never go
+		forfeited = p.forfeit() // Danger: the module lost track of one, and the pool would never go
 		select {
 		case <-p.empty:
 		case <-time.After(writeLimit):
 		}
 	}
 	p.end()
-	p.desk.Stop()
-	p.out.end()
+	for _, sh := range p.shards {
+		sh.desk.Stop()
+		sh.out.end()
+	}
 	p.logTally()
 	p.front.sockets.part(p)
 	for range 200 { // pushes that were called off are giving back their connections
@@ -140,3 +207,18 @@
 	p.front.common.exit(p.part)
 	p.log.Info("retire", "step", "end", "forfeited", forfeited, "took", time.Since(start).Round(time.Millisecond))
 }
+
+// forfeit ends all that is open.
+func (p *Pool) forfeit() (n int) {
+	for _, sh := range p.shards {
+		n += sh.desk.Close()
+	}
+	return n
+}
+
+// recall closes the connections that lie idle.
+func (p *Pool) recall() {
+	for _, sh := range p.shards {
+		sh.out.transport.CloseIdleConnections()
+	}
+}
--- a/internal/httpwire/push.go
+++ b/internal/httpwire/push.go
@@ -28,7 +28,7 @@
 func (once) Close() error { return nil }
 
 // push carries one push to its outcome.
-func (p *Pool) push(c *desk.Case, o *desk.Push, q *transaction, out *gate, hand *inHand, into *reply) {
+func (p *shard) push(c *desk.Case, o *desk.Push, q *transaction, out *gate, hand *inHand, into *reply) {
 	result := logic.Broken // it may have run, unless it is known better
 	defer func() {
 		if what := recover(); what != nil {
@@ -40,7 +40,7 @@
 }
 
 // strike gives back the pushes that were ordered and not begun when the transaction ended.
-func (p *Pool) strike(c *desk.Case) {
+func (p *shard) strike(c *desk.Case) {
 	for {
 		select {
 		case o := <-c.Pushes:
@@ -52,7 +52,7 @@
 }
 
 // carry sends the request once and takes what comes back.
-func (p *Pool) carry(o *desk.Push, q *transaction, out *gate, hand *inHand, into *reply) logic.Result {
+func (p *shard) carry(o *desk.Push, q *transaction, out *gate, hand *inHand, into *reply) logic.Result {
 	on := &ride{gate: out}
 	defer on.alight()
 	var cut atomic.Bool // before its last byte was written
@@ -112,7 +112,7 @@
 }
 
 // into keeps an answer for its client.
-func (p *Pool) into(r *reply, answer *http.Response, body []byte) {
+func (p *shard) into(r *reply, answer *http.Response, body []byte) {
 	*r = reply{answer.StatusCode, endToEnd(answer.Header), answer.Header["Content-Length"], body}
 }
 
@@ -137,7 +137,7 @@
 }
 
 // probe carries out the module's probes until the pool ends.
-func (p *Pool) probe(ctx context.Context) {
+func (p *shard) probe(ctx context.Context) {
 	for {
 		select {
 		case order := <-p.desk.Probes():
@@ -153,7 +153,7 @@
 }
 
 // ping asks an upstream for a sign of life, which may take as long as two connections to it.
-func (p *Pool) ping(ctx context.Context, at roster.Place) bool {
+func (p *shard) ping(ctx context.Context, at roster.Place) bool {
 	until := time.Now().Add(2 * p.book.DialTimeout)
 	ctx, end := context.WithDeadline(ctx, until)
 	defer end()
--- a/internal/httpwire/serve.go
+++ b/internal/httpwire/serve.go
@@ -7,14 +7,17 @@
 package httpwire
 
 import (
+	"context"
 	"log/slog"
 	"net/http"
 	"net/url"
 	"runtime/debug"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"ottershift/internal/desk"
+	"ottershift/internal/lateness"
 	"ottershift/internal/logs"
 	"ottershift/internal/routes"
 )
@@ -27,6 +30,8 @@
 	common  *common
 	server  *http.Server
 	module  desk.Make
+	cores   int
+	late    *lateness.Meter
 	board   atomic.Pointer[Board]
 	closing atomic.Bool // no new clients are wanted
 	last    atomic.Bool // connections end with their answers
@@ -41,7 +46,7 @@
 
 // New makes a front, which serves nobody until it has a board; module decides for each of its pools.
 func New(log *slog.Logger, module desk.Make) *Front {
-	f := &Front{module: module, log: logs.Own(log), base: log, sockets: newSockets(), common: newCommon()}
+	f := &Front{module: module, cores: 1, late: lateness.New(), log: logs.Own(log), base: log, sockets: newSockets(), common: newCommon()}
 	f.board.Store(&Board{})
 	f.server = &http.Server{
 		Handler: f, ReadHeaderTimeout: headLimit, IdleTimeout: idleLimit, MaxHeaderBytes: mostHeader,
@@ -51,8 +56,21 @@
 	return f
 }
 
-// Limit is how many descriptors the front may hold. It comes before any pool.
-func (f *Front) Limit(descriptors int) { f.sockets.limit.Store(int64(descriptors)) }
+// Limit is how many descriptors the front may hold, and on how many cores pools that are made from now on work. It
+// comes before any pool.
+func (f *Front) Limit(descriptors, cores int) {
+	f.sockets.limit.Store(int64(descriptors))
+	f.cores = max(cores, 1)
+}
+
+// Watch measures how late the process is, until the context ends.
+func (f *Front) Watch(ctx context.Context) error {
+	return f.late.Run(ctx, func() bool {
+		return slices.ContainsFunc(f.sockets.all(), func(p *Pool) bool {
+			return slices.ContainsFunc(p.shards, func(sh *shard) bool { return sh.desk.Open() > 0 })
+		})
+	})
+}
 
 // Alone lets the one pool there is have all that is common.
 func (f *Front) Alone() { f.common.alone() }
@@ -72,7 +90,7 @@
 
 // ServeHTTP is the life of one transaction.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	var p *Pool
+	var p *shard
 	var c *desk.Case
 	client := clientOf(r.Context())
 	out := gateOf(client)
@@ -94,12 +112,13 @@
 		return
 	}
 
-	p, tariff, no := f.route(r, client)
-	if p == nil {
+	pool, tariff, no := f.route(r, client)
+	if pool == nil {
 		f.reject(w, no)
 		return
 	}
-	defer p.exit()
+	defer pool.exit()
+	p = pool.shard(client)
 	q, no := read(r, p.book, tariff)
 	if no == nil && !p.ids.claim(q.id) {
 		no = bad("X-Txn is that of an open transaction")
@@ -111,7 +130,11 @@
 	defer p.ids.free(q.id)
 	f.sockets.busy(client, p.part)
 	held := max(r.ContentLength, 0)
-	if ok, rest := p.part.take(held, q.left); !ok {
+	ok, rest := p.bears(q.tariff), time.Duration(0)
+	if ok {
+		ok, rest = p.part.take(held, q.left)
+	}
+	if !ok {
 		p.desk.Turn()
 		f.defers(w, time.Duration(p.book.Terms.Backoff(p.book.Terms.Tariffs[q.tariff])))
 		// Danger: a flood that is refused as fast as it comes uses up the core. It has its answer; what rests is the
--- a/internal/httpwire/sockets.go
+++ b/internal/httpwire/sockets.go
@@ -27,6 +27,8 @@
 	in    atomic.Int64
 	out   atomic.Int64
 
+	number atomic.Uint64 // of the last client
+
 	mu        sync.Mutex
 	strangers list.List            // clients' connections that never had a transaction, the longest so first
 	kept      map[*part]*list.List // those that had, and have none now, by the pool of the last one
@@ -154,7 +156,7 @@
 		pool := s.pools[p]
 		s.mu.Unlock()
 		if pool != nil {
-			pool.out.transport.CloseIdleConnections()
+			pool.recall()
 		}
 	}
 }
@@ -162,7 +164,7 @@
 // recallAll does so with all of them.
 func (s *sockets) recallAll() {
 	for _, p := range s.all() {
-		p.out.transport.CloseIdleConnections()
+		p.recall()
 	}
 }
 
@@ -196,6 +198,7 @@
 	once     sync.Once
 	since    time.Time
 	listener *Listener // a client's
+	number   uint64    // of a client's, by which it belongs to a shard
 	pool     *part     // a client's: to which its last transaction came, nil for a stranger; under the lock of sockets
 }
 
@@ -228,5 +231,5 @@
 	if s.in.Add(1)+s.out.Load() > s.limit.Load()-s.reserve()/2 {
 		s.recallAll()
 	}
-	return &counted{TCPConn: c.(*net.TCPConn), count: &s.in, listener: l}, nil
+	return &counted{TCPConn: c.(*net.TCPConn), count: &s.in, listener: l, number: s.number.Add(1)}, nil
 }
--- a/internal/httpwire/tally.go
+++ b/internal/httpwire/tally.go
@@ -25,7 +25,10 @@
 }
 
 func (p *Pool) logTally() {
-	t := p.desk.Tally()
+	var t desk.Tally
+	for _, sh := range p.shards {
+		t.Add(sh.desk.Tally())
+	}
 	if t.Arrived == 0 && t.Open == 0 {
 		return
 	}
--- a/internal/lab/emulate/upstream.go
+++ b/internal/lab/emulate/upstream.go
@@ -363,7 +363,8 @@
 		u.mu.Unlock()
 		u.fleet.untag(mine, v.effect != 0)
 		if !v.done {
-			return
+			// Danger: a handler that ends without a word answers 200, though what it was asked for is lost.
+			panic(http.ErrAbortHandler)
 		}
 	}
 	if u.Group.Calls != nil && !u.next(r, root) {
--- /dev/null
+++ b/internal/lab/judge/judge_test.go
@@ -0,0 +1,79 @@
+package judge
+
+import (
+	"strings"
+	"testing"
+
+	"ottershift/internal/lab/record"
+	"ottershift/internal/lab/spec"
+)
+
+const text = `title = "x"
+length = "10s"
+settle = "0s"
+[tariffs.view]
+repeat = "repeatable"
+contract_time = "100ms"
+hard_stop = "1s"
+late_earnings = 0.25
+[pools.album]
+[upstreams.album]
+count = 2
+[[clients]]
+rate = 1
+shape = "constant"
+retries = 1
+[[faults]]
+kind = "hang"
+at = "3s"
+for = "2s"
+`
+
+// Earnings count from when the first try was due, a late answer earns its part, what was never sent is asked for all the
+// same, and recovery is told from the end of the last fault.
+func TestService(t *testing.T) {
+	e, faults := spec.Parse("x.toml", []byte(text), false)
+	if e == nil {
+		t.Fatal(faults)
+	}
+	r := &record.Run{Length: e.Length}
+	for n, c := range e.Load() {
+		if c.Due >= 9*second {
+			continue // broken off: not sent
+		}
+		try := record.Try{Root: c.Root, ID: string(rune('a' + n)), Due: c.Due, Sent: c.Due, Left: second, Status: 200, Answered: c.Due + 50*ms}
+		switch c.Due / second {
+		case 3, 4:
+			try.Status = 503
+		case 5: // a retry earns by its first try's due time
+			first := try
+			first.ID, first.Status = first.ID+"0", 503
+			r.Tries = append(r.Tries, first)
+			try.Number, try.Sent, try.Answered = 1, c.Due+400*ms, c.Due+450*ms
+		}
+		r.Tries = append(r.Tries, try)
+		r.Arrived = append(r.Arrived, record.Arrival{ID: try.ID, Root: c.Root, At: try.Sent + ms, Ran: true, Effect: try.Answered})
+	}
+	out := Judge(e, r)
+	asked := out.Figures["asked"]
+	if want := (asked - 4 + 0.25) / asked; out.Figures["breaches"] != 0 || asked < 9 || out.Figures["service"] < want-0.02 || out.Figures["service"] > want+0.02 {
+		t.Errorf("%v: %q", out.Figures, out.Examples)
+	}
+	if got := out.Figures["recover"]; got != 1 {
+		t.Errorf("back after %g s", got)
+	}
+	// A lab that was late itself says so, whatever it saw.
+	r.Lag = []int64{ms, 30 * ms, 30 * ms}
+	if out := Judge(e, r); !strings.Contains(out.Void, "30.0 ms late") {
+		t.Errorf("%q", out.Void)
+	}
+	// A balancer that the experiment itself killed is excused, another isn't.
+	r.Tries[0].Status, r.Tries[0].Closed = 0, true
+	if out := Judge(e, r); out.Figures["rule1"] != 1 {
+		t.Errorf("%v", out.Figures)
+	}
+	r.Outages = []record.Outage{{Balancer: 0, From: 0, To: 5 * second, Killed: true}}
+	if out := Judge(e, r); out.Figures["rule1"] != 0 {
+		t.Errorf("%v", out.Figures)
+	}
+}
--- /dev/null
+++ b/internal/lab/load/ceiling.go
@@ -0,0 +1,115 @@
+package load
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"ottershift/internal/lab/record"
+	"ottershift/internal/lab/spec"
+	"ottershift/logic"
+)
+
+// atOnce is an upstream that answers at once, so that all time is the lab's own.
+func atOnce() (net.Listener, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				for in := bufio.NewReader(c); ; {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					text := "ok " + r.Header.Get("X-Txn") + " x\n"
+					fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+				}
+			}()
+		}
+	}()
+	return l, nil
+}
+
+// experiment is one kind of clients at some rate.
+func experiment(rate float64, span time.Duration) *spec.Experiment {
+	second := int64(time.Second)
+	return &spec.Experiment{
+		Seed: 1, Length: int64(span), Pools: []string{"p"},
+		Tariffs: []*spec.Tariff{{Name: "view", Tariff: &logic.Tariff{Repeat: logic.Repeatable, ContractTime: second, HardStop: 5 * second}}},
+		Clients: []*spec.Clients{{Name: "c", Rate: rate, Shape: "poisson", Patience: 5 * second, Kept: true}},
+	}
+}
+
+// Ceiling is how many calls a second the lab's clients make at most, each waiting for its answer before the next.
+func Ceiling(span time.Duration) (float64, error) {
+	l, err := atOnce()
+	if err != nil {
+		return 0, err
+	}
+	defer l.Close()
+	best := 0.0
+	for _, clients := range []int{runtime.GOMAXPROCS(0), 4 * runtime.GOMAXPROCS(0), 16 * runtime.GOMAXPROCS(0)} {
+		p := New(experiment(1, span), time.Now(), []string{l.Addr().String()})
+		var made atomic.Int64
+		var all sync.WaitGroup
+		end := time.Now().Add(span / 3)
+		for n := range clients {
+			all.Go(func() {
+				for i := uint64(0); time.Now().Before(end); i++ {
+					if a, _ := p.try(0, 0, 0, "", "", uint64(n)<<32+i, 5*time.Second, false, 0); a.Status == 200 {
+						made.Add(1)
+					}
+				}
+			})
+		}
+		all.Wait()
+		p.Gather(&record.Run{})
+		best = max(best, float64(made.Load())/(span/3).Seconds())
+	}
+	return best, nil
+}
+
+// Error is the lab's own, in a latency that should be nothing.
+type Error struct {
+	Rate           float64
+	P50, P99, Most time.Duration
+}
+
+// Own plays an open load at a rate and tells how long after each call was due its answer was there.
+func Own(rate float64, span time.Duration) (e Error, err error) {
+	l, err := atOnce()
+	if err != nil {
+		return e, err
+	}
+	defer l.Close()
+	x := experiment(rate, span)
+	p, r := New(x, time.Now(), []string{l.Addr().String()}), &record.Run{}
+	p.Run(context.Background(), x.Load())
+	p.Gather(r)
+	h := hdrhistogram.New(1, int64(time.Minute), 3)
+	for _, t := range r.Tries {
+		if t.Status == 200 {
+			h.RecordValue(max(1, t.Answered-t.Due))
+		}
+	}
+	return Error{
+		Rate: float64(h.TotalCount()) / span.Seconds(), P50: time.Duration(h.ValueAtQuantile(50)).Round(time.Microsecond),
+		P99: time.Duration(h.ValueAtQuantile(99)).Round(time.Microsecond), Most: time.Duration(h.Max()).Round(time.Microsecond),
+	}, nil
+}
--- /dev/null
+++ b/internal/lab/load/rate.go
@@ -0,0 +1,187 @@
+package load
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"ottershift/internal/lab/record"
+)
+
+// Through is what a balancer passes on at most.
+type Through struct {
+	Clients  int
+	Rate     float64 // settled a second
+	Other    int     // answered anything else, or not at all
+	P50, P99 time.Duration
+	Pushes   float64 // for each transaction
+	Memory   int64   // bytes resident at the end
+}
+
+// Rig is one balancer between upstreams that answer at once and clients that ask again as soon as they are answered.
+type Rig struct {
+	command *exec.Cmd
+	lists   []net.Listener
+	pushes  atomic.Int64
+	log     *os.File
+	target  string
+}
+
+const rigUpstreams = 8
+
+// NewRig starts a program by the platform's JSON, which every build of it understands. Without a program clients ask an
+// upstream straight.
+func NewRig(program, dir string, cores float64) (r *Rig, err error) {
+	r = &Rig{}
+	defer func() {
+		if err != nil {
+			r.Close()
+		}
+	}()
+	var entries []string
+	for n := range rigUpstreams {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return r, err
+		}
+		r.lists = append(r.lists, l)
+		go r.serve(l)
+		entries = append(entries, fmt.Sprintf(`{"name":"u%d","address":%q,"zone":"a","type":"m","group":1,"status":"SERVING","weight":1,"since_ms":0}`, n, l.Addr()))
+	}
+	if program == "" {
+		r.target = r.lists[0].Addr().String()
+		return r, nil
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return r, err
+	}
+	r.target = l.Addr().String()
+	l.Close()
+	config := fmt.Sprintf(`{"name":"rig","listen":%q,"discovery":"127.0.0.1:1","seed":"8c","limits":{"cores":%g,"memory_mb":1024,"sockets":8192},
+"known":{"index":1,"snapshot":true,"endpoints":[%s]},"settings":{"fleet_size":1,"self_index":0,"layer":0,"zone":"a","zones":["a"],
+"registry_mode":"push","limits":{"cancelling":true,"max_pushes":4,"probes":true,"second_copies":true,"dial_timeout":500000,"idle_close":30000000},
+"guarantees":{"cold_from":0.2,"ramp_time":9000000,"fall_multiple":3,"overload_for":1000000},
+"tariffs":[{"name":"view","effect":"idempotent","contract_time":1000000,"hard_stop":2500000,"earnings":1,"late_earnings":0.5}]}}`,
+		r.target, cores, strings.Join(entries, ","))
+	file := filepath.Join(dir, "rig.json")
+	if err := os.WriteFile(file, []byte(config), 0o600); err != nil {
+		return r, err
+	}
+	if r.log, err = os.Create(filepath.Join(dir, "rig.log")); err != nil {
+		return r, err
+	}
+	r.command = exec.Command(program)
+	r.command.Env = append(os.Environ(), "PROXY_CONFIG="+file)
+	r.command.Stderr = r.log
+	if err := r.command.Start(); err != nil {
+		r.command = nil
+		return r, err
+	}
+	for range 200 {
+		if a, err := http.Get("http://" + r.target + "/_health"); err == nil {
+			a.Body.Close()
+			if a.StatusCode == http.StatusOK {
+				return r, nil
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return r, fmt.Errorf("%s was not ready", program)
+}
+
+func (r *Rig) serve(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer c.Close()
+			for in := bufio.NewReader(c); ; {
+				q, err := http.ReadRequest(in)
+				if err != nil {
+					return
+				}
+				r.pushes.Add(1)
+				text := "ok " + q.Header.Get("X-Txn") + " x\n"
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+			}
+		}()
+	}
+}
+
+// Close ends it.
+func (r *Rig) Close() {
+	if r.command != nil {
+		r.command.Process.Kill()
+		r.command.Wait()
+	}
+	for _, l := range r.lists {
+		l.Close()
+	}
+	if r.log != nil {
+		r.log.Close()
+	}
+}
+
+// Closed has some clients ask for some time, each again as soon as it is answered. The first fifth isn't counted.
+func (r *Rig) Closed(clients int, span time.Duration) Through {
+	p := New(experiment(1, span), time.Now(), []string{r.target})
+	defer p.Gather(&record.Run{})
+	h := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
+	t, counted := Through{Clients: clients}, span*4/5
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	start := time.Now()
+	from, end := start.Add(span/5), start.Add(span)
+	var before atomic.Int64
+	time.AfterFunc(span/5, func() { before.Store(r.pushes.Load()) })
+	for n := range clients {
+		all.Go(func() {
+			var took []time.Duration
+			other := 0
+			for i := uint64(0); time.Now().Before(end); i++ {
+				began := time.Now()
+				a, _ := p.try(0, 0, 0, "", "", uint64(n)<<32+i, 5*time.Second, false, 0)
+				if began.Before(from) {
+					continue
+				}
+				if a.Status == http.StatusOK {
+					took = append(took, time.Since(began))
+				} else {
+					other++
+				}
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			t.Other += other
+			for _, d := range took {
+				h.RecordValue(max(1, d.Microseconds()))
+			}
+		})
+	}
+	all.Wait()
+	pushes := r.pushes.Load() - before.Load()
+	t.Rate = float64(h.TotalCount()) / counted.Seconds()
+	t.P50 = time.Duration(h.ValueAtQuantile(50)) * time.Microsecond
+	t.P99 = time.Duration(h.ValueAtQuantile(99)) * time.Microsecond
+	t.Pushes = float64(pushes) / float64(max(h.TotalCount()+int64(t.Other), 1))
+	if r.command != nil {
+		text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", r.command.Process.Pid))
+		_, rest, _ := strings.Cut(string(text), "VmRSS:")
+		fmt.Sscan(rest, &t.Memory)
+		t.Memory <<= 10
+	}
+	return t
+}
--- a/internal/lab/report/html.go
+++ b/internal/lab/report/html.go
@@ -5,6 +5,8 @@
 	"html"
 	"io"
 	"math"
+	"os"
+	"path/filepath"
 	"strings"
 
 	"ottershift/internal/lab/judge"
@@ -31,7 +33,7 @@
 	fmt.Fprintf(&b, `<!doctype html><html lang="en"><meta charset="utf-8"><title>%s</title>
 <style>body{font:15px/1.45 system-ui,sans-serif;color:%s;max-width:820px;margin:2em auto;padding:0 1em}table{border-collapse:collapse}
 td,th{padding:.15em .6em;text-align:right;border-bottom:1px solid %s}td:first-child,th:first-child{text-align:left}
-h2{margin-top:2em}figure{margin:.6em 0}figcaption{font-size:13px}svg{max-width:100%%;height:auto}.void,.short{color:#a30}.held{color:#060}</style>
+h2{margin-top:2em}figure{margin:.6em 0}svg{max-width:100%%;height:auto}.void,.short{color:#a30}.held{color:#060}</style>
 <h1>%s</h1><p>%s</p><p>%s</p><p class="%s"><b>verdict: %s</b></p><ul>`, esc(o.Name), ink, faint, esc(o.Name), esc(o.Title), esc(o.About), o.Verdict, o.Verdict)
 	for _, word := range o.Words {
 		fmt.Fprintf(&b, "<li>%s</li>", esc(word))
@@ -53,24 +55,59 @@
 		if len(v.Runs) == 0 {
 			continue
 		}
-		r := v.Runs[0]
 		fmt.Fprintf(&b, "<h2>%s</h2>", esc(v.Name))
-		o.latency(&b, r)
-		o.answers(&b, r)
-		o.attempts(&b, r)
-		upstreams(&b, r)
+		for _, p := range o.pictures(v.Runs[0]) {
+			fmt.Fprintf(&b, "<figure>%s</figure>", p.svg)
+		}
 	}
 	b.WriteString("</html>\n")
 	_, err := io.WriteString(w, b.String())
 	return err
 }
 
+// picture is one drawing, whole by itself.
+type picture struct{ name, svg string }
+
+func (o *Outcome) pictures(r *judge.Result) (all []picture) {
+	for _, p := range []struct {
+		name string
+		draw func(b *strings.Builder, r *judge.Result)
+	}{{"latency", o.latency}, {"answers", o.answers}, {"attempts", o.attempts}, {"upstreams", upstreams}} {
+		var b strings.Builder
+		p.draw(&b, r)
+		all = append(all, picture{p.name, b.String()})
+	}
+	return all
+}
+
+// Pictures writes the pictures of the first run of each variant into a folder, and returns their files.
+func (o *Outcome) Pictures(dir string) (files []string, err error) {
+	for _, v := range o.Variants {
+		if len(v.Runs) == 0 {
+			continue
+		}
+		for _, p := range o.pictures(v.Runs[0]) {
+			file := filepath.Join(dir, fmt.Sprintf("%s-%s-%s.svg", o.Name, v.Name, p.name))
+			if err := os.WriteFile(file, []byte(p.svg+"\n"), 0o644); err != nil {
+				return files, err
+			}
+			files = append(files, file)
+		}
+	}
+	return files, nil
+}
+
 func esc(text string) string { return html.EscapeString(text) }
 
+// open begins a drawing with its title.
+func open(b *strings.Builder, caption string, high float64) {
+	fmt.Fprintf(b, `<svg xmlns="http://www.w3.org/2000/svg" viewBox="0 -18 %g %g" width="%g" height="%g" role="img" font-family="sans-serif" font-size="11" fill="%s"><rect y="-18" width="100%%" height="%g" fill="#fff"/><text x="0" y="-5" font-size="13">%s</text>`,
+		wide, high+18, wide, high+18, ink, high+18, esc(caption))
+}
+
 // frame begins a picture with its faults and its axes.
 func (o *Outcome) frame(b *strings.Builder, caption string, ticks []float64, y func(float64) float64, label string) {
-	fmt.Fprintf(b, `<figure><figcaption>%s</figcaption><svg viewBox="0 0 %g %g" width="%g" height="%g" role="img" font-size="11" fill="%s">`,
-		esc(caption), wide, high, wide, high, ink)
+	open(b, caption, high)
 	for _, f := range o.Faults {
 		from, to := o.x(f.From), o.x(min(max(f.To, f.From+0.1), o.Length))
 		fmt.Fprintf(b, `<rect x="%.1f" y="%g" width="%.1f" height="%g" fill="%s" fill-opacity=".5"><title>%s, %.1f to %.1f s</title></rect><text x="%.1f" y="%g" fill="#a50">%s</text>`,
@@ -144,7 +181,7 @@
 	for n, l := range lines {
 		o.line(b, l, n, y)
 	}
-	b.WriteString("</svg></figure>")
+	b.WriteString("</svg>")
 }
 
 // answers by kind, one on the other.
@@ -176,7 +213,7 @@
 	for n, k := range kinds {
 		fmt.Fprintf(b, `<text x="%g" y="%g" fill="%s" text-anchor="end">%s</text>`, wide-right-float64(n)*60, top-5, k.colour, k.name)
 	}
-	b.WriteString("</svg></figure>")
+	b.WriteString("</svg>")
 }
 
 // attempts for each first push.
@@ -196,7 +233,7 @@
 	y := func(v float64) float64 { return top + plotHigh*(1-(v-0.9)/(most-0.9)) }
 	o.frame(b, "Pushes for each first push", []float64{1, most}, y, "%.2f")
 	o.line(b, series{"pushes", "#639", values}, 0, y)
-	b.WriteString("</svg></figure>")
+	b.WriteString("</svg>")
 }
 
 // upstreams shows what reached each.
@@ -206,11 +243,11 @@
 		most = max(most, u.Pushes)
 	}
 	bar := plotWide / math.Max(1, float64(len(r.Upstream)))
-	fmt.Fprintf(b, `<figure><figcaption>Pushes by upstream (at most %d); dark: turned away</figcaption><svg viewBox="0 0 %g 90" width="%g" height="90" role="img">`, most, wide, wide)
+	open(b, fmt.Sprintf("Pushes by upstream (at most %d); dark: turned away", most), 90)
 	for i, u := range r.Upstream {
 		h, t := 80*float64(u.Pushes)/float64(most), 80*float64(u.Turned)/float64(most)
 		fmt.Fprintf(b, `<rect x="%.1f" y="%.1f" width="%.1f" height="%.1f" fill="#27a"><title>%s: %d pushes, %d turned away</title></rect><rect x="%.1f" y="%.1f" width="%.1f" height="%.1f" fill="#124"/>`,
 			left+bar*float64(i), 85-h, bar*0.85, h, esc(u.Name), u.Pushes, u.Turned, left+bar*float64(i), 85-t, bar*0.85, t)
 	}
-	b.WriteString("</svg></figure>")
+	b.WriteString("</svg>")
 }
--- /dev/null
+++ b/internal/lab/run/run_test.go
@@ -0,0 +1,313 @@
+package run
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"ottershift/internal/lab/judge"
+	"ottershift/internal/lab/spec"
+	"ottershift/internal/plan"
+)
+
+// The test's own program stands in for balancers that break a rule each, and the real one is built beside it.
+var real string
+
+func TestMain(m *testing.M) {
+	if kind := os.Getenv("BAD_BALANCER"); kind != "" {
+		serveBadly(kind)
+		return
+	}
+	dir, err := os.MkdirTemp("", "lab")
+	if err != nil {
+		panic(err)
+	}
+	real = filepath.Join(dir, "ottershift")
+	if out, err := exec.Command("go", "build", "-o", real, "ottershift/cmd/ottershift").CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// bad is a small balancer: random choice, one push, and one thing that it does wrong.
+type bad struct {
+	kind string
+	mu   sync.Mutex
+	list map[string]listed
+}
+
+type listed struct {
+	Name, Address, Status string
+	Since                 int64 `json:"since_ms"`
+}
+
+func serveBadly(kind string) {
+	p, faults := plan.Read(os.Args[len(os.Args)-1])
+	if p == nil {
+		panic(faults)
+	}
+	b := &bad{kind: kind, list: map[string]listed{}}
+	ready := make(chan struct{})
+	go b.follow(p.Pools[0].List.Discovery, ready)
+	<-ready
+	if kind == "dies" {
+		time.AfterFunc(1500*time.Millisecond, func() { os.Exit(3) })
+	}
+	l, err := net.Listen("tcp", p.Listeners[0].Address)
+	if err != nil {
+		panic(err)
+	}
+	http.Serve(l, b)
+}
+
+func (b *bad) follow(address string, ready chan struct{}) {
+	a, err := http.Get("http://" + address + "/catalog/members?watch=1")
+	if err != nil {
+		panic(err)
+	}
+	lines := bufio.NewScanner(a.Body)
+	for n := 0; lines.Scan(); {
+		var report struct{ Endpoints []listed }
+		if json.Unmarshal(lines.Bytes(), &report) != nil {
+			continue
+		}
+		b.mu.Lock()
+		for _, e := range report.Endpoints {
+			if b.kind == "deaf" && n > 0 && e.Status != "SERVING" {
+				continue // hears of no drain
+			}
+			b.list[e.Name] = e
+		}
+		b.mu.Unlock()
+		if n++; n == 1 {
+			close(ready)
+		}
+	}
+}
+
+// pick takes any that serves; one that floods takes the one that started last.
+func (b *bad) pick() (address string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var all []string
+	last := int64(0)
+	for _, e := range b.list {
+		if e.Status != "SERVING" {
+			continue
+		}
+		if all = append(all, e.Address); b.kind == "floods" && e.Since > last {
+			last, address = e.Since, e.Address
+		}
+	}
+	if address == "" && len(all) > 0 {
+		address = all[rand.IntN(len(all))]
+	}
+	return address
+}
+
+var keeps = &http.Transport{MaxIdleConnsPerHost: 100}
+
+func push(r *http.Request, to string) (status int, body []byte, err error) {
+	ctx, end := context.WithTimeout(context.Background(), 600*time.Millisecond)
+	defer end()
+	q, _ := http.NewRequestWithContext(ctx, r.Method, "http://"+to+r.URL.RequestURI(), strings.NewReader(""))
+	q.Header = r.Header.Clone()
+	a, err := keeps.RoundTrip(q)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer a.Body.Close()
+	body, err = io.ReadAll(a.Body)
+	return a.StatusCode, body, err
+}
+
+func (b *bad) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/_health" {
+		return
+	}
+	io.Copy(io.Discard, r.Body)
+	to := b.pick()
+	once := strings.HasPrefix(r.URL.Path, "/comment")
+	if b.kind == "resends" && once {
+		go push(r, b.pick())
+	}
+	status, body, err := push(r, to)
+	if err != nil || status != 200 {
+		w.WriteHeader(http.StatusBadGateway)
+		return
+	}
+	if b.kind == "denies" && once { // says harmless of what ran
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	switch b.kind {
+	case "late":
+		if rand.IntN(20) == 0 {
+			time.Sleep(900 * time.Millisecond)
+		}
+	case "hangs":
+		time.Sleep(time.Minute)
+	case "after": // goes on after its answer
+		if once {
+			break
+		}
+		go func() {
+			time.Sleep(200 * time.Millisecond)
+			push(r, b.pick())
+		}()
+	case "twice", "closes", "another":
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		text := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		switch b.kind {
+		case "twice":
+			io.WriteString(c, text+text)
+		case "another":
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok 0 a-1\n")
+		}
+		time.Sleep(20 * time.Millisecond)
+		return
+	}
+	w.Write(body)
+}
+
+const small = `title = "small"
+seed = 5
+length = "4500ms"
+settle = "500ms"
+%s
+[limits]
+descriptors = 1000
+[tariffs.view]
+repeat = "repeatable"
+contract_time = "300ms"
+hard_stop = "800ms"
+[tariffs.comment]
+repeat = "once-only"
+contract_time = "300ms"
+hard_stop = "800ms"
+[work.view]
+mean = "5ms"
+[work.comment]
+mean = "5ms"
+[pools.album]
+warm_up = "20s"
+[upstreams.album]
+count = 5
+ramp = "20s"
+cold_share = 0.1
+fall_multiple = 4
+fall_span = "500ms"
+[[clients]]
+name = "visitors"
+tariff = "view"
+rate = 150
+[[clients]]
+name = "writers"
+tariff = "comment"
+rate = 50
+[[faults]]
+kind = "drain"
+at = "1s"
+for = "10s"
+upstreams = ["album-2"]
+[[faults]]
+kind = "die"
+at = "500ms"
+for = "300ms"
+upstreams = ["album-4"]
+`
+
+func play(t *testing.T, program, kind, more string) *judge.Result {
+	t.Helper()
+	e, faults := spec.Parse("small.toml", fmt.Appendf(nil, small, more), false)
+	if e == nil {
+		t.Fatal(faults)
+	}
+	if kind != "" {
+		file := filepath.Join(t.TempDir(), "bad.sh")
+		text := fmt.Sprintf("#!/bin/sh\nBAD_BALANCER=%s exec %s \"$@\"\n", kind, program)
+		if err := os.WriteFile(file, []byte(text), 0o700); err != nil {
+			t.Fatal(err)
+		}
+		program = file
+	}
+	start := time.Now()
+	r, err := Play(t.Context(), e, e.Load(), Options{Program: program, Variant: "design", Dir: t.TempDir()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if took := time.Since(start); took > 25*time.Second {
+		t.Errorf("took %s", took)
+	}
+	return judge.Judge(e, r)
+}
+
+// Each bad balancer is convicted of exactly the rule that it breaks, the real one and a plain one of none.
+func TestConvictions(t *testing.T) {
+	for kind, rule := range map[string]int{
+		"": 0, "fine": 0, "twice": 1, "closes": 1, "another": 1, "late": 1, "after": 1, "resends": 2, "denies": 2, "deaf": 3, "floods": 4,
+	} {
+		t.Run("balancer "+kind, func(t *testing.T) {
+			t.Parallel()
+			program := os.Args[0]
+			if kind == "" {
+				program = real
+			}
+			r := play(t, program, kind, "")
+			if r.Void != "" {
+				t.Skip(r.Void) // the machine is busy: nothing can be said of either
+			}
+			for n := 1; n <= 4; n++ {
+				if got := r.Figures[fmt.Sprintf("rule%d", n)]; (got > 0) != (n == rule) {
+					t.Errorf("rule %d broken %g times: %q", n, got, r.Examples)
+				}
+			}
+			if r.Broken != "" {
+				t.Error(r.Broken)
+			}
+		})
+	}
+}
+
+// A balancer that dies or hangs in the middle ends in a verdict, in bounded time.
+func TestBalancerThatFailsEndsTheRun(t *testing.T) {
+	t.Run("dies", func(t *testing.T) {
+		t.Parallel()
+		if r := play(t, os.Args[0], "dies", ""); !strings.Contains(r.Broken, "ended by itself") {
+			t.Errorf("%q, %v", r.Broken, r.Figures)
+		}
+	})
+	t.Run("hangs", func(t *testing.T) {
+		t.Parallel()
+		if r := play(t, os.Args[0], "hangs", ""); r.Figures["rule1"] == 0 || r.Figures["service"] > 0 {
+			t.Errorf("%v", r.Figures)
+		}
+	})
+	t.Run("does not start", func(t *testing.T) {
+		t.Parallel()
+		e, _ := spec.Parse("small.toml", fmt.Appendf(nil, small, ""), false)
+		_, err := Play(t.Context(), e, e.Load(), Options{Program: "/bin/false", Variant: "design", Dir: t.TempDir()})
+		if err == nil || errors.Is(err, os.ErrNotExist) {
+			t.Errorf("%v", err)
+		}
+	})
+}
--- a/internal/plan/platform.go
+++ b/internal/plan/platform.go
@@ -52,7 +52,7 @@
 		Name: or("name", "PROXY_NAME"), Platform: true, Seed: seed, Pools: []*Pool{pool},
 		Listeners: []Listener{{"main", listen}},
 		Limits: Limits{
-			Memory: int64(v.GetFloat64("limits", "memory_mb") * (1 << 20)), Descriptors: v.GetInt("limits", "sockets"),
+			Cores: int(v.GetFloat64("limits", "cores")), Memory: int64(v.GetFloat64("limits", "memory_mb") * (1 << 20)), Descriptors: v.GetInt("limits", "sockets"),
 		},
 	}
 	p.Limits.complete()
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -32,6 +32,7 @@
 	front    *httpwire.Front
 	plan     *plan.Plan
 	ended    chan error
+	stop     context.CancelFunc
 
 	mu        sync.Mutex
 	pools     map[string]*pool
@@ -64,6 +65,13 @@
 	if err := s.change(p); err != nil {
 		return nil, err
 	}
+	ctx, stop := context.WithCancel(context.Background())
+	s.stop = stop
+	go func() {
+		if err := s.front.Watch(ctx); err != nil {
+			s.own.Error("lateness", "fault", err)
+		}
+	}()
 	return s, nil
 }
 
@@ -83,6 +91,7 @@
 		s.retire(p)
 	}
 	s.retiring.Wait()
+	s.stop()
 }
 
 // Reload puts another plan in force, all of it or nothing.
@@ -138,7 +147,7 @@
 	}
 	pools := map[string]*pool{}
 	for _, told := range p.Pools {
-		if now := s.pools[told.Name]; now != nil && now.told.Print == told.Print {
+		if now := s.pools[told.Name]; now != nil && now.told.Print == told.Print && now.Shards() == p.Limits.Cores {
 			pools[told.Name] = now
 			continue
 		}
@@ -227,7 +236,7 @@
 		s.own.Warn("limit", "key", "limits.descriptors", "asked", descriptors, "has", has.Cur)
 		descriptors = int(has.Cur)
 	}
-	s.front.Limit(descriptors)
+	s.front.Limit(descriptors, p.Limits.Cores)
 	s.level.Set(logs.Level(p.Log.Level))
 }
 
--- a/internal/process/process_test.go
+++ b/internal/process/process_test.go
@@ -261,6 +261,20 @@
 	if kept == s.pools["p0"].Pool {
 		t.Error("a pool of other terms is the same")
 	}
+	// Another number of cores makes all pools anew, each with as many shards; all of them have the list.
+	if err := s.Reload(parse(t, "limits.cores = 3\n"+changed)); err != nil {
+		t.Fatal(err)
+	}
+	if n := s.pools["p0"].Shards(); n != 3 {
+		t.Errorf("%d shards on three cores", n)
+	}
+	for range 6 { // each client of its own, so that every shard is met
+		client.CloseIdleConnections()
+		must("a.org", 200)
+	}
+	if err := s.Reload(parse(t, changed)); err != nil {
+		t.Fatal(err)
+	}
 	kept = s.pools["p0"].Pool
 	from := strings.Index(changed, "upstreams = ")
 	to := from + strings.IndexByte(changed[from:], '\n')
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -46,6 +46,25 @@
 	}
 }
 
+// Part is the book of one of several modules that share a balancer's work, as if each were a balancer. Danger: the module
+// keeps state in tariffs and customers, so each has its own.
+func (b *Book) Part(n, of int) *Book {
+	part, t := *b, *b.Terms
+	t.Balancers, t.Index = t.Balancers*of, t.Index*of+n
+	t.Seed += uint64(n) * 0x9e3779b97f4a7c15
+	t.Tariffs, t.Customers = nil, nil
+	for _, f := range b.Terms.Tariffs {
+		own := *f
+		t.Tariffs = append(t.Tariffs, &own)
+	}
+	for _, c := range b.Terms.Customers {
+		own := *c
+		t.Customers = append(t.Customers, &own)
+	}
+	part.Terms = &t
+	return &part
+}
+
 // Read decodes the settings. What is absent stays zero: logic.New refuses what it can't work with.
 func Read(env *fastjson.Value, seed uint64) *Book {
 	limits, rules := env.Get("limits"), env.Get("guarantees")
