Own lateness goes out of the serving path again: it did not pay

Need: told of its own lateness, the module was to send no copies against idle upstreams. Change: internal/lateness, internal/pressure and the module's part are undone; the module is as it was.

--- a/cmd/ottershift/ottershift_test.go
+++ b/cmd/ottershift/ottershift_test.go
@@ -19,7 +19,6 @@
 	"time"
 
 	"ottershift/internal/desk"
-	"ottershift/internal/lateness"
 	"ottershift/internal/plan"
 )
 
@@ -1196,7 +1195,7 @@
 			return
 		}
 		pool := o.Pools[0]
-		d, err := desk.New(pool.Book, slog.New(slog.DiscardHandler), desk.Design, lateness.New())
+		d, err := desk.New(pool.Book, slog.New(slog.DiscardHandler), desk.Design)
 		if err != nil {
 			return
 		}
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -10,7 +10,6 @@
 	"sync"
 	"time"
 
-	"ottershift/internal/lateness"
 	"ottershift/internal/roster"
 	"ottershift/internal/terms"
 	"ottershift/logic"
@@ -70,7 +69,6 @@
 	Outcome(t *logic.Transaction, n int, r logic.Result, took int64, final bool, now int64)
 	Vanish(t *logic.Transaction)
 	Probed(i int, ok bool)
-	Late(own int64)
 	Round(now int64, w logic.Writer)
 }
 
@@ -88,9 +86,7 @@
 	roster *roster.Roster[string]
 	epoch  time.Time // with its monotonic reading, from which all times are taken
 	wake   *time.Timer
-	room   int   // pushes that a case's channel holds
-	due    int64 // when the module asked to be woken
-	late   *lateness.Meter
+	room   int // pushes that a case's channel holds
 	open   map[*Case]struct{}
 	closed bool
 	tally  Tally
@@ -100,9 +96,9 @@
 }
 
 // New starts the module.
-func New(book *terms.Book, log *slog.Logger, module Make, late *lateness.Meter) (*Desk, error) {
+func New(book *terms.Book, log *slog.Logger, module Make) (*Desk, error) {
 	d := &Desk{
-		log: log, late: late, epoch: time.Now(), follow: make(chan struct{}, 1), probes: make(chan Probe, 256),
+		log: log, epoch: time.Now(), follow: make(chan struct{}, 1), probes: make(chan Probe, 256),
 		open: map[*Case]struct{}{}, room: min(book.Terms.MaxPushes, 64),
 	}
 	b, err := module(book.Terms, d.now())
@@ -128,13 +124,6 @@
 		}
 	}()
 	now := d.now()
-	// Danger: after a stop of the process all that is out looks late. What was to be done by now tells before the module
-	// is asked.
-	if lag := now - d.due; d.due != 0 && lag > 0 {
-		d.late.Tell(time.Duration(lag))
-		d.due = 0
-	}
-	d.b.Late(int64(d.late.Own()))
 	what(now)
 	d.b.Round(now, writer{d})
 	return true
@@ -236,13 +225,6 @@
 	Open              int                     // transactions now
 }
 
-// Open is how many transactions there are now.
-func (d *Desk) Open() int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return len(d.open)
-}
-
 // Add adds another desk's.
 func (t *Tally) Add(o Tally) {
 	t.Arrived, t.Vanished, t.Edge, t.Open = t.Arrived+o.Arrived, t.Vanished+o.Vanished, t.Edge+o.Edge, t.Open+o.Open
@@ -353,7 +335,6 @@
 	if w.closed && len(w.open) == 0 {
 		return // Danger: a timer that goes on holds all of a pool that is gone
 	}
-	w.due = at
 	w.wake.Reset(time.Duration(at - w.now()))
 }
 
--- a/internal/desk/desk_test.go
+++ b/internal/desk/desk_test.go
@@ -8,7 +8,6 @@
 	"testing"
 	"time"
 
-	"ottershift/internal/lateness"
 	"ottershift/internal/roster"
 	"ottershift/internal/terms"
 	"ottershift/logic"
@@ -19,7 +18,7 @@
 	d, err := New(&terms.Book{Zones: []string{"a"}, Terms: &logic.Terms{
 		Seed: 3, Balancers: 1, Layer: 1, Tariffs: tariffs, MaxPushes: 3, SecondCopies: true, Cancelling: true,
 		Probing: true, ColdShare: 0.2, WarmUp: int64(time.Second), FallMultiple: 3, FallSpan: int64(time.Second),
-	}}, slog.New(slog.DiscardHandler), Design, lateness.New())
+	}}, slog.New(slog.DiscardHandler), Design)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/httpwire/pool.go
+++ b/internal/httpwire/pool.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"ottershift/internal/desk"
-	"ottershift/internal/pressure"
 	"ottershift/internal/roster"
 	"ottershift/internal/terms"
 )
@@ -23,7 +21,6 @@
 	log    *slog.Logger
 	part   *part
 	ids    ids
-	valve  valve
 
 	stands atomic.Bool // the list does
 
@@ -52,7 +49,7 @@
 	for n := range f.cores {
 		sh := &shard{Pool: p}
 		var err error
-		if sh.desk, err = desk.New(book.Part(n, f.cores), p.log, f.module, f.late); err != nil {
+		if sh.desk, err = desk.New(book.Part(n, f.cores), p.log, f.module); err != nil {
 			for _, made := range p.shards {
 				made.desk.Stop()
 			}
@@ -62,7 +59,6 @@
 		sh.out = newOutbound(f.sockets, p.part, book)
 		p.shards = append(p.shards, sh)
 	}
-	p.valve.Valve = newValve(book)
 	f.sockets.join(p)
 	ctx, end := context.WithCancel(context.Background())
 	p.end = end
@@ -73,34 +69,6 @@
 	return p, nil
 }
 
-// valve turns work away while the process itself is the slow part.
-type valve struct {
-	mu sync.Mutex
-	*pressure.Valve
-}
-
-const (
-	lateFor   = 8                     // a part of the shortest contract time, by which the process may be late
-	leastLate = 10 * time.Millisecond // and by which it may in any case
-)
-
-func newValve(book *terms.Book) *pressure.Valve {
-	bound, worth := int64(time.Second), []float64{}
-	for _, f := range book.Terms.Tariffs {
-		bound = min(bound, f.ContractTime/lateFor)
-		worth = append(worth, f.Earnings)
-	}
-	return pressure.NewValve(max(bound, int64(leastLate)), worth)
-}
-
-// bears reports whether the process may take work of a tariff now.
-func (p *Pool) bears(tariff int) bool {
-	own := int64(p.front.late.Own())
-	p.valve.mu.Lock()
-	defer p.valve.mu.Unlock()
-	return p.valve.Admit(tariff, own, p.front.common.now(), rand.Float64())
-}
-
 // shard is the one that a client's connection belongs to.
 func (p *Pool) shard(client *counted) *shard {
 	if client == nil {
--- a/internal/httpwire/serve.go
+++ b/internal/httpwire/serve.go
@@ -7,17 +7,14 @@
 package httpwire
 
 import (
-	"context"
 	"log/slog"
 	"net/http"
 	"net/url"
 	"runtime/debug"
-	"slices"
 	"sync/atomic"
 	"time"
 
 	"ottershift/internal/desk"
-	"ottershift/internal/lateness"
 	"ottershift/internal/logs"
 	"ottershift/internal/routes"
 )
@@ -31,7 +28,6 @@
 	server  *http.Server
 	module  desk.Make
 	cores   int
-	late    *lateness.Meter
 	board   atomic.Pointer[Board]
 	closing atomic.Bool // no new clients are wanted
 	last    atomic.Bool // connections end with their answers
@@ -46,7 +42,7 @@
 
 // New makes a front, which serves nobody until it has a board; module decides for each of its pools.
 func New(log *slog.Logger, module desk.Make) *Front {
-	f := &Front{module: module, cores: 1, late: lateness.New(), log: logs.Own(log), base: log, sockets: newSockets(), common: newCommon()}
+	f := &Front{module: module, cores: 1, log: logs.Own(log), base: log, sockets: newSockets(), common: newCommon()}
 	f.board.Store(&Board{})
 	f.server = &http.Server{
 		Handler: f, ReadHeaderTimeout: headLimit, IdleTimeout: idleLimit, MaxHeaderBytes: mostHeader,
@@ -63,15 +59,6 @@
 	f.cores = max(cores, 1)
 }
 
-// Watch measures how late the process is, until the context ends.
-func (f *Front) Watch(ctx context.Context) error {
-	return f.late.Run(ctx, func() bool {
-		return slices.ContainsFunc(f.sockets.all(), func(p *Pool) bool {
-			return slices.ContainsFunc(p.shards, func(sh *shard) bool { return sh.desk.Open() > 0 })
-		})
-	})
-}
-
 // Alone lets the one pool there is have all that is common.
 func (f *Front) Alone() { f.common.alone() }
 
@@ -130,11 +117,7 @@
 	defer p.ids.free(q.id)
 	f.sockets.busy(client, p.part)
 	held := max(r.ContentLength, 0)
-	ok, rest := p.bears(q.tariff), time.Duration(0)
-	if ok {
-		ok, rest = p.part.take(held, q.left)
-	}
-	if !ok {
+	if ok, rest := p.part.take(held, q.left); !ok {
 		p.desk.Turn()
 		f.defers(w, time.Duration(p.book.Terms.Backoff(p.book.Terms.Tariffs[q.tariff])))
 		// Danger: a flood that is refused as fast as it comes uses up the core. It has its answer; what rests is the
--- a/internal/lab/baseline/baseline.go
+++ b/internal/lab/baseline/baseline.go
@@ -91,7 +91,6 @@
 func (b *Balancer) Leave(i int)                             { b.ready[i], b.known[i] = false, false }
 func (b *Balancer) Listed(bool, int64)                      {}
 func (b *Balancer) Probed(int, bool)                        {}
-func (b *Balancer) Late(int64)                              {}
 
 func (b *Balancer) Arrive(t *logic.Transaction, tariff, _ int, _, left int64, _ bool, now int64) {
 	s := &state{t: t, tariff: b.terms.Tariffs[tariff], stop: now + left, place: -1}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -32,7 +32,6 @@
 	front    *httpwire.Front
 	plan     *plan.Plan
 	ended    chan error
-	stop     context.CancelFunc
 
 	mu        sync.Mutex
 	pools     map[string]*pool
@@ -65,13 +64,6 @@
 	if err := s.change(p); err != nil {
 		return nil, err
 	}
-	ctx, stop := context.WithCancel(context.Background())
-	s.stop = stop
-	go func() {
-		if err := s.front.Watch(ctx); err != nil {
-			s.own.Error("lateness", "fault", err)
-		}
-	}()
 	return s, nil
 }
 
@@ -91,7 +83,6 @@
 		s.retire(p)
 	}
 	s.retiring.Wait()
-	s.stop()
 }
 
 // Reload puts another plan in force, all of it or nothing.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -45,8 +45,6 @@
 	beat       = 200 * ms
 	crowded    = 1.4 // room shrinks while answers take this many times longer than at best
 
-	hops = 4 // times that a push waits for this balancer itself, on its way and on its answer's
-
 	metBy    = 8 // balancers, at the least, that meet an upstream
 	fewOwn   = 4 // upstreams, at the least, for one balancer
 	meanOver = 500 * ms
@@ -177,11 +175,6 @@
 	b.touch(t)
 }
 
-// Late says how late this balancer itself is: from when something reaches it until it has heeded it. Danger:
-// its own delay looks like time taken by upstreams, and copies against those that are idle eat the core that
-// is short. So nobody is late sooner than that explains, and neither quantile nor room learns it as theirs.
-func (b *Balancer) Late(own int64) { b.late = hops * own }
-
 // Outcome tells how a push ended; final, that the transaction ended with it or before.
 func (b *Balancer) Outcome(t *Transaction, n int, r Result, took int64, final bool, now int64) {
 	p := &t.pushes[n]
@@ -249,7 +242,6 @@
 		} else {
 			b.inHand -= t.load
 			b.ends++
-			b.lateLoad += t.load * float64(b.late)
 		}
 	}
 }
@@ -347,11 +339,11 @@
 	last := &t.pushes[len(t.pushes)-1]
 	outrun := int64(math.MaxInt64)
 	if b.trigger > 0 {
-		if outrun = last.sent + b.trigger + b.late; b.now >= outrun {
+		if outrun = last.sent + b.trigger; b.now >= outrun {
 			outrun = math.MaxInt64
 			b.overdue(t, last)
 			if t.out == 1 && b.terms.SecondCopies && b.repeatable(t) && !b.gated() && b.funded() &&
-				b.late < b.trigger && b.chance() < b.allowance {
+				b.chance() < b.allowance {
 				if i := b.next(t); i >= 0 {
 					b.bucket--
 					b.copies[0]++
@@ -652,7 +644,7 @@
 	switch {
 	case r == Settled, r == Cancelled && !p.copy, r == TimedOut:
 		// A loser or a time-out took at least this long; a copy called off early tells nothing.
-		k := min(buckets-1, int(math.Log(float64(max(took-b.late, ms))/float64(ms))/math.Log(1.1)))
+		k := min(buckets-1, int(math.Log(float64(max(took, ms))/float64(ms))/math.Log(1.1)))
 		b.latency[b.pane][k]++
 		b.samples[b.pane]++
 		b.stale = true
@@ -885,13 +877,12 @@
 	short := max(1/b.beats, min(1, span/max(float64(s), 20/seen)))
 	long := max(1/b.beats, min(1, span/max(float64(5*s), 100/seen)))
 	b.rate += short * (b.ends/span - b.rate)
-	own := min(b.inHand, b.lateLoad/span) // danger: what waits for this balancer itself takes no upstream's time
-	b.load += short * (b.inHand - own - b.load)
+	b.load += short * (b.inHand - b.load)
 	b.longRate += long * (b.ends/span - b.longRate)
-	b.longLoad += long * (b.inHand - own - b.longLoad)
+	b.longLoad += long * (b.inHand - b.longLoad)
 	n, strength := b.serving()
 	b.strength += long * (strength - b.strength)
-	b.ends, b.lateLoad = 0, 0
+	b.ends = 0
 	if b.beats < 10 || b.longRate*float64(s) < 1 {
 		return
 	}
@@ -900,17 +891,12 @@
 	if b.base == 0 {
 		b.base = ample // a balancer started amid a crowd would take that for usual
 	}
-	if own < b.inHand/10 { // danger: a delay taken for too long would leave a least time that nobody can keep
-		b.base = min(ample, usual, b.base*(1+span/float64(300*s)))
-	}
+	b.base = min(ample, usual, b.base*(1+span/float64(300*s)))
 	b.best = max(b.best*(1-span/float64(40*s)), b.longRate/b.strength)
 	// What sustains the best rate at the least time taken, in transactions as they are mixed now.
 	mix := b.counted() / max(b.inHand, 1e-9)
 	least := fewHeld * b.each * float64(n) / float64(b.terms.Balancers)
 	full := b.best * strength * b.base * mix // danger: what is left must not be sent what the whole bore
-	if own > b.inHand/4 { // nobody can tell a crowd now; what waits here fills no room
-		least, full = max(b.room, least+own*mix), 0
-	}
 	if b.load > crowded*b.base*b.rate {
 		b.room = max(least, 0.8*full, 0.93*min(b.room, float64(b.open)))
 	} else if b.counted() > 0.8*b.room {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -570,39 +570,3 @@
 		t.Errorf("of 1200 pushes %d and, with a kept connection, %d followed another at their upstream", all, one)
 	}
 }
-
-// A balancer that was held up takes its own delay for nobody's: no copies, no word against those that it heard late, and
-// no part of the quantile. What is silent beyond that is found all the same.
-func TestOwnLatenessIsNobodys(t *testing.T) {
-	w := newWorld(t, terms(tariff(Repeatable, SameCell)), 4, 3)
-	answer := func(o *owed) { w.result(o, 0, Settled) }
-	for range 60 { // 20 ms each
-		o := w.arrive(0, s)
-		w.round(0)
-		w.until(w.now + 20*ms)
-		answer(o)
-		w.round(0)
-	}
-	usual := w.b.trigger
-	var all []*owed
-	for range 10 {
-		all = append(all, w.arrive(0, 5*s))
-	}
-	w.round(0)
-	w.b.Late(100 * ms) // held up for 300 ms, in which all but one answered
-	w.round(300 * ms)
-	pushes := len(w.pushed)
-	for _, o := range all[1:] {
-		answer(o)
-	}
-	w.b.Late(50 * ms)
-	w.round(5 * ms)
-	if w.b.estimate(); len(w.pushed) != pushes || w.b.trigger > 2*usual || w.b.stuckAll > 0 {
-		t.Errorf("%d copies, trigger %d after %d, %d stuck", len(w.pushed)-pushes, w.b.trigger, usual, w.b.stuckAll)
-	}
-	w.b.Late(0)
-	w.until(w.now + 300*ms)
-	if len(all[0].pushes) != 2 || w.b.stuckAll != 1 {
-		t.Errorf("the silent one got %d pushes, %d stuck", len(all[0].pushes), w.b.stuckAll)
-	}
-}
--- a/logic/types.go
+++ b/logic/types.go
@@ -215,8 +215,6 @@
 	mean     float64        // of those in hand
 	line     []*Transaction // waiting for room, what earns most first
 	ends     float64        // left the load since the last beat, settled or not
-	late     int64          // that this balancer itself adds to a push
-	lateLoad float64        // load that this put on what left since the last beat
 	stuckAll int            // in hand with a late push
 	inHand   float64        // sum of one over the contract time of all others in hand
 	load     float64        // the same over the last second, or longer where few come in
