--- a/cmd/ottershift/ottershift_test.go
+++ b/cmd/ottershift/ottershift_test.go
@@ -464,6 +464,7 @@
 				(status == 200) != (body == "fine") {
 				t.Errorf("post: %d %q", status, body)
 			}
+			time.Sleep(20 * time.Millisecond) // a connection that ended is known by then, and not tried
 			if status, _, _ := b.ask(message("view", 1, "\r\n")); status != c.view {
 				t.Errorf("view: %d", status)
 			}
