--- a/internal/httpwire/request.go
+++ b/internal/httpwire/request.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	mostBody = 64 << 10  // of a message, either way
+	mostBody = terms.MostBody
 	mostWait = time.Hour // what a client may ask for
 	underway = 5 * time.Millisecond
 
--- a/internal/httpwire/sockets.go
+++ b/internal/httpwire/sockets.go
@@ -10,6 +10,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"ottershift/internal/shares"
 )
 
 const (
@@ -91,10 +93,10 @@
 // crowded are the kept connections of the pool whose clients hold the most for its part. Danger: those that are used
 // all the time are never the oldest, and a flood at one pool would close the connections of the others' clients.
 func (s *sockets) crowded() (kept *list.List) {
-	most := -1.0
+	var most *part
 	for p, l := range s.kept {
-		if load := float64(p.clients) / float64(max(p.weight.Load(), 1)); l.Len() > 0 && load > most {
-			kept, most = l, load
+		if l.Len() > 0 && (most == nil || shares.Crowds(p.clients, p.weight.Load(), most.clients, most.weight.Load())) {
+			kept, most = l, p
 		}
 	}
 	return kept
--- a/internal/lab/emulate/upstream.go
+++ b/internal/lab/emulate/upstream.go
@@ -39,7 +39,6 @@
 type effect struct {
 	began int64
 	over  chan struct{}
-	done  bool // took place
 }
 
 // Upstream is one of them.
@@ -447,7 +446,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if e.done = done; !done {
+	if !done {
 		e.began = math.MinInt64 / 2
 	}
 	close(e.over)
--- a/internal/lab/judge/judge_test.go
+++ b/internal/lab/judge/judge_test.go
@@ -36,7 +36,7 @@
 	if e == nil {
 		t.Fatal(faults)
 	}
-	r := &record.Run{Length: e.Length}
+	r := &record.Run{}
 	for n, c := range e.Load() {
 		if c.Due >= 9*second {
 			continue // broken off: not sent
@@ -49,7 +49,7 @@
 			first := try
 			first.ID, first.Status = first.ID+"0", 503
 			r.Tries = append(r.Tries, first)
-			try.Number, try.Sent, try.Answered = 1, c.Due+400*ms, c.Due+450*ms
+			try.Sent, try.Answered = c.Due+400*ms, c.Due+450*ms
 		}
 		r.Tries = append(r.Tries, try)
 		r.Arrived = append(r.Arrived, record.Arrival{ID: try.ID, Root: c.Root, At: try.Sent + ms, Ran: true, Effect: try.Answered})
@@ -72,7 +72,7 @@
 	if out := Judge(e, r); out.Figures["rule1"] != 1 {
 		t.Errorf("%v", out.Figures)
 	}
-	r.Outages = []record.Outage{{Balancer: 0, From: 0, To: 5 * second, Killed: true}}
+	r.Outages = []record.Outage{{Balancer: 0, From: 0, To: 5 * second}}
 	if out := Judge(e, r); out.Figures["rule1"] != 0 {
 		t.Errorf("%v", out.Figures)
 	}
--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -27,7 +27,6 @@
 	tries []record.Try
 	lag   []int64
 	down  []bool // balancers that clients have been told not to use
-	Done  atomic.Int64
 }
 
 // New makes the clients of an experiment for balancers at some addresses.
@@ -103,7 +102,6 @@
 
 // ask is one piece of work, over all its tries.
 func (l *Load) ask(ctx context.Context, c spec.Call) {
-	defer l.Done.Add(1)
 	k := l.e.Clients[c.Clients]
 	f := l.e.Tariffs[k.Tariff]
 	key := ""
@@ -116,7 +114,7 @@
 			return
 		}
 		a, t := l.try(c.Clients, k.Pool, k.Tariff, k.Customer, key, c.Root, left, try > 0 && k.Marks, k.Body)
-		t.Due, t.Number = c.Due, try
+		t.Due = c.Due
 		l.note(t)
 		again := a.Status == 503 || a.Status == 429 || a.Refused
 		// What failed may have run: only what may run again is asked for once more.
@@ -162,7 +160,7 @@
 	a := l.targets[clients][balancer].Do(request, until.Add(100*time.Millisecond))
 	t := record.Try{
 		Root: root, ID: id, Group: clients, Tariff: tariff, Balancer: balancer, Left: int64(left), Status: a.Status,
-		Extra: a.Extra, Closed: a.Closed, Refused: a.Refused, Gone: a.Gone,
+		Extra: a.Extra, Closed: a.Closed,
 	}
 	if !a.Sent.IsZero() {
 		t.Sent = int64(a.Sent.Sub(l.epoch))
--- a/internal/lab/record/record.go
+++ b/internal/lab/record/record.go
@@ -8,7 +8,6 @@
 	ID       string // X-Txn
 	Group    int    // of clients
 	Tariff   int
-	Number   int   // 0 for the first
 	Balancer int   // -1 if none could be reached
 	Due      int64 // when its first try was to be sent
 	Sent     int64 // when it was written whole; 0 if it wasn't
@@ -16,9 +15,7 @@
 	Left     int64 // that its client waits, from Sent
 	Status   int   // 0 if no answer came
 	Extra    bool  // more came than its answer
-	Gone     bool  // its client gave up first
 	Closed   bool  // the connection ended without an answer
-	Refused  bool  // no connection came about
 }
 
 // Arrival is one push as its upstream saw it, from the last byte of its request.
@@ -52,12 +49,10 @@
 type Outage struct {
 	Balancer int
 	From, To int64
-	Killed   bool
 }
 
 // Run is all that one run saw.
 type Run struct {
-	Length  int64
 	Tries   []Try
 	Arrived []Arrival
 	Told    []Told
--- a/internal/lab/run/run.go
+++ b/internal/lab/run/run.go
@@ -146,7 +146,7 @@
 	s.broke(nil)
 	faults.Wait()
 
-	r := &record.Run{Length: e.Length, Told: s.lists.Told(), Outages: s.outages, Broken: broken}
+	r := &record.Run{Told: s.lists.Told(), Outages: s.outages, Broken: broken}
 	s.load.Gather(r)
 	s.fleet.Gather(r)
 	return r, nil
@@ -339,7 +339,7 @@
 
 // outage kills or stops a balancer until some time.
 func (s *stage) outage(ctx context.Context, b *balancer, kill bool, end int64) {
-	o := record.Outage{Balancer: b.index, From: s.now(), Killed: kill}
+	o := record.Outage{Balancer: b.index, From: s.now()}
 	var told atomic.Bool
 	if kill {
 		b.stop()
--- a/internal/lab/spec/spec.go
+++ b/internal/lab/spec/spec.go
@@ -135,7 +135,7 @@
 
 // Figures that a verdict may name.
 var Figures = []string{
-	"service", "settled", "deferred", "failed", "lost", "attempts", "copies", "p50", "p99", "p999", "breaches", "rule1", "rule2",
+	"service", "settled", "deferred", "failed", "lost", "attempts", "p50", "p99", "p999", "breaches", "rule1", "rule2",
 	"rule3", "rule4", "recover", "worst",
 }
 
@@ -342,8 +342,7 @@
 		j := u.Table("jam")
 		g.JamAt, g.JamSlow, g.JamEnds = j.Number("at", 0, 0, 1e6), j.Number("slow", 2, 1, 1000), j.Number("ends", 1, 0, 1e6)
 		j.End()
-		if u.Has("calls") {
-			c := u.Table("calls")
+		if c := u.Table("calls"); u.Has("calls") {
 			g.Calls = &Calls{
 				Pool: r.place(c, "pool", "", r.e.Pools), Tariff: r.place(c, "tariff", first(r.e.tariffs()), r.e.tariffs()),
 				Least: c.Whole("least", 1, 0, 100), Most: c.Whole("most", 1, 0, 100),
@@ -352,8 +351,6 @@
 				r.Fault(c.Path, "most is under least")
 			}
 			c.End()
-		} else {
-			u.Raw("calls")
 		}
 		u.End()
 		r.e.Groups = append(r.e.Groups, g)
--- a/internal/plan/platform.go
+++ b/internal/plan/platform.go
@@ -58,8 +58,6 @@
 	p.Limits.complete()
 	// Danger: the platform's memory is small and its balancer has one pool; what is in hand there is bounded by
 	// descriptors as ever.
-	p.Limits.Bodies = int64(p.Limits.Descriptors) * mostBody * int64(max(pool.Book.Terms.MaxPushes, 1)+1)
+	p.Limits.Bodies = int64(p.Limits.Descriptors) * terms.MostBody * int64(max(pool.Book.Terms.MaxPushes, 1)+1)
 	return p, nil
 }
-
-const mostBody = 64 << 10
--- a/internal/plan/pools.go
+++ b/internal/plan/pools.go
@@ -186,7 +186,7 @@
 	l := t.Table("limits")
 	p.Open = int64(l.Whole("open", 0, 1, 1e6))
 	p.Connections = int64(l.Whole("connections", 0, 1, 1e6))
-	p.Bodies = l.Size("bodies", 0, mostBody)
+	p.Bodies = l.Size("bodies", 0, terms.MostBody)
 	l.End()
 	r.list(p, t)
 	t.End()
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -287,13 +288,5 @@
 }
 
 func same(a, b plan.List) bool {
-	if a.File != b.File || a.Every != b.Every || a.Discovery != b.Discovery || len(a.Fixed) != len(b.Fixed) {
-		return false
-	}
-	for i := range a.Fixed {
-		if a.Fixed[i] != b.Fixed[i] {
-			return false
-		}
-	}
-	return true
+	return a.File == b.File && a.Every == b.Every && a.Discovery == b.Discovery && slices.Equal(a.Fixed, b.Fixed)
 }
--- a/internal/shares/shares.go
+++ b/internal/shares/shares.go
@@ -184,6 +184,11 @@
 	return parts
 }
 
+// Crowds reports whether one pool's clients hold more for its guarantee than another's: it makes room before that one.
+func Crowds(clients int, guarantee int64, others int, otherGuarantee int64) bool {
+	return float64(clients)/float64(max(guarantee, 1)) > float64(others)/float64(max(otherGuarantee, 1))
+}
+
 // Pace spaces out what a pool is refused, so that refusing can't use up the core: a connection that was refused has
 // its answer at once, and rests before its next message is read.
 type Pace struct {
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -16,6 +16,9 @@
 	unsaidProbe = "/ping"     // as the platform has it
 )
 
+// MostBody is the bytes that a message holds at most, either way.
+const MostBody = 64 << 10
+
 // Book is the settings as a balancer uses them: the module's terms, the names behind its numbers, and what only
 // a network is told.
 type Book struct {
