Silence until the contract time speaks against an upstream, with or without a quantile

Change: a push out for more than half of its transaction's time when that is given up counts as overdue. Test: 18 transactions, no quantile, one silent upstream of four is set aside; without the change nobody is.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -298,6 +298,14 @@
 		return
 	}
 	if b.now >= b.giveUp(t) {
+		// Danger: with few samples, or a quantile beyond the contract time, nothing else tells of an upstream that is
+		// silent until its answer is of no use. What was sent late in that time tells little.
+		for n := range t.pushes {
+			if p := &t.pushes[n]; p.out && !p.overdue && b.now-p.sent > (b.now-t.arrived)/2 {
+				p.overdue = true
+				b.judge(p.upstream, true)
+			}
+		}
 		b.end(t)
 		return
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -251,6 +251,34 @@
 }
 
 // happenOnly lets time pass for the pushes that nobody answers.
+func TestSilenceUntilTheContractTimeCountsWithoutAQuantile(t *testing.T) {
+	f := tariff(Repeatable, Everywhere)
+	f.LateEarnings = 0
+	w := newWorld(t, terms(f), 4, 1)
+	for range 18 { // too few samples for a quantile
+		o := w.arrive(0, 2*s)
+		w.round(5 * ms)
+		for n, p := range o.pushes {
+			if p.upstream != 0 {
+				w.until(w.now + 20*ms)
+				w.result(o, n, Settled)
+			}
+		}
+		w.until(w.now + s)
+		for n, p := range o.pushes {
+			if !p.done {
+				w.result(o, n, Cancelled)
+			}
+		}
+	}
+	if w.b.trigger != 0 {
+		t.Fatal("there is a quantile: the test shows nothing")
+	}
+	if w.b.aside[0] == 0 || w.b.aside[1] != 0 {
+		t.Errorf("set aside: %v, want 0 alone", w.b.aside)
+	}
+}
+
 func (w *world) happenOnly(last *owed) {
 	for _, o := range w.owed {
 		for n, p := range o.pushes {
