--- a/logic/fleet_test.go
+++ b/logic/fleet_test.go
@@ -221,3 +221,16 @@
 		t.Errorf("%d copies for %d transactions, want under one in fifty, and some", extra, f.begun)
 	}
 }
+
+// Each balancer of a fleet opens connections to all of its part, whatever it sends there.
+func TestPartsOfTheListNeedFewConnections(t *testing.T) {
+	f := newFleet(t, *terms(tariff(Repeatable, Everywhere)), 40, 40, 20, 1)
+	f.play(0, 50*ms)
+	pairs := 0
+	for _, b := range f.all {
+		pairs += len(b.own)
+	}
+	if each := float64(pairs) / float64(len(f.up)); each < metBy || each > 7.5 {
+		t.Errorf("an upstream is met by %.1f balancers in the mean, want six and some edges", each)
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -45,7 +45,7 @@
 	beat       = 200 * ms
 	crowded    = 1.4 // room shrinks while answers take this many times longer than at best
 
-	metBy    = 8 // balancers, at the least, that meet an upstream
+	metBy    = 6 // balancers, at the least, that meet an upstream
 	fewOwn   = 4 // upstreams, at the least, for one balancer
 	meanOver = 500 * ms
 
