The copying quantile goes by the number of balancers: 0.95 alone, 0.99 among many

So the quantile is at fault, not the parts of the list nor the test of silence: two balancers need copies where a quarter of the answers is lost for ten seconds. Change: 1 - 0.05 / (1 + (others / 8)^2), 0.99 at most, from the number of balancers that the terms tell.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -19,7 +19,9 @@
 	s  = int64(1e9)
 
 	// The mechanism, as the design page gives it.
-	quantile   = 0.99
+	copied     = 0.05 // of the pushes outrun the quantile of a balancer alone
+	copiedMany = 0.01 // and of one among many
+	many       = 8    // so many beside it, and what each sends twice has to halve
 	window     = 30 * s
 	minDelay   = 10 * ms
 	minSamples = 20
@@ -929,7 +931,10 @@
 	if sum(b.samples[:]) < minSamples {
 		return
 	}
-	b.trigger = max(minDelay, b.reach(quantile))
+	// Danger: a copy costs its loser's connection and slows what it goes to; what each of many sends twice adds
+	// up, and over several tiers it multiplies.
+	others := float64(b.terms.Balancers-1) / many
+	b.trigger = max(minDelay, b.reach(1-max(copiedMany, copied/(1+others*others))))
 }
 
 // reach is the time within which a part of the window's pushes was answered.
