--- a/logic/logic.go
+++ b/logic/logic.go
@@ -300,12 +300,11 @@
 		return
 	}
 	if b.now >= b.giveUp(t) {
-		// Danger: with few samples, or a quantile beyond the contract time, nothing else tells of an upstream that is
-		// silent until its answer is of no use. What was sent late in that time tells little.
+		// Danger: with few samples, or a quantile beyond the contract time, nothing else tells of an upstream that
+		// is silent until its answer is of no use. What was sent late in that time tells little.
 		for n := range t.pushes {
-			if p := &t.pushes[n]; p.out && !p.overdue && b.now-p.sent > (b.now-t.arrived)/2 {
-				p.overdue = true
-				b.judge(p.upstream, true)
+			if p := &t.pushes[n]; b.now-p.sent > (b.now-t.arrived)/2 {
+				b.silent(p)
 			}
 		}
 		b.end(t)
@@ -467,7 +466,7 @@
 	for _, i := range b.own {
 		if b.aside[i] == 0 {
 			flying += float64(b.flying[i])
-			total += b.part[i] * math.Sqrt(b.warmth(i)) * b.near(i)
+			total += b.part[i] * b.likely(i) * b.near(i)
 		}
 	}
 	best, spare := -1, -1
@@ -482,8 +481,8 @@
 			b.turn[i] = b.chance() * total
 		}
 		share := b.part[i] * b.near(i)
-		if warm := b.warmth(i); warm < 1 {
-			share *= math.Sqrt(warm)
+		if b.warmth(i) < 1 {
+			share *= b.likely(i)
 			if b.fill(i) < 1 || len(t.pushes) > 0 {
 				continue
 			}
@@ -615,10 +614,13 @@
 	return b.terms.ColdShare + (1-b.terms.ColdShare)*float64(max(age, 0))/float64(b.terms.WarmUp)
 }
 
+// likely is the share of its capacity by which a cold upstream gets turns, between the least and all.
+func (b *Balancer) likely(i int) float64 { return math.Sqrt(b.warmth(i)) }
+
 // fill pays a cold upstream what this balancer may send it. Danger: a cold upstream sent too much by all
-// balancers falls over for good. Each sends no faster than warm ones of its weight now settle, cut to its
-// present warmth. Warm ones can't settle more than their capacity, so all together stay below it, and what
-// the terms bear is the margin.
+// balancers falls over for good. Warm ones of its weight settle no more than their capacity; cut to its least
+// warmth that is what it surely has, and it falls at a multiple of that. Half of the multiple is paid, the
+// other half is the margin. Danger: paid no more than it surely has, a mostly new list jams its few warm ones.
 func (b *Balancer) fill(i int) float64 {
 	rate := b.pace * b.part[i] * b.warmth(i) * b.terms.FallMultiple / 2
 	if b.pace == 0 {
@@ -676,10 +678,7 @@
 // overdue counts silence as evidence before any time-out. Danger: an upstream that takes work and answers
 // none. What waits there is no sign of a crowd: it leaves the load, but not the count that is owed an answer.
 func (b *Balancer) overdue(t *Transaction, p *Push) {
-	if !p.overdue && p.out {
-		p.overdue = true
-		b.judge(p.upstream, true)
-	}
+	b.silent(p)
 	if !t.stuck {
 		t.stuck = true
 		b.stuckAll++
@@ -688,6 +687,14 @@
 	}
 }
 
+// silent counts a push without an answer against its upstream, once.
+func (b *Balancer) silent(p *Push) {
+	if !p.overdue && p.out {
+		p.overdue = true
+		b.judge(p.upstream, true)
+	}
+}
+
 // judge is a sequential test of one upstream against its peers: is it as bad as they are, or several times as
 // bad? Where all are alike, nobody stands out.
 func (b *Balancer) judge(i int, bad bool) {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -250,7 +250,6 @@
 	}
 }
 
-// happenOnly lets time pass for the pushes that nobody answers.
 func TestSilenceUntilTheContractTimeCountsWithoutAQuantile(t *testing.T) {
 	f := tariff(Repeatable, Everywhere)
 	f.LateEarnings = 0
@@ -279,6 +278,7 @@
 	}
 }
 
+// happenOnly lets time pass for the pushes that nobody answers.
 func (w *world) happenOnly(last *owed) {
 	for _, o := range w.owed {
 		for n, p := range o.pushes {
