--- a/cmd/ottershift/serve.go
+++ b/cmd/ottershift/serve.go
@@ -88,6 +88,9 @@
 		return err
 	}
 	own := logs.Own(log)
+	if p.Ops != "" {
+		own.Info("start", "name", p.Name, "ops", p.Ops)
+	}
 	for _, l := range p.Listeners {
 		own.Info("start", "name", p.Name, "listen", l.Address, "listener", l.Name)
 	}
@@ -109,6 +112,7 @@
 				}
 				wrong = nil
 			}
+			s.Refused()
 			own.Error("reload", "step", "kept", "fault", err)
 			for _, f := range wrong {
 				if !f.Remark {
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -5,30 +5,30 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"runtime/debug"
 	"sync"
 	"time"
 
+	"ottershift/internal/figures"
 	"ottershift/internal/roster"
 	"ottershift/internal/terms"
 	"ottershift/internal/watch"
 	"ottershift/logic"
 )
 
-// Ending is how a transaction ended.
-type Ending uint8
-
+// The endings of a transaction.
 const (
-	Settled Ending = iota
-	Deferred
-	Forfeited
-	Rejected // an upstream found the transaction itself at fault; its reply goes on
+	Settled   = figures.Settled
+	Deferred  = figures.Deferred
+	Forfeited = figures.Forfeited
+	Rejected  = figures.Rejected
 )
 
 // Answer is the one final answer of a transaction.
 type Answer struct {
-	Ending  Ending
+	Ending  figures.Ending
 	Push    int           // whose reply settled or rejected it
 	Backoff time.Duration // advice to a deferred client, 0 for none
 }
@@ -41,8 +41,9 @@
 	Place   roster.Place
 	Until   time.Time
 
-	end  context.CancelFunc
-	sent int64
+	end   context.CancelCauseFunc
+	timer *time.Timer // which ends it at its time
+	sent  int64
 }
 
 // Probe is the order to probe an upstream; who carries it out tells by Probed how it ended.
@@ -60,13 +61,26 @@
 	pushes chan *Push
 	answer chan Answer
 	sent   []*Push
+	class  *figures.Class
 	over   bool // has its answer, or its client is gone
+	flows  bool // its answer has begun and goes on without the module
+}
+
+// Arrival is a transaction as a door takes it in.
+type Arrival struct {
+	Under    *logic.Terms // that its tariff and customer are numbers of; nil for those in force
+	Tariff   int
+	Customer int
+	Left     time.Duration
+	Again    bool
+	Unwhole  bool // its last byte has yet to come, and what goes out of it can't be sent a second time
 }
 
 // Module decides: a Balancer, or what the lab sets in its place to compare it with.
 type Module interface {
 	roster.Module
 	Arrive(t *logic.Transaction, tariff, customer int, work, left int64, again bool, now int64)
+	Whole(t *logic.Transaction, left, now int64)
 	Outcome(t *logic.Transaction, n int, r logic.Result, took int64, final bool, now int64)
 	Vanish(t *logic.Transaction)
 	Probed(i int, ok bool)
@@ -80,6 +94,8 @@
 // Design is the module of this project, the only one that serves.
 func Design(terms *logic.Terms, now int64) (Module, error) { return logic.New(terms, now) }
 
+const mostUnwhole = time.Hour // for a transaction's last byte; its door bounds how slow it may be
+
 // Desk serialises all that is said to one Balancer. Its lock's order settles races.
 type Desk struct {
 	mu     sync.Mutex
@@ -92,6 +108,8 @@
 	open   map[*Case]struct{}
 	closed bool
 	tally  Tally
+	counts *figures.Pool
+	book   *terms.Book                // in force
 	say    func(peer int, raw []byte) // to another balancer; nil if there is no way
 	watch  *watch.Module              // if what a newer shape would have changed is counted
 
@@ -100,9 +118,9 @@
 }
 
 // New starts the module.
-func New(book *terms.Book, log *slog.Logger, module Make) (*Desk, error) {
+func New(book *terms.Book, counts *figures.Pool, log *slog.Logger, module Make) (*Desk, error) {
 	d := &Desk{
-		log: log, epoch: time.Now(), follow: make(chan struct{}, 1), probes: make(chan Probe, 256),
+		log: log, counts: counts, book: book, epoch: time.Now(), follow: make(chan struct{}, 1), probes: make(chan Probe, 256),
 		open: map[*Case]struct{}{}, room: min(book.Terms.MaxPushes, 64),
 	}
 	var b Module
@@ -117,6 +135,7 @@
 		return nil, err
 	}
 	d.b, d.roster = b, roster.New[string](b, book.Zones)
+	d.show(book)
 	d.wake = time.AfterFunc(time.Hour, func() { d.tell(func(int64) {}) }) // the module sets the time
 	return d, nil
 }
@@ -182,15 +201,17 @@
 }
 
 // Arrive takes a transaction. Its answer will come; so will orders to push it.
-func (d *Desk) Arrive(tariff, customer int, left time.Duration, again bool) *Case {
+func (d *Desk) Arrive(a Arrival) *Case {
 	c := &Case{pushes: make(chan *Push, d.room), answer: make(chan Answer, 1)}
 	c.Pushes, c.Answer = c.pushes, c.answer
-	c.t.Mark = c
+	c.t.Mark, c.t.Under, c.t.Single, c.t.Unwhole = c, a.Under, a.Unwhole, a.Unwhole
 	ok := d.tell(func(now int64) {
 		d.open[c] = struct{}{}
 		d.tally.Arrived++
+		d.counts.Open.Add(1)
+		c.class = d.class(a)
 		// How much work it is by itself nobody tells, so no contract time is stretched by that.
-		d.b.Arrive(&c.t, tariff, customer, 0, int64(left), again, now)
+		d.b.Arrive(&c.t, a.Tariff, a.Customer, 0, int64(a.Left), a.Again, now)
 		if d.closed {
 			d.forfeit(c)
 		}
@@ -203,9 +224,35 @@
 	return c
 }
 
+// class is where an arrival's ending is counted.
+func (d *Desk) class(a Arrival) *figures.Class {
+	under := a.Under
+	if under == nil {
+		under = d.book.Terms
+	}
+	return under.Tariffs[a.Tariff].Mark.(*figures.Class)
+}
+
+// Whole says that the last byte of a transaction has come; left is what its client waits from now on.
+func (d *Desk) Whole(c *Case, left time.Duration) {
+	d.tell(func(now int64) {
+		if c.over {
+			return
+		}
+		d.b.Whole(&c.t, int64(left), now)
+		for _, p := range c.sent { // its time begins now
+			if p.timer.Stop() {
+				p.sent, p.Until = now, d.epoch.Add(time.Duration(now+int64(left)-d.epoch.UnixNano()))
+				p.timer.Reset(left)
+			}
+		}
+	})
+}
+
 // Outcome tells how a push ended. The first that settles or rejects its transaction makes the answer.
 func (d *Desk) Outcome(c *Case, p *Push, r logic.Result) {
-	p.end()
+	p.timer.Stop()
+	p.end(context.Canceled)
 	d.tell(func(now int64) {
 		d.tally.Results[r]++
 		d.b.Outcome(&c.t, p.Number, r, now-p.sent, c.over || r.Final(), now)
@@ -218,12 +265,40 @@
 	})
 }
 
+// Flow says that a push's answer has begun and is too long to be held. With it the push has settled its transaction,
+// unless that has ended already: the module is done with it, its time is up no more, and Flowed tells how the rest
+// went. Danger: without the module's knowledge a copy would go out after the client has had its first bytes.
+func (d *Desk) Flow(c *Case, p *Push) (won bool) {
+	d.tell(func(now int64) {
+		if c.over || p.Context.Err() != nil || !p.timer.Stop() {
+			return
+		}
+		won, c.flows = true, true
+		d.tally.Results[logic.Settled]++
+		d.b.Outcome(&c.t, p.Number, logic.Settled, now-p.sent, true, now)
+		d.finish(c, Answer{Ending: Settled, Push: p.Number})
+	})
+	return won
+}
+
+// Flowed tells how an answer that flowed has ended.
+func (d *Desk) Flowed(c *Case, p *Push, whole bool) {
+	p.end(context.Canceled)
+	d.counts.Open.Add(-1)
+	if whole {
+		c.class.End(Settled)
+	} else {
+		c.class.End(Forfeited)
+	}
+}
+
 // Vanish says that the client is gone; after an answer it says nothing.
 func (d *Desk) Vanish(c *Case) {
 	d.tell(func(int64) {
 		if !c.over {
 			c.over = true
 			d.tally.Vanished++
+			d.counts.Open.Add(-1)
 			delete(d.open, c)
 			d.b.Vanish(&c.t)
 		}
@@ -231,19 +306,70 @@
 }
 
 // Turn counts a transaction that was deferred before the module knew of it.
-func (d *Desk) Turn() {
+func (d *Desk) Turn(a Arrival) {
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.tally.Arrived++
 	d.tally.Edge++
-	d.tally.Endings[Deferred]++
-	d.mu.Unlock()
+	d.class(a).End(Deferred)
+}
+
+// Retune puts other terms in force, for what comes from now on; what is open keeps its own.
+func (d *Desk) Retune(book *terms.Book) (err error) {
+	ok := d.tell(func(now int64) {
+		b, can := d.b.(interface {
+			Retune(terms *logic.Terms, now int64) error
+		})
+		if !can {
+			err = errors.New("the module takes no other terms in service")
+			return
+		}
+		book.Terms.Zone = d.roster.Zone(book.Zones[book.Terms.Zone]) // the list's numbers stay as they were
+		if err = b.Retune(book.Terms, now); err == nil {
+			d.show(book)
+			d.book, d.room = book, min(max(book.Terms.MaxPushes, d.room), 64)
+		}
+	})
+	if !ok {
+		err = errors.New("the module fails at these terms")
+	}
+	return err
+}
+
+// show has the tariffs of a book counted, from now on.
+func (d *Desk) show(book *terms.Book) {
+	names := make([]string, len(book.Terms.Tariffs))
+	for name, n := range book.Tariffs {
+		names[n] = name
+	}
+	for n, f := range book.Terms.Tariffs {
+		f.Mark = d.counts.Class(names[n])
+	}
+}
+
+// Beside says that so many processes are this balancer at present, this one included.
+func (d *Desk) Beside(processes int) {
+	d.tell(func(now int64) {
+		if b, can := d.b.(interface{ Beside(n int) }); can {
+			b.Beside(processes)
+		}
+	})
+}
+
+// Cluster is how many upstreams are listed, and how many of them the module avoids now.
+func (d *Desk) Cluster() (listed, avoided int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if b, can := d.b.(interface{ Cluster() (listed, avoided int) }); can {
+		return b.Cluster()
+	}
+	return len(d.roster.Entries()), 0
 }
 
 // Tally is what has happened since the last one was taken.
 type Tally struct {
 	Arrived, Vanished int
-	Edge              int // deferred before the module knew of them; they stand among the deferred too
-	Endings           [Rejected + 1]int
+	Edge              int                     // deferred before the module knew of them
 	Results           [logic.Rejected + 1]int // of pushes
 	Open              int                     // transactions now
 	Watched           watch.Counts
@@ -253,9 +379,6 @@
 func (t *Tally) Add(o Tally) {
 	t.Watched.Add(o.Watched)
 	t.Arrived, t.Vanished, t.Edge, t.Open = t.Arrived+o.Arrived, t.Vanished+o.Vanished, t.Edge+o.Edge, t.Open+o.Open
-	for i, n := range o.Endings {
-		t.Endings[i] += n
-	}
 	for i, n := range o.Results {
 		t.Results[i] += n
 	}
@@ -299,7 +422,12 @@
 		return
 	}
 	c.over = true
-	d.tally.Endings[a.Ending]++
+	if !c.flows {
+		d.counts.Open.Add(-1)
+		if c.class != nil {
+			c.class.End(a.Ending)
+		}
+	}
 	delete(d.open, c)
 	c.answer <- a // has room for the one
 }
@@ -320,7 +448,11 @@
 		Number: len(c.sent), Place: w.roster.Place(upstream), sent: w.now(),
 		Until: w.epoch.Add(time.Duration(until - w.epoch.UnixNano())),
 	}
-	p.Context, p.end = context.WithDeadline(context.Background(), p.Until)
+	if t.Unwhole {
+		p.Until = time.Now().Add(mostUnwhole) // Whole sets it
+	}
+	p.Context, p.end = context.WithCancelCause(context.Background())
+	p.timer = time.AfterFunc(time.Until(p.Until), func() { p.end(context.DeadlineExceeded) })
 	c.sent = append(c.sent, p)
 	select {
 	case c.pushes <- p:
@@ -333,7 +465,7 @@
 func (w writer) Kept(upstream int) bool { return w.roster.Place(upstream).Kept.Load() > 0 }
 
 func (w writer) Cancel(t *logic.Transaction, push int) {
-	t.Mark.(*Case).sent[push].end()
+	t.Mark.(*Case).sent[push].end(context.Canceled)
 }
 
 func (w writer) Defer(t *logic.Transaction, backoff int64) {
--- a/internal/httpwire/pool.go
+++ b/internal/httpwire/pool.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"ottershift/internal/desk"
+	"ottershift/internal/figures"
 	"ottershift/internal/roster"
 	"ottershift/internal/terms"
 )
@@ -17,7 +18,9 @@
 	Name   string
 	front  *Front
 	shards []*shard
-	book   *terms.Book
+	book   atomic.Pointer[terms.Book]
+	counts *figures.Pool
+	tally  [figures.Endings]int64 // at the last tally in the log
 	log    *slog.Logger
 	part   *part
 	ids    ids
@@ -37,19 +40,29 @@
 	*Pool
 	desk *desk.Desk
 	out  *outbound
+	told atomic.Pointer[told]
+}
+
+// told is what a shard goes by: its part of the book in force, and the one before for tariffs that were dropped.
+type told struct {
+	book, before *terms.Book
+	since        time.Time // book holds
 }
 
 // NewPool makes a pool, which takes transactions once a board shows it. Retire ends it.
 func (f *Front) NewPool(name string, book *terms.Book) (*Pool, error) {
 	p := &Pool{
-		Name: name, front: f, book: book, log: f.base.With("pool", name), ids: ids{open: map[string]struct{}{}},
+		Name: name, front: f, counts: &figures.Pool{}, log: f.base.With("pool", name), ids: ids{open: map[string]struct{}{}},
 		empty: make(chan struct{}),
 	}
+	p.book.Store(book)
 	p.part = f.common.enter()
 	for n := range f.cores {
 		sh := &shard{Pool: p}
 		var err error
-		if sh.desk, err = desk.New(book.Part(n, f.cores), p.log, f.module); err != nil {
+		own := book.Part(n, f.cores)
+		sh.told.Store(&told{book: own})
+		if sh.desk, err = desk.New(own, p.counts, p.log, f.module); err != nil {
 			for _, made := range p.shards {
 				made.desk.Stop()
 			}
@@ -77,6 +90,35 @@
 	return p.shards[client.number%uint64(len(p.shards))]
 }
 
+// Retune puts another book in force. What is open keeps the one that it came under; what is told as before keeps what
+// was learnt under it.
+func (p *Pool) Retune(book *terms.Book) error {
+	for n, sh := range p.shards {
+		before := sh.told.Load().book
+		own := book.Part(n, len(p.shards))
+		own.Keep(before)
+		if err := sh.desk.Retune(own); err != nil {
+			return err
+		}
+		sh.told.Store(&told{book: own, before: before, since: time.Now()})
+	}
+	p.book.Store(book)
+	return nil
+}
+
+// Beside says how many processes are this balancer at present.
+func (p *Pool) Beside(n int) {
+	for _, sh := range p.shards {
+		sh.desk.Beside(n)
+	}
+}
+
+// View is the pool as the second address shows it.
+func (p *Pool) View() figures.View {
+	listed, avoided := p.shards[0].desk.Cluster()
+	return figures.View{Name: p.Name, Counts: p.counts, Listed: listed, Unhealthy: avoided}
+}
+
 // Speaker carries what one module says to another, by their numbers over all balancers.
 type Speaker interface {
 	Tell(from, to int, raw []byte)
@@ -86,7 +128,7 @@
 func (p *Pool) Speak(s Speaker) {
 	for n, sh := range p.shards {
 		var say func(to int, raw []byte)
-		if from := p.book.Terms.Index*len(p.shards) + n; s != nil {
+		if from := p.book.Load().Terms.Index*len(p.shards) + n; s != nil {
 			say = func(to int, raw []byte) { s.Tell(from, to, raw) }
 		}
 		sh.desk.Speak(say)
@@ -95,7 +137,7 @@
 
 // Told implements peers.Sink.
 func (p *Pool) Told(from, to int, raw []byte) {
-	if n := to - p.book.Terms.Index*len(p.shards); n >= 0 && n < len(p.shards) {
+	if n := to - p.book.Load().Terms.Index*len(p.shards); n >= 0 && n < len(p.shards) {
 		p.shards[n].desk.Told(from, raw)
 	}
 }
@@ -104,7 +146,7 @@
 func (p *Pool) Shards() int { return len(p.shards) }
 
 // Book is what the pool was told.
-func (p *Pool) Book() *terms.Book { return p.book }
+func (p *Pool) Book() *terms.Book { return p.book.Load() }
 
 // Log logs what concerns the pool.
 func (p *Pool) Log() *slog.Logger { return p.log }
@@ -150,7 +192,7 @@
 
 // longest is the longest hard stop of its tariffs.
 func (p *Pool) longest() (longest time.Duration) {
-	for _, t := range p.book.Terms.Tariffs {
+	for _, t := range p.book.Load().Terms.Tariffs {
 		longest = max(longest, time.Duration(t.HardStop))
 	}
 	return longest
@@ -179,7 +221,7 @@
 		forfeited = p.forfeit() // Danger: the module lost track of one, and the pool would never go
 		select {
 		case <-p.empty:
-		case <-time.After(writeLimit):
+		case <-time.After(mostStill):
 		}
 	}
 	p.end()
--- /dev/null
+++ b/internal/httpwire/presence.go
@@ -0,0 +1,164 @@
+package httpwire
+
+import (
+	"errors"
+	"sync"
+	"time"
+)
+
+const (
+	untilNoticed = 300 * time.Millisecond  // after LEAVE new clients may still come
+	idleUntil    = 1700 * time.Millisecond // then what lies idle is closed
+	lateFrom     = 1900 * time.Millisecond // what has its last byte later is deferred
+	sparedUntil  = 3400 * time.Millisecond // then whatever has no transaction is closed
+	sweepEvery   = 50 * time.Millisecond
+)
+
+type step uint8
+
+const (
+	serving  step = iota
+	leaving       // LEAVE came; JOIN leads back
+	stopping      // SIGTERM came
+)
+
+// Presence is whether a balancer takes clients. Health at both addresses, what SIGTERM and the second address ask for, and
+// the closing of connections all go by it.
+type Presence struct {
+	mu      sync.Mutex
+	step    step
+	at      time.Time // when that began
+	parting time.Time // from then on connections end with their answers; zero for never
+	late    time.Time // from then on what comes is deferred; zero for never
+	relayed bool      // stopping, and another process goes on taking clients
+	round   int       // how often it left or stopped
+}
+
+// leave drains, and tells whether that is news.
+func (p *Presence) leave(now time.Time) (news bool, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch p.step {
+	case stopping:
+		return false, errors.New("stopping")
+	case leaving:
+		return false, nil
+	}
+	p.step, p.at, p.parting, p.late = leaving, now, now.Add(untilNoticed), now.Add(lateFrom)
+	p.round++
+	return true, nil
+}
+
+// join takes clients again, and tells whether that is news.
+func (p *Presence) join(now time.Time) (news bool, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch p.step {
+	case stopping:
+		return false, errors.New("stopping")
+	case serving:
+		return false, nil
+	}
+	p.step, p.at, p.parting, p.late = serving, now, time.Time{}, time.Time{}
+	return true, nil
+}
+
+// stop ends it, for good. Connections end with their answers from a moment on, or from one that was set before.
+func (p *Presence) stop(now, parting time.Time, relayed bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.step == leaving {
+		parting, relayed = now, false
+	}
+	p.step, p.at, p.parting, p.late, p.relayed = stopping, now, parting, time.Time{}, relayed
+	p.round++
+}
+
+// takes reports whether clients may come. Danger: where another process takes them under the same address, a no from
+// this one would keep them from both.
+func (p *Presence) takes() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.step == serving || p.step == stopping && p.relayed
+}
+
+// parts reports whether connections end with their answers.
+func (p *Presence) parts(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.parting.IsZero() && !now.Before(p.parting)
+}
+
+// tooLate reports whether a transaction that is whole now has come too late to be taken.
+func (p *Presence) tooLate(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.late.IsZero() && !now.Before(p.late)
+}
+
+// since tells how long ago a round of leaving began, and whether it still goes on.
+func (p *Presence) since(round int, now time.Time) (time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Sub(p.at), p.step == leaving && p.round == round
+}
+
+func (p *Presence) rounds() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.round
+}
+
+// Takes is nil if clients may come, else why not.
+func (f *Front) Takes() error {
+	board, stands := f.board.Load(), false
+	if board.Only != nil {
+		stands = board.Only.stands.Load()
+	}
+	for _, p := range board.Pools {
+		stands = stands || p.stands.Load()
+	}
+	switch {
+	case !f.presence.takes():
+		return errors.New("leaving or stopping")
+	case !stands:
+		return errors.New("no list of upstreams")
+	case !f.accepts.Load():
+		return errors.New("not accepting yet")
+	}
+	return nil
+}
+
+// Leave has clients go elsewhere: health says no, connections end with their answers, and those without a transaction
+// are closed as late as allowed. Nothing else changes, and the process stays.
+func (f *Front) Leave() error {
+	news, err := f.presence.leave(time.Now())
+	if !news {
+		return err
+	}
+	f.log.Info("leave", "step", "begin", "clients", f.sockets.in.Load())
+	round := f.presence.rounds()
+	go func() {
+		for {
+			time.Sleep(sweepEvery)
+			now := time.Now()
+			past, on := f.presence.since(round, now)
+			if !on {
+				return
+			}
+			if past >= idleUntil {
+				f.sockets.sweep(now, past >= sparedUntil)
+			}
+		}
+	}()
+	return nil
+}
+
+// Join takes clients again.
+func (f *Front) Join() error {
+	news, err := f.presence.join(time.Now())
+	if news {
+		f.log.Info("leave", "step", "end", "clients", f.sockets.in.Load())
+	}
+	return err
+}
--- a/internal/httpwire/push.go
+++ b/internal/httpwire/push.go
@@ -29,14 +29,16 @@
 
 // push carries one push to its outcome.
 func (p *shard) push(c *desk.Case, o *desk.Push, q *transaction, out *gate, hand *inHand, into *reply) {
-	result := logic.Broken // it may have run, unless it is known better
+	result, flowed := logic.Broken, false // it may have run, unless it is known better
 	defer func() {
 		if what := recover(); what != nil {
 			p.log.Error("panic", "where", "push", "fault", what, "stack", string(debug.Stack()))
 		}
-		p.desk.Outcome(c, o, result)
+		if !flowed {
+			p.desk.Outcome(c, o, result)
+		}
 	}()
-	result = p.carry(o, q, out, hand, into)
+	result, flowed = p.carry(c, o, q, out, hand, into)
 }
 
 // strike gives back the pushes that were ordered and not begun when the transaction ended.
@@ -51,17 +53,23 @@
 	}
 }
 
-// carry sends the request once and takes what comes back.
-func (p *shard) carry(o *desk.Push, q *transaction, out *gate, hand *inHand, into *reply) logic.Result {
+// carry sends the request once and takes what comes back. What flowed has been told the desk already.
+func (p *shard) carry(
+	c *desk.Case, o *desk.Push, q *transaction, out *gate, hand *inHand, into *reply,
+) (result logic.Result, flowed bool) {
 	on := &ride{gate: out}
 	defer on.alight()
 	var cut atomic.Bool // before its last byte was written
 	ctx := httptrace.WithClientTrace(toward(o.Context, o.Place, o.Until), &httptrace.ClientTrace{
-		GotConn:      on.board,
-		WroteRequest: func(i httptrace.WroteRequestInfo) { cut.Store(i.Err != nil) },
+		GotConn: on.board,
+		WroteRequest: func(i httptrace.WroteRequestInfo) {
+			if cut.Store(i.Err != nil); i.Err == nil {
+				p.counts.Sends.Add(1)
+			}
+		},
 	})
 	header := maps.Clone(q.header)
-	header["X-Remaining"] = []string{strconv.FormatFloat(max(0, time.Until(o.Until).Seconds()), 'f', 6, 64)}
+	header["X-Remaining"] = []string{strconv.FormatFloat(max(0, min(time.Until(o.Until), q.left).Seconds()), 'f', 6, 64)}
 	if header["User-Agent"] == nil {
 		header["User-Agent"] = []string{""} // none, instead of the library's
 	}
@@ -71,18 +79,24 @@
 		Method: q.method, URL: &to, Host: q.host, Header: header,
 		Body: once{bytes.NewReader(q.body)}, ContentLength: int64(len(q.body)),
 	}).WithContext(ctx)
+	if q.rest != nil {
+		r.Body, r.ContentLength = io.NopCloser(io.MultiReader(bytes.NewReader(q.body), q.rest)), q.length
+	}
 
 	answer, err := p.out.transport.RoundTrip(r)
 	if err != nil {
 		begun := on.bar()
-		return ended(ctx, err, on.kept && !begun, begun && !cut.Load())
+		if on.on != nil && q.rest != nil && (cut.Load() || !q.rest.done()) { // its client was still sending: no word against the upstream
+			return logic.Unsent, false
+		}
+		return ended(ctx, err, on.kept && !begun, begun && !cut.Load()), false
 	}
 	defer answer.Body.Close()
 	if !on.bar() {
-		return logic.Unsent // what came was the answer to something else
+		return logic.Unsent, false // what came was the answer to something else
 	}
 	status := answer.StatusCode
-	settled := status == http.StatusOK || p.book.Plain && status >= 200 && status < 400
+	settled := status == http.StatusOK || p.book.Load().Plain && status >= 200 && status < 400
 	// Danger: 429 says to a client that its transaction has not run, which only the module may say.
 	rejected := status >= 400 && status < 500 && status != http.StatusTooManyRequests
 	if !settled {
@@ -90,30 +104,49 @@
 		// would be known only at the hard stop.
 		defer time.AfterFunc(restWithin, func() { answer.Body.Close() }).Stop()
 	}
-	body, err := take(answer.Body, answer.ContentLength)
-	hand.grow(int64(len(body)))
+	var body []byte
+	if settled && q.method != http.MethodHead && answer.ContentLength <= mostFull {
+		body, flowed, err = p.hold(c, o, answer, into, hand)
+	} else {
+		body, err = take(answer.Body, answer.ContentLength)
+		hand.grow(int64(len(body)))
+	}
 	switch {
+	case flowed:
+		return logic.Settled, true
 	case rejected:
 		p.into(into, answer, body)
-		return logic.Rejected
+		return logic.Rejected, false
 	case !settled:
 		turned := status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout
 		if turned && answer.Header.Get("X-Turned-Away") == "1" {
-			return logic.TurnedAway
+			return logic.TurnedAway, false
 		}
-		return logic.Errored
+		return logic.Errored, false
 	case err == errLong:
-		return logic.Errored
+		return logic.Errored, false
 	case err != nil:
-		return ended(ctx, err, false, true) // cut
+		return ended(ctx, err, false, true), false // cut
 	}
 	p.into(into, answer, body)
-	return logic.Settled
+	return logic.Settled, false
+}
+
+// take reads what comes with an answer that settles nothing; length is what its header says, -1 if nothing.
+func take(from io.Reader, length int64) ([]byte, error) {
+	if length > mostBody {
+		return nil, errLong
+	}
+	body, err := io.ReadAll(io.LimitReader(from, mostBody+1))
+	if err == nil && len(body) > mostBody {
+		err = errLong
+	}
+	return body, err
 }
 
 // into keeps an answer for its client.
 func (p *shard) into(r *reply, answer *http.Response, body []byte) {
-	*r = reply{answer.StatusCode, endToEnd(answer.Header), answer.Header["Content-Length"], body}
+	r.status, r.header, r.length, r.body = answer.StatusCode, endToEnd(answer.Header), answer.Header["Content-Length"], body
 }
 
 // ended names the outcome of a push without a whole answer. Only what provably never left whole is said not to
@@ -124,7 +157,7 @@
 	switch {
 	case stale, errors.Is(err, errFull), errors.Is(err, errClosed) && !written:
 		return logic.Unsent
-	case errors.Is(ctx.Err(), context.Canceled):
+	case errors.Is(context.Cause(ctx), context.Canceled):
 		return logic.Cancelled
 	case !written && ctx.Err() != nil:
 		return logic.Unsent // Danger: with little time left a live upstream would pass for one that is down
@@ -154,7 +187,7 @@
 
 // ping asks an upstream for a sign of life, which may take as long as two connections to it.
 func (p *shard) ping(ctx context.Context, at roster.Place) bool {
-	until := time.Now().Add(2 * p.book.DialTimeout)
+	until := time.Now().Add(2 * p.book.Load().DialTimeout)
 	ctx, end := context.WithDeadline(ctx, until)
 	defer end()
 	on := &ride{}
@@ -163,7 +196,7 @@
 		GotConn: on.board,
 	})
 	r := (&http.Request{
-		Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: at.Host, Path: p.book.Probe},
+		Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: at.Host, Path: p.book.Load().Probe},
 		Header: http.Header{"User-Agent": {""}}, Body: once{bytes.NewReader(nil)},
 	}).WithContext(ctx)
 	answer, err := p.out.transport.RoundTrip(r)
--- a/internal/httpwire/reply.go
+++ b/internal/httpwire/reply.go
@@ -15,6 +15,16 @@
 	header http.Header
 	length []string // as its Content-Length said, which counts where there is no body
 	body   []byte
+	flow   *flow // what comes instead of body, if it is too long to be held
+}
+
+func newReply() *reply { return &reply{} }
+
+// drop says that nobody writes it.
+func (r *reply) drop() {
+	if r != nil && r.flow != nil {
+		r.flow.leave(false)
+	}
 }
 
 // write gives a client its final answer. 503 tells it that trying again is harmless: nothing but the module's
@@ -23,6 +33,7 @@
 	switch a.Ending {
 	case desk.Settled, desk.Rejected:
 		from := replies[a.Push]
+		defer from.drop()
 		maps.Copy(w.Header(), from.header)
 		w.Header()["Content-Type"] = from.header["Content-Type"] // and none is guessed
 		if method == http.MethodHead || from.status == http.StatusNoContent || from.status == http.StatusNotModified {
@@ -30,6 +41,10 @@
 			f.out(w, from.status, nil)
 			return
 		}
+		if from.flow != nil {
+			f.pour(w, from)
+			return
+		}
 		f.send(w, from.status, from.body)
 	case desk.Deferred:
 		f.defers(w, a.Backoff)
@@ -60,14 +75,19 @@
 
 // out lets an answer out.
 func (f *Front) out(w http.ResponseWriter, status int, body []byte) {
-	if f.last.Load() {
-		w.Header()["Connection"] = []string{"close"}
-	}
+	f.part(w)
 	// Danger: a client that doesn't read would hold its connection for good.
 	out := http.NewResponseController(w)
-	out.SetWriteDeadline(time.Now().Add(writeLimit))
+	out.SetWriteDeadline(time.Now().Add(mostStill))
 	w.WriteHeader(status)
 	w.Write(body)
 	out.Flush()
 	out.SetWriteDeadline(time.Time{}) // the connection's next answer may be long in coming
 }
+
+// part ends the connection with its answer, if clients are to go.
+func (f *Front) part(w http.ResponseWriter) {
+	if f.presence.parts(time.Now()) {
+		w.Header()["Connection"] = []string{"close"}
+	}
+}
--- a/internal/httpwire/request.go
+++ b/internal/httpwire/request.go
@@ -1,6 +1,7 @@
 package httpwire
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"maps"
@@ -12,27 +13,33 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"ottershift/internal/desk"
 	"ottershift/internal/terms"
 	"ottershift/logic"
 )
 
 const (
-	mostBody = terms.MostBody
-	mostWait = time.Hour // what a client may ask for
+	mostBody = terms.MostBody // of a message that is held for certain
+	mostFull = 48 << 20       // of any message
+	mostHeld = 4              // part of what all bodies may take that one may
+	mostWait = time.Hour      // what a client may ask for
 	underway = 5 * time.Millisecond
 
 	// A client that never ends its message has an error or a close within three seconds of connecting. Danger: half
 	// a message holds a descriptor as well as a transaction does.
-	headLimit  = 1300 * time.Millisecond // within which the headers have come
-	bodyLimit  = 1200 * time.Millisecond // and then the body
-	writeLimit = 5 * time.Second         // and the answer gone
-	idleLimit  = 3 * time.Second         // between two transactions
+	headLimit = 2500 * time.Millisecond // within which the headers have come
+	slowest   = 2600 * time.Millisecond // and then the body; a longer one flows on without a pause
+	pause     = time.Second             // of more than this
+	slowRate  = 16 << 10                // at this many bytes a second, over all of it
+	idleLimit = 3 * time.Second         // between two transactions
 )
 
 // transaction is what a client sent, as the protocol has it.
 type transaction struct {
+	book     *terms.Book // that it came under
 	id       string
 	tariff   int
 	customer int // -1 for none
@@ -43,7 +50,16 @@
 	host   string
 	url    *url.URL
 	header http.Header // end to end
-	body   []byte
+	body   []byte      // as much of it as is held
+	length int64       // of all of it, -1 if nobody knows
+	rest   *upload     // what comes behind body, nil if nothing does
+}
+
+// arrival is what the desk is told.
+func (q *transaction) arrival() desk.Arrival {
+	return desk.Arrival{
+		Under: q.book.Terms, Tariff: q.tariff, Customer: q.customer, Left: q.left, Again: q.again, Unwhole: q.rest != nil,
+	}
 }
 
 // fault is why a message can't be a transaction; such a one never reaches the module.
@@ -56,7 +72,7 @@
 
 // read decodes what a client sent but for its body, which take reads. tariff is what its route says, "" for nothing.
 func read(r *http.Request, book *terms.Book, tariff string) (*transaction, *fault) {
-	q := &transaction{method: r.Method, host: r.Host, url: r.URL, customer: -1}
+	q := &transaction{book: book, method: r.Method, host: r.Host, url: r.URL, customer: -1, length: r.ContentLength}
 	for _, name := range []string{"X-Txn", "X-Lane", "X-Org", "X-Remaining", "Idempotency-Key"} {
 		if len(r.Header[name]) > 1 {
 			return nil, bad("more than one " + name) // Danger: who reads the other would take it for another's
@@ -100,7 +116,7 @@
 	if book.Plain {
 		forwarded(q.header, r.RemoteAddr)
 	}
-	if r.ContentLength > mostBody {
+	if r.ContentLength > mostFull {
 		return nil, tooLong
 	}
 	return q, nil
@@ -136,36 +152,124 @@
 	h["X-Forwarded-Proto"] = []string{"http"}
 }
 
-var tooLong = &fault{http.StatusRequestEntityTooLarge, "the body is over 64 KiB"}
+var (
+	tooLong = &fault{http.StatusRequestEntityTooLarge, "the body is over 48 MiB"}
+	noRoom  = &fault{http.StatusServiceUnavailable, "no room for the body"}
+)
 
-// wait reads a transaction's body.
-func (q *transaction) wait(w http.ResponseWriter, r *http.Request) *fault {
-	var err error
-	q.body, err = take(r.Body, r.ContentLength)
-	switch {
-	case err == errLong:
-		return tooLong
-	case err != nil:
-		return bad("the body is cut, late or malformed")
-	}
-	// Danger: the server watches the connection from here on; a limit left behind looks like a client gone.
-	http.NewResponseController(w).SetReadDeadline(time.Time{})
+// wait reads a transaction's body: all of it, or as much as there is room for. Danger: room made for what a length only
+// promises would cost more memory than there is.
+func (q *transaction) wait(w http.ResponseWriter, r *http.Request, hand *inHand) *fault {
+	in := &upload{from: r.Body, control: http.NewResponseController(w), start: time.Now(), end: make(chan error, 1)}
+	for r.Body != http.NoBody {
+		if len(q.body) == cap(q.body) {
+			more := max(512, cap(q.body))
+			if q.length >= 0 { // one more, for the end to be seen
+				more = int(min(int64(max(more, mostBody/4)), q.length+1-int64(len(q.body))))
+			}
+			if short := mostBody + 1 - len(q.body); short > 0 { // up to there it is held for certain
+				more = min(more, short)
+			}
+			room := max(more, 1)
+			if !hand.more(int64(room), int64(len(q.body)+room)) {
+				if len(q.body) <= mostBody {
+					return noRoom
+				}
+				q.rest = in
+				return nil
+			}
+			q.body = slices.Grow(q.body, room)[:len(q.body)]
+		}
+		n, err := in.Read(q.body[len(q.body):cap(q.body)])
+		q.body = q.body[:len(q.body)+n]
+		switch {
+		case err == io.EOF:
+			q.length = int64(len(q.body))
+			return nil
+		case err == errLong:
+			return tooLong
+		case err != nil:
+			return bad("the body is cut, late or malformed")
+		}
+	}
+	in.control.SetReadDeadline(time.Time{})
+	q.length = 0
 	return nil
 }
 
 var errLong = errors.New("a body over the limit")
 
-// take reads a body whole; length is what its header says, -1 if nothing.
-func take(from io.Reader, length int64) ([]byte, error) {
-	if length > mostBody {
-		return nil, errLong
+// upload is a body on its way in. Its client may be slow, but neither stand still nor trickle.
+type upload struct {
+	from    io.Reader
+	control *http.ResponseController
+	start   time.Time
+	got     int64
+	end     chan error  // how it ended, once; nil for whole
+	why     error       // the same for who reads on
+	over    atomic.Bool // it has ended, or nobody wants it any more
+}
+
+func (u *upload) Read(b []byte) (int, error) {
+	if u.over.Load() {
+		return 0, cmp.Or(u.why, io.ErrUnexpectedEOF) // Danger: an end that is none would make a cut body pass for whole
 	}
-	// Danger: room made for what a length only promises would cost more memory than there is.
-	body, err := io.ReadAll(io.LimitReader(from, mostBody+1))
-	if err == nil && len(body) > mostBody {
+	until := u.start.Add(slowest + time.Duration(u.got)*time.Second/slowRate)
+	if flows := time.Now().Add(pause); flows.Before(until) {
+		until = flows
+	}
+	if least := u.start.Add(slowest); until.Before(least) {
+		until = least
+	}
+	u.control.SetReadDeadline(until)
+	n, err := u.from.Read(b)
+	if u.got += int64(n); u.got > mostFull {
 		err = errLong
 	}
-	return body, err
+	u.why = err
+	if err != nil && u.over.CompareAndSwap(false, true) {
+		if err == io.EOF {
+			// Danger: the server watches the connection from here on; a limit left behind looks like a client gone.
+			u.control.SetReadDeadline(time.Time{})
+			u.end <- nil
+		} else {
+			u.end <- err
+		}
+	}
+	return n, err
+}
+
+// ended tells once how it ended; nobody hears of what never began.
+func (u *upload) ended() <-chan error {
+	if u == nil {
+		return nil
+	}
+	return u.end
+}
+
+// stop says that nobody wants the rest. Danger: its limits would be set on the connection's next message.
+func (u *upload) stop() {
+	if u != nil {
+		u.over.Store(true)
+	}
+}
+
+// done reports whether nothing is to come any more.
+func (u *upload) done() bool { return u == nil || u.over.Load() }
+
+// read decodes what a client sent, by the terms in force. A tariff that was dropped is known for its hard stop: its
+// clients try again by themselves.
+func (p *shard) read(r *http.Request, tariff string) (*transaction, *fault) {
+	t := p.told.Load()
+	q, no := read(r, t.book, tariff)
+	if no == nil || no.status != http.StatusNotFound || t.before == nil {
+		return q, no
+	}
+	old, still := read(r, t.before, tariff)
+	if still == nil && time.Since(t.since) < time.Duration(t.before.Terms.Tariffs[old.tariff].HardStop) {
+		return old, nil
+	}
+	return q, no
 }
 
 // ids are those of the open transactions. Danger: a client that sends another's would have its answer, or have it
--- a/internal/httpwire/serve.go
+++ b/internal/httpwire/serve.go
@@ -21,16 +21,17 @@
 
 // Front is the door for transactions.
 type Front struct {
-	log     *slog.Logger
-	base    *slog.Logger // for the pools' own
-	sockets *sockets
-	common  *common
-	server  *http.Server
-	module  desk.Make
-	cores   int
-	board   atomic.Pointer[Board]
-	closing atomic.Bool // no new clients are wanted
-	last    atomic.Bool // connections end with their answers
+	log      *slog.Logger
+	base     *slog.Logger // for the pools' own
+	sockets  *sockets
+	common   *common
+	server   *http.Server
+	module   desk.Make
+	cores    int
+	board    atomic.Pointer[Board]
+	presence Presence
+	accepts  atomic.Bool  // a listener is served
+	flows    atomic.Int64 // answers that go on without the module
 }
 
 // Board is which pool takes what. It is replaced whole.
@@ -59,8 +60,8 @@
 	f.cores = max(cores, 1)
 }
 
-// Alone lets the one pool there is have all that is common.
-func (f *Front) Alone() { f.common.alone() }
+// Alone lets the one pool there is have all that is common; bodies are bytes in hand.
+func (f *Front) Alone(bodies int64) { f.common.alone(bodies) }
 
 // Deal sets what each pool has of what is common from now on; bodies are bytes in hand, within the time until a pool has
 // what is guaranteed to it back, refusals those a second that all together may write before connections rest.
@@ -82,7 +83,11 @@
 	client := clientOf(r.Context())
 	out := gateOf(client)
 	defer func() {
-		if what := recover(); what != nil {
+		what := recover()
+		if what == http.ErrAbortHandler { // how the server is told to break a connection
+			panic(what)
+		}
+		if what != nil {
 			f.log.Error("panic", "where", "serve", "fault", what, "stack", string(debug.Stack()))
 			if c != nil {
 				p.desk.Vanish(c)
@@ -93,7 +98,7 @@
 		}
 	}()
 	// Danger: a body that trickles in holds a connection, also where it belongs to no transaction.
-	http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyLimit))
+	http.NewResponseController(w).SetReadDeadline(time.Now().Add(slowest))
 	if r.URL.Path == "/_health" {
 		f.health(w, r)
 		return
@@ -106,7 +111,7 @@
 	}
 	defer pool.exit()
 	p = pool.shard(client)
-	q, no := read(r, p.book, tariff)
+	q, no := p.read(r, tariff)
 	if no == nil && !p.ids.claim(q.id) {
 		no = bad("X-Txn is that of an open transaction")
 	}
@@ -116,32 +121,55 @@
 	}
 	defer p.ids.free(q.id)
 	f.sockets.busy(client, p.part)
-	held := max(r.ContentLength, 0)
-	if ok, rest := p.part.take(held, q.left); !ok {
-		p.desk.Turn()
-		f.defers(w, time.Duration(p.book.Terms.Backoff(p.book.Terms.Tariffs[q.tariff])))
+	hand := &inHand{part: p.part, left: q.left}
+	defer hand.end()
+	if ok, rest := p.part.take(q.left); !ok {
+		f.turn(w, p, q)
 		// Danger: a flood that is refused as fast as it comes uses up the core. It has its answer; what rests is the
 		// connection, before its next message is read.
 		time.Sleep(rest)
 		return
 	}
-	hand := &inHand{part: p.part, bytes: held}
-	defer hand.end()
-	if no := q.wait(w, r); no != nil {
-		f.reject(w, no)
+	hand.open = true
+	if no := q.wait(w, r, hand); no != nil {
+		if no == noRoom {
+			f.turn(w, p, q)
+		} else {
+			f.reject(w, no)
+		}
+		return
+	}
+	if f.presence.tooLate(time.Now()) {
+		f.turn(w, p, q)
 		return
 	}
-	c = p.desk.Arrive(q.tariff, q.customer, q.left, q.again)
+	c = p.desk.Arrive(q.arrival())
+	defer q.rest.stop()
 	defer p.strike(c)
 	replies := map[int]*reply{} // by push
+	defer func() {
+		select {
+		case a := <-c.Answer: // that its client did not wait for
+			replies[a.Push].drop()
+		default:
+		}
+	}()
 	for {
 		select {
 		case push := <-c.Pushes:
-			replies[push.Number] = &reply{}
+			replies[push.Number] = newReply()
 			go p.push(c, push, q, out, hand, replies[push.Number])
+		case left := <-q.rest.ended():
+			if left != nil { // its client sent no more
+				p.desk.Vanish(c)
+				out.close()
+				f.reject(w, bad("the body is cut, late or malformed"))
+				return
+			}
+			p.desk.Whole(c, q.left)
 		case a := <-c.Answer:
 			out.close()
-			if client != nil && client.listener.gone.Load() {
+			if client != nil && client.listener.gone.Load() || !q.rest.done() {
 				w.Header()["Connection"] = []string{"close"}
 			}
 			f.write(w, a, replies, r.Method)
@@ -157,13 +185,20 @@
 	}
 }
 
+// turn defers a transaction that the module has not heard of.
+func (f *Front) turn(w http.ResponseWriter, p *shard, q *transaction) {
+	p.desk.Turn(q.arrival())
+	w.Header()["Connection"] = []string{"close"} // Danger: its body may be on its way yet
+	f.defers(w, time.Duration(q.book.Terms.Backoff(q.book.Terms.Tariffs[q.tariff])))
+}
+
 // route finds the pool of a message, which it is counted into, and the tariff if its route says one. What no route
 // takes is nobody's transaction.
 func (f *Front) route(r *http.Request, client *counted) (p *Pool, tariff string, no *fault) {
 	// Danger: the server drops a length that comes beside a transfer coding, and what one side takes for the body
 	// holds a message of its own for the other; in HTTP/1.0 it drops the coding, unseen from here.
-	if len(r.TransferEncoding) > 0 {
-		return nil, "", &fault{http.StatusLengthRequired, "a body comes with its length, not with a transfer coding"}
+	if len(r.TransferEncoding) > 0 && (client == nil || !client.head.plain()) {
+		return nil, "", &fault{http.StatusLengthRequired, "a body comes with its length or a transfer coding, not with both"}
 	}
 	if !r.ProtoAtLeast(1, 1) {
 		return nil, "", bad("not HTTP/1.1")
@@ -246,9 +281,15 @@
 			stands = stands || p.stands.Load()
 		}
 	}
-	if !stands || f.closing.Load() {
-		f.say(w, http.StatusServiceUnavailable, "no list of upstreams, or closing")
+	if takes := f.presence.takes(); !stands || !takes {
+		if !takes { // Danger: kept, it would be held open by a balancer that is to hold none
+			w.Header()["Connection"] = []string{"close"}
+		}
+		f.say(w, http.StatusServiceUnavailable, "no list of upstreams, leaving or stopping")
 		return
 	}
+	if f.presence.parts(time.Now()) {
+		w.Header()["Connection"] = []string{"close"}
+	}
 	w.WriteHeader(http.StatusOK)
 }
--- a/internal/httpwire/share.go
+++ b/internal/httpwire/share.go
@@ -66,11 +66,15 @@
 	Open, Connections, Bodies int64   // at most; 0 for all there is
 }
 
-// alone lets the one pool there is have all.
-func (c *common) alone() {
+// alone lets the one pool there is have all; bodies are bytes in hand.
+func (c *common) alone(bodies int64) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.free = true
-	c.mu.Unlock()
+	c.bodies.Resize(bodies)
+	for p := range c.parts {
+		c.bodies.Set(p.bodies, bodies, bodies)
+	}
 }
 
 // deal sets what all pools have from now on. A part that isn't named gives its place up as it empties.
@@ -116,31 +120,42 @@
 }
 
 // take is asked for each transaction before its body is read; rest is what a connection that is refused has to rest.
-func (p *part) take(bytes int64, left time.Duration) (ok bool, rest time.Duration) {
+func (p *part) take(left time.Duration) (ok bool, rest time.Duration) {
 	c := p.common
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.now()
-	until := now + int64(left)
-	switch {
-	case c.free:
+	if c.free {
 		c.open.Force(p.open, 1)
-		c.bodies.Force(p.bodies, bytes)
 		return true, 0
-	case !c.open.Take(p.open, 1, until, now):
-	case !c.bodies.Take(p.bodies, bytes, until, now):
-		c.open.Give(p.open, 1)
-	default:
+	}
+	if c.open.Take(p.open, 1, now+int64(left), now) {
 		return true, 0
 	}
 	return false, time.Duration(p.pace.Rest(now))
 }
 
-// inHand is what a transaction holds of its pool's part, from take until end.
+// inHand is what a transaction holds of its pool's part, until end.
 type inHand struct {
 	part  *part
+	left  time.Duration
+	open  bool
 	bytes int64 // of bodies
-	over  bool  // both under the lock of common
+	over  bool  // all under the lock of common
+}
+
+// more takes room for so many bytes more of a request, of which all is to be no more than a part of what there is.
+// Danger: a few long ones would take up all of it, and short ones, which are held for certain, would be turned away.
+func (h *inHand) more(bytes, all int64) bool {
+	c := h.part.common
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	if all > mostBody+1 && max(all*mostHeld, (c.bodies.Used()+bytes)*2) > c.bodies.Capacity() || !c.bodies.Take(h.part.bodies, bytes, now+int64(h.left), now) {
+		return false
+	}
+	h.bytes += bytes
+	return true
 }
 
 // grow counts what an answer brought. Danger: thrown away for want of room, it would be a forfeit of what has run.
@@ -158,7 +173,9 @@
 	h.part.common.mu.Lock()
 	defer h.part.common.mu.Unlock()
 	h.over = true
-	h.part.common.open.Give(h.part.open, 1)
+	if h.open {
+		h.part.common.open.Give(h.part.open, 1)
+	}
 	h.part.common.bodies.Give(h.part.bodies, h.bytes)
 }
 
--- a/internal/httpwire/sockets.go
+++ b/internal/httpwire/sockets.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	mostReserve = 48 // for what isn't counted: the listener, the watch, the runtime's own files
+	mostReserve = 64 // for what isn't counted: the listener, the second address, the watch, the runtime's own files
 	fresh       = 20 * time.Millisecond
 	mostHeader  = 32 << 10 // of a message, either way
 )
@@ -59,6 +59,10 @@
 		c.since = time.Now()
 	}
 	s.unquiet(c)
+	c.reads, c.moved = now == http.StateActive, time.Now()
+	if now == http.StateIdle {
+		c.head.next()
+	}
 	switch {
 	case now == http.StateClosed || now == http.StateHijacked:
 		s.belong(c, nil)
@@ -192,6 +196,27 @@
 	}
 }
 
+// sweep closes clients' connections that lie idle; all, also those that have a message begun for a while. Danger: one
+// on which a message has just come would be lost to its client.
+func (s *sockets) sweep(now time.Time, all bool) {
+	var idle []*counted
+	s.mu.Lock()
+	for c := range s.place {
+		if !c.reads && now.Sub(c.moved) >= fresh || all && now.Sub(c.moved) >= time.Second/2 {
+			idle = append(idle, c)
+		}
+	}
+	s.mu.Unlock()
+	for _, c := range idle {
+		if raw, err := c.SyscallConn(); err == nil && !all {
+			if unread, _ := peek(raw); unread {
+				continue
+			}
+		}
+		c.Close()
+	}
+}
+
 // counted is a connection that is taken off its count when it is closed. Danger: without TCPConn's CloseWrite the
 // server can't end a connection softly, and a reset overtakes its last answer.
 type counted struct {
@@ -201,9 +226,19 @@
 	since    time.Time
 	listener *Listener // a client's
 	number   uint64    // of a client's, by which it belongs to a shard
+	reads    bool      // a client's: some of a message has come
+	moved    time.Time // when its state changed
+	head     heads     // a client's
 	pool     *part     // a client's: to which its last transaction came, nil for a stranger; under the lock of sockets
 }
 
+// Read has a client's heads looked at.
+func (c *counted) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	c.head.see(b[:n])
+	return n, err
+}
+
 func (c *counted) Close() error {
 	c.once.Do(func() { c.count.Add(-1) })
 	return c.TCPConn.Close()
@@ -216,6 +251,7 @@
 	called  atomic.Pointer[string]
 	sockets *sockets
 	gone    atomic.Bool // its clients' connections end with their answers
+	deaf    atomic.Bool // closed here, and open in another process
 }
 
 // Rename changes its name, as routes know it.
--- a/internal/httpwire/tally.go
+++ b/internal/httpwire/tally.go
@@ -32,15 +32,21 @@
 	if t.Arrived == 0 && t.Open == 0 {
 		return
 	}
-	if p.book.Watch {
+	ended := p.counts.Ended()
+	now := ended
+	for e := range now {
+		now[e] -= p.tally[e]
+	}
+	p.tally = ended
+	if p.book.Load().Watch {
 		w := t.Watched
 		p.log.Info("shape", "compared", w.Compared, "elsewhere", w.Elsewhere, "waiting", w.Waiting, "sooner", w.Sooner,
 			"copies", w.Copies, "fewer", w.Fewer, "given_up", w.GivenUp, "kept", w.Kept)
 	}
 	r, s := t.Results, p.front.sockets
 	_, out, bodies, owed := p.part.holds()
-	p.log.Info("tally", "arrived", t.Arrived, "settled", t.Endings[desk.Settled], "deferred", t.Endings[desk.Deferred],
-		"forfeited", t.Endings[desk.Forfeited], "rejected", t.Endings[desk.Rejected], "vanished", t.Vanished,
+	p.log.Info("tally", "arrived", t.Arrived, "settled", now[desk.Settled], "deferred", now[desk.Deferred],
+		"forfeited", now[desk.Forfeited], "rejected", now[desk.Rejected], "vanished", t.Vanished,
 		"open", t.Open, "at_edge", t.Edge, "owed", owed,
 		"push_settled", r[logic.Settled], "push_errored", r[logic.Errored], "push_turned_away", r[logic.TurnedAway],
 		"push_timed_out", r[logic.TimedOut], "push_unreachable", r[logic.Unreachable], "push_broken", r[logic.Broken],
--- a/internal/lab/baseline/baseline.go
+++ b/internal/lab/baseline/baseline.go
@@ -92,6 +92,7 @@
 func (b *Balancer) Listed(bool, int64)                      {}
 func (b *Balancer) Told(int, []byte, int64)                 {}
 func (b *Balancer) Probed(int, bool)                        {}
+func (b *Balancer) Whole(*logic.Transaction, int64, int64)  {} // the lab's transactions come whole
 
 func (b *Balancer) Arrive(t *logic.Transaction, tariff, _ int, _, left int64, _ bool, now int64) {
 	s := &state{t: t, tariff: b.terms.Tariffs[tariff], stop: now + left, place: -1}
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -22,10 +22,16 @@
 	Table     *routes.Table // of Routes; nil on the platform
 	Limits    Limits
 	Log       Log
+	Ops       string // the second address, for staff; "" for none
+
+	keys []string // of the platform's file
 }
 
 // Listener is an address where clients connect.
-type Listener struct{ Name, Address string }
+type Listener struct {
+	Name, Address string
+	Inherited     int // the descriptor that listens there already, 0 for none
+}
 
 // Limits are what all pools have in common.
 type Limits struct {
--- a/internal/plan/pools.go
+++ b/internal/plan/pools.go
@@ -59,6 +59,10 @@
 	r.p.Name = t.Text("name", "ottershift")
 	r.p.Seed = uint64(t.Number("seed", 0, 0, math.MaxInt64))
 
+	if t.Has("ops") {
+		r.p.Ops = t.Address("ops", "the second address, such as \"127.0.0.1:9901\"")
+	}
+
 	l := t.Table("limits")
 	r.p.Limits = Limits{
 		Cores:       l.Whole("cores", 0, 1, 1024),
@@ -97,7 +101,7 @@
 		}
 		taken[address] = name
 		all[i].End()
-		r.p.Listeners = append(r.p.Listeners, Listener{name, address})
+		r.p.Listeners = append(r.p.Listeners, Listener{Name: name, Address: address})
 	}
 	if len(names) == 0 {
 		r.Fault("listeners", "there is none; write [listeners.NAME] with an address")
@@ -190,6 +194,10 @@
 
 	p := &Pool{Name: name, Book: b, Share: t.Number("share", -1, 0, 1)}
 	r.shares += max(0, p.Share)
+	if t.Has("ops") {
+		r.p.Ops = t.Address("ops", "the second address, such as \"127.0.0.1:9901\"")
+	}
+
 	l := t.Table("limits")
 	p.Open = int64(l.Whole("open", 0, 1, 1e6))
 	p.Connections = int64(l.Whole("connections", 0, 1, 1e6))
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -3,11 +3,15 @@
 package process
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"hash/fnv"
+	"io"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
+	"os"
 	"runtime"
 	"runtime/debug"
 	"slices"
@@ -17,13 +21,17 @@
 
 	"ottershift/internal/desk"
 	"ottershift/internal/discovery"
+	"ottershift/internal/figures"
 	"ottershift/internal/httpwire"
 	"ottershift/internal/listfile"
 	"ottershift/internal/listfixed"
 	"ottershift/internal/lists"
 	"ottershift/internal/logs"
+	"ottershift/internal/ops"
 	"ottershift/internal/peers"
 	"ottershift/internal/plan"
+	"ottershift/internal/relay"
+	"ottershift/internal/roster"
 )
 
 // Process is what runs.
@@ -31,6 +39,11 @@
 	log, own *slog.Logger
 	level    *slog.LevelVar
 	seed     uint64
+	counts   figures.Process
+	ops      *ops.Server
+	seat     *relay.Seat // among the processes of this balancer, nil where it is replaced by nobody
+	beside   int         // processes that are this balancer, this one included
+	end      context.CancelFunc
 	front    *httpwire.Front
 	plan     *plan.Plan
 	ended    chan error
@@ -50,8 +63,12 @@
 	stop  context.CancelFunc // ends the source of its list
 	link  *peers.Link        // to the others, if they tell one another what they hold
 	route *peers.Route
+	heard chan struct{} // closed once its source has told something
+	once  sync.Once
 }
 
+const mostUnheard = 1500 * time.Millisecond // that a list is waited for before clients are taken
+
 // Start puts a plan to work. Nothing of it is left if that fails.
 func Start(p *plan.Plan, log *slog.Logger, level *slog.LevelVar) (*Process, error) {
 	return StartWith(p, log, level, desk.Design)
@@ -66,17 +83,100 @@
 	if s.seed == 0 {
 		s.seed = rand.Uint64()
 	}
+	s.beside = 1
+	ctx, end := context.WithCancel(context.Background())
+	s.end = end
+	if slices.ContainsFunc(p.Listeners, func(l plan.Listener) bool { return l.Inherited > 0 }) {
+		var err error
+		if s.seat, err = relay.Take(os.TempDir(), p.Name); err != nil {
+			s.own.Warn("relay", "step", "alone", "fault", err)
+		} else {
+			s.beside = s.seat.Count()
+		}
+	}
+	if p.Ops != "" {
+		var err error
+		if s.ops, err = ops.Open(p.Ops, s, log); err != nil {
+			s.finish()
+			return nil, fmt.Errorf("ops: %w", err)
+		}
+	}
 	if err := s.change(p); err != nil {
+		s.finish()
 		return nil, err
 	}
+	if s.seat != nil {
+		go s.seat.Watch(ctx, s.share)
+	}
 	return s, nil
 }
 
+// finish ends what is there besides pools and listeners.
+func (s *Process) finish() {
+	s.end()
+	if s.ops != nil {
+		s.ops.Close()
+	}
+	if s.seat != nil {
+		s.seat.Leave()
+	}
+}
+
+// share has the process keep to its part of what all processes of this balancer may hold together.
+func (s *Process) share(beside int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.own.Info("relay", "step", "counted", "processes", beside)
+	s.beside = beside
+	s.limit(s.plan)
+	for _, p := range s.pools {
+		p.Beside(beside)
+	}
+	if s.plan.Platform {
+		s.front.Alone(s.plan.Limits.Bodies / int64(beside))
+	}
+}
+
+// Health implements ops.Balancer, as do the methods below.
+func (s *Process) Health() error { return s.front.Takes() }
+
+// Figures writes what has become of transactions and pushes so far.
+func (s *Process) Figures(to io.Writer) error {
+	s.mu.Lock()
+	platform := s.plan.Platform
+	pools := slices.Collect(maps.Values(s.pools))
+	s.mu.Unlock()
+	var views []figures.View
+	for _, p := range pools {
+		v := p.View()
+		if platform {
+			v.Name = ""
+		}
+		views = append(views, v)
+	}
+	slices.SortFunc(views, func(a, b figures.View) int { return cmp.Compare(a.Name, b.Name) })
+	return figures.Write(to, &s.counts, views)
+}
+
+// Leave has clients go elsewhere, until Join.
+func (s *Process) Leave() error { return s.front.Leave() }
+
+// Join takes clients again.
+func (s *Process) Join() error { return s.front.Join() }
+
 // Ended tells why a listener ended by itself.
 func (s *Process) Ended() <-chan error { return s.ended }
 
 // Drain serves to the end what has been taken. The process is to exit after it.
-func (s *Process) Drain() { s.front.Drain() }
+func (s *Process) Drain() {
+	var relayed []*httpwire.Listener
+	if s.seat != nil && s.seat.Count() > 1 {
+		s.mu.Lock()
+		relayed = slices.Collect(maps.Values(s.listeners))
+		s.mu.Unlock()
+	}
+	s.front.Drain(relayed...)
+}
 
 // Close gives back all that is left after a drain, for those that go on.
 func (s *Process) Close() {
@@ -91,29 +191,66 @@
 	for _, l := range s.links {
 		l.Close()
 	}
+	s.finish()
 }
 
-// Reload puts another plan in force, all of it or nothing.
+// Reload puts another plan in force, all of it or nothing; a plan that could not be read is counted by Refused.
 func (s *Process) Reload(p *plan.Plan) error {
-	if p.Platform { // its pool follows the list at another address; all else stays
-		for _, now := range s.pools {
-			to := p.Pools[0].List.Discovery
-			s.own.Info("reload", "step", "taken", "discovery", to, "moved", now.watch.Move(to))
-		}
-		return nil
-	}
 	start, before := time.Now(), s.plan
-	if err := s.change(p); err != nil {
+	change := s.change
+	if p.Platform {
+		change = s.retune
+	}
+	if err := change(p); err != nil {
 		return err
 	}
+	s.counts.Loaded.Add(1)
 	s.own.Info("reload", "step", "taken", "pools", len(p.Pools), "routes", len(p.Routes), "listeners", len(p.Listeners),
 		"pools_before", len(before.Pools), "took", time.Since(start).Round(time.Microsecond))
-	if p.Log.Format != before.Log.Format {
-		s.own.Warn("reload", "step", "later", "key", "log.format", "fault", "takes effect at the next start")
+	later := func(key string, changed bool) {
+		if changed {
+			s.own.Warn("reload", "step", "later", "key", key, "fault", "takes effect at the next start")
+		}
+	}
+	later("log.format", p.Log.Format != before.Log.Format)
+	later("ops", p.Ops != before.Ops)
+	if p.Platform {
+		later("listen", p.Listeners[0].Address != before.Listeners[0].Address)
+		later("limits.cores", p.Limits.Cores != before.Limits.Cores)
+		later("name", p.Name != before.Name)
 	}
 	return nil
 }
 
+// Refused counts a file that made no sense.
+func (s *Process) Refused() { s.counts.Invalid.Add(1) }
+
+// retune goes from one plan of the platform's to another: its pool stays, and with it all that it has learnt. What was
+// said at the start of listeners, cores and the second address stays.
+func (s *Process) retune(p *plan.Plan) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if key := p.Lacks(s.plan); key != "" {
+		return fmt.Errorf("%s is missing", key)
+	}
+	now, told := s.pools[p.Pools[0].Name], p.Pools[0]
+	if now.told.Print != told.Print {
+		if err := now.Retune(told.Book); err != nil {
+			return err
+		}
+		s.own.Info("reload", "step", "terms", "tariffs", len(told.Book.Tariffs), "attempts", told.Book.Terms.MaxPushes)
+	}
+	to := told.List.Discovery
+	s.own.Info("reload", "step", "list", "discovery", to, "moved", now.watch.Move(to))
+	now.told = told
+	cores := s.plan.Limits.Cores
+	s.plan = p
+	s.plan.Limits.Cores = cores
+	s.limit(s.plan)
+	s.front.Alone(s.plan.Limits.Bodies / int64(s.beside))
+	return nil
+}
+
 // change goes from the plan in force to another. First comes all that may fail, and is undone if anything does.
 func (s *Process) change(p *plan.Plan) (err error) {
 	s.mu.Lock()
@@ -143,8 +280,12 @@
 	for _, l := range p.Listeners {
 		wanted[l.Address] = s.listeners[l.Address]
 		if wanted[l.Address] == nil {
-			n, err := s.front.Listen(l.Name, l.Address)
-			if err != nil {
+			var n *httpwire.Listener
+			if l.Inherited > 0 {
+				if n, err = s.front.Inherit(l.Name, l.Address, l.Inherited); err != nil {
+					return fmt.Errorf("PROXY_LISTEN_FD: %w", err)
+				}
+			} else if n, err = s.front.Listen(l.Name, l.Address); err != nil {
 				return err
 			}
 			opened, wanted[l.Address] = append(opened, n), n
@@ -188,7 +329,7 @@
 			}
 		}
 		if len(first) > 0 {
-			n.List(first, true)
+			n.Pool.List(first, true)
 		}
 	}
 	board := &httpwire.Board{Table: p.Table, Pools: map[string]*httpwire.Pool{}}
@@ -202,7 +343,7 @@
 		}
 	}
 	if p.Platform {
-		s.front.Alone()
+		s.front.Alone(p.Limits.Bodies / int64(s.beside))
 	} else {
 		s.front.Deal(p.Limits.Bodies, p.Limits.Within, p.Limits.Refusals, parts)
 	}
@@ -236,7 +377,16 @@
 		n := wanted[l.Address]
 		n.Rename(l.Name)
 		if s.listeners[l.Address] == nil {
+			heard := make(chan struct{})
+			if close(heard); l.Inherited > 0 && s.beside > 1 {
+				heard = pools[p.Pools[0].Name].heard
+			}
 			go func() {
+				// Danger: the process before has newer news of the list than what is known from before.
+				select {
+				case <-heard:
+				case <-time.After(mostUnheard):
+				}
 				if err := s.front.Serve(n); err != nil {
 					s.ended <- err
 				}
@@ -259,7 +409,8 @@
 	}
 	runtime.GOMAXPROCS(p.Limits.Cores)
 	if p.Limits.Memory > 0 {
-		debug.SetMemoryLimit(p.Limits.Memory * 6 / 10) // Danger: over the limit the process is killed
+		// Danger: over the limit the process is killed, and all processes of a balancer count as one.
+		debug.SetMemoryLimit(p.Limits.Memory * 6 / 10 / int64(s.beside))
 	}
 	descriptors := p.Limits.Descriptors
 	var has syscall.Rlimit
@@ -267,7 +418,7 @@
 		s.own.Warn("limit", "key", "limits.descriptors", "asked", descriptors, "has", has.Cur)
 		descriptors = int(has.Cur)
 	}
-	s.front.Limit(descriptors, p.Limits.Cores)
+	s.front.Limit(descriptors/s.beside, p.Limits.Cores)
 	s.level.Set(logs.Level(p.Log.Level))
 }
 
@@ -290,7 +441,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return &pool{Pool: n, told: told, stop: func() {}}, nil
+	n.Beside(s.beside)
+	return &pool{Pool: n, told: told, stop: func() {}, heard: make(chan struct{})}, nil
+}
+
+// List implements lists.Sink for sources, whose first word is waited for where another process serves meanwhile.
+func (n *pool) List(entries []roster.Entry[string], whole bool) {
+	n.Pool.List(entries, whole)
+	n.once.Do(func() { close(n.heard) })
 }
 
 // follow has a pool's list told by a source from now on; again says that it was told by another before.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -118,6 +118,9 @@
 	return left
 }
 
+// Zone is the number of a zone.
+func (r *Roster[Name]) Zone(name string) int { return numbered(r.zones, name) }
+
 // Entries is the list as it stands.
 func (r *Roster[Name]) Entries() (all []Entry[Name]) {
 	for i, e := range r.entry {
--- a/internal/shares/shares.go
+++ b/internal/shares/shares.go
@@ -83,6 +83,12 @@
 // Resize changes what there is.
 func (d *Dealer) Resize(capacity int64) { d.capacity = capacity }
 
+// Capacity is how much there is.
+func (d *Dealer) Capacity() int64 { return d.capacity }
+
+// Used is how much of it all pools hold.
+func (d *Dealer) Used() int64 { return d.used }
+
 // Within changes the time within which guarantees are back.
 func (d *Dealer) Within(within int64) { d.within = within }
 
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -71,6 +71,20 @@
 	return &part
 }
 
+// Keep takes over from an earlier book what was learnt of tariffs and customers that are told as before.
+func (b *Book) Keep(earlier *Book) {
+	for name, n := range b.Tariffs {
+		if m, was := earlier.Tariffs[name]; was && b.Terms.Tariffs[n].Same(earlier.Terms.Tariffs[m]) {
+			b.Terms.Tariffs[n] = earlier.Terms.Tariffs[m]
+		}
+	}
+	for name, n := range b.Customers {
+		if m, was := earlier.Customers[name]; was && b.Terms.Customers[n].Rate == earlier.Terms.Customers[m].Rate {
+			b.Terms.Customers[n] = earlier.Terms.Customers[m]
+		}
+	}
+}
+
 // Before is the book without what came with the newer shape: live weights and peers.
 func (b *Book) Before() *Book {
 	before := b.Part(0, 1)
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -4,6 +4,7 @@
 package watch
 
 import (
+	"errors"
 	"math"
 
 	"ottershift/logic"
@@ -114,12 +115,26 @@
 
 func (m *Module) Arrive(t *logic.Transaction, tariff, customer int, work, left int64, again bool, now int64) {
 	p := &pair{t: t}
-	p.other.Mark = p
+	p.other.Mark, p.other.Single, p.other.Unwhole = p, t.Single, t.Unwhole
 	m.cases[t] = p
 	m.before.Arrive(t, tariff, customer, work, left, again, now)
 	m.after.Arrive(&p.other, tariff, customer, work, left, again, now)
 }
 
+func (m *Module) Whole(t *logic.Transaction, left, now int64) {
+	m.before.Whole(t, left, now)
+	if p := m.cases[t]; p != nil {
+		m.after.Whole(&p.other, left, now)
+	}
+}
+
+// Retune is not taken while shapes are compared: what the two would have done apart could not be told any more.
+func (m *Module) Retune(*logic.Terms, int64) error {
+	return errors.New("watch: other terms are not taken while it is on")
+}
+
+func (m *Module) Cluster() (listed, avoided int) { return m.before.Cluster() }
+
 func (m *Module) Outcome(t *logic.Transaction, n int, r logic.Result, took int64, final bool, now int64) {
 	m.before.Outcome(t, n, r, took, final, now)
 	if p := m.cases[t]; p != nil {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,9 +1,9 @@
 // Package logic decides, for one balancer, where each transaction goes and how it ends.
 //
 // How it is called: New once with the Terms. Then, for each round, the calls that tell what came in, in order
-// (Join, List, Drain, Leave, Listed; Arrive, Outcome, Began, Vanish for transactions; Probed; Told by peers),
-// and one Round(now, w), which writes all decisions into w. The interface, Writer, and all types and state
-// are in types.go; why it decides so is in docs/design.md.
+// (Join, List, Drain, Leave, Listed; Arrive, Whole, Outcome, Began, Vanish; Probed; Told; Retune, Beside), and
+// one Round(now, w), which writes all decisions into w. The interface, Writer, and all types and state are in
+// types.go; why it decides so is in docs/design.md.
 package logic
 
 import (
@@ -71,23 +71,26 @@
 	if err := terms.check(); err != nil {
 		return nil, err
 	}
-	b := &Balancer{terms: terms, now: now, last: now, carry: terms.Seed<<1 | 1}
-	b.allowance, b.bucket, b.words = 1, 1, 4*mostTold
+	b := &Balancer{now: now, last: now, carry: terms.Seed<<1 | 1, allowance: 1, bucket: 1, words: 4 * mostTold}
+	b.turnsAt, b.winTurn, b.nextBit, b.beside = now+window/panes, now+winWindow/wins, now+beat, 1
+	b.adopt(terms)
+	return b, nil
+}
+
+// adopt takes what terms say beforehand of room and purses.
+func (b *Balancer) adopt(terms *Terms) {
+	b.terms, b.shares = terms, 0
 	b.away = 1 / (1 + zoneCare*terms.CrossZonePrice) // the dearer crossings are, the fewer turns go there
-	if terms.Peers {
-		b.said, b.saidAt = make([][]int, terms.Balancers), make([]int64, terms.Balancers)
-		b.saidSlow = make([]float64, terms.Balancers)
-	}
-	b.turnsAt, b.winTurn, b.nextBit = now+window/panes, now+winWindow/wins, now+beat
+	b.listen()
 	time := 0.0
 	for _, f := range terms.Tariffs {
 		time += ample * float64(f.ContractTime) / float64(len(terms.Tariffs))
 	}
 	for _, c := range terms.Customers {
-		c.purse, c.filled = c.Rate/float64(terms.Balancers)+chanceCome, now
-		b.shares += c.Rate / float64(s) * time
+		if b.shares += c.Rate / float64(s) * time; c.filled == 0 {
+			c.purse, c.filled = c.Rate/float64(terms.Balancers)+chanceCome, b.now
+		}
 	}
-	return b, nil
 }
 
 // Join takes a new upstream and returns its index.
@@ -106,7 +109,6 @@
 
 // reset forgets what was learnt of an upstream.
 func (b *Balancer) reset(i int) {
-	b.allGood, b.allBad = b.allGood-b.good[i], b.allBad-b.bad[i]
 	b.doubt[i], b.good[i], b.bad[i] = 0, 0, 0
 	b.aside[i], b.answered[i], b.dead[i] = 0, 0, false
 	b.weight[i], b.kind[i], b.others[i] = 0, 0, 0
@@ -172,7 +174,8 @@
 
 // Arrive takes a transaction; one final answer is owed for it from now on.
 func (b *Balancer) Arrive(t *Transaction, tariff, customer int, work, left int64, again bool, now int64) {
-	f := b.terms.Tariffs[tariff]
+	t.Under = cmp.Or(t.Under, b.terms)
+	f := t.Under.Tariffs[tariff]
 	t.tariff, t.arrived, t.slot, t.anchor, t.again = f, now, -1, -1, again
 	t.stop = now + left
 	t.contract = min(now+f.ContractTime+int64(f.Stretch*float64(work)), t.stop)
@@ -183,7 +186,19 @@
 		t.contract = min(t.contract, t.stop-f.HardStop+f.ContractTime) // what is left tells when its first try came
 	}
 	if customer >= 0 {
-		t.customer = b.terms.Customers[customer]
+		t.customer = t.Under.Customers[customer]
+	}
+	b.touch(t)
+}
+
+// Whole says that a transaction's last byte has come. Danger: counted from its first, the time that a slow
+// client takes to send would be held against the upstream.
+func (b *Balancer) Whole(t *Transaction, left, now int64) {
+	t.Unwhole, t.contract = false, now+min(left, t.contract-t.arrived)
+	t.arrived, t.stop = now, now+left
+	if t.out > 0 {
+		t.pushes[0].sent = now
+		b.hold(t)
 	}
 	b.touch(t)
 }
@@ -365,7 +380,7 @@
 	// A copy, once the push outruns the live quantile.
 	last := &t.pushes[len(t.pushes)-1]
 	outrun := int64(math.MaxInt64)
-	if b.trigger > 0 {
+	if b.trigger > 0 && !t.Unwhole {
 		if outrun = last.sent + b.trigger; b.now >= outrun {
 			outrun = math.MaxInt64
 			b.overdue(t, last)
@@ -386,23 +401,21 @@
 // giveUp is when waiting on is worth nothing: a client's answer after the contract time, where lateness earns
 // nothing, else at the hard stop. Within the service the caller judges, not the call.
 func (b *Balancer) giveUp(t *Transaction) int64 {
+	if t.Unwhole {
+		return math.MaxInt64
+	}
 	if b.terms.Layer == 0 && t.tariff.LateEarnings == 0 {
 		return t.contract
 	}
 	return t.stop
 }
 
-// harmless reports whether the client may try again whatever became of the pushes.
-func (t *Transaction) harmless() bool {
-	return t.tariff.Repeat == Repeatable || t.tariff.Repeat == Tagged && t.tariff.Group == Everywhere
-}
-
 // end gives the final answer: a deferral if it is certain that trying again is harmless, else a forfeit.
 func (b *Balancer) end(t *Transaction) {
 	b.unschedule(t)
 	t.recall()
 	b.close(t)
-	if t.anchor < 0 || t.harmless() {
+	if f := t.tariff; t.anchor < 0 || f.Repeat == Repeatable || f.Repeat == Tagged && f.Group == Everywhere {
 		b.w.Defer(t, b.terms.Backoff(t.tariff))
 	} else {
 		b.w.Forfeit(t)
@@ -422,11 +435,7 @@
 }
 
 func (b *Balancer) push(t *Transaction, i int, copied bool) {
-	if !t.held {
-		t.held = true
-		b.open++
-		b.inHand += t.load
-	}
+	b.hold(t)
 	p := Push{upstream: i, zone: b.zone[i], cell: b.cell[i], sent: b.now, out: true, copy: copied}
 	t.pushes = append(t.pushes, p)
 	t.out++
@@ -438,19 +447,25 @@
 	b.w.Push(t, i, t.stop)
 }
 
+// hold takes a transaction into what is in hand, once all of it is there.
+func (b *Balancer) hold(t *Transaction) {
+	if !t.held && !t.Unwhole {
+		t.held = true
+		b.open++
+		b.inHand += t.load
+	}
+}
+
 // repeatable reports whether another push is allowed now. Danger: an effect that happens twice.
 func (b *Balancer) repeatable(t *Transaction) bool {
-	if len(t.pushes) >= b.terms.MaxPushes {
+	if t.Single || len(t.pushes) >= t.Under.MaxPushes {
 		return false
 	}
 	t.recall()
-	switch {
-	case t.anchor < 0 || t.tariff.Repeat == Repeatable:
+	if t.anchor < 0 || t.tariff.Repeat == Repeatable {
 		return true
-	case t.tariff.Repeat == Tagged:
-		return b.now < t.pushes[t.anchor].sent+t.tariff.Remembered
 	}
-	return false
+	return t.tariff.Repeat == Tagged && b.now < t.pushes[t.anchor].sent+t.tariff.Remembered
 }
 
 // recall finds the first push that may have run: pushes that provably never ran bind nothing.
@@ -660,13 +675,6 @@
 	}
 }
 
-func (b *Balancer) forget(peer int) {
-	for _, i := range b.said[peer] {
-		b.others[i]--
-	}
-	b.said[peer] = b.said[peer][:0]
-}
-
 // holds is what an upstream holds of this balancer and its peers.
 func (b *Balancer) holds(i int) float64 { return float64(b.flying[i] + b.others[i]) }
 
@@ -704,9 +712,9 @@
 // fill pays a cold upstream for what warm ones of its weight settle, cut to its least warmth, times half of
 // what makes it fall. Danger: overfed by all it falls for good; paid less, a new list jams its few warm ones.
 func (b *Balancer) fill(i int) float64 {
-	rate := b.pace * b.part[i] * b.warmth(i) * b.terms.FallMultiple / 2
+	rate := b.pace * b.part[i] * b.warmth(i) * b.terms.FallMultiple / 2 / b.beside
 	if b.pace == 0 {
-		rate = min(1, 2/float64(b.met)) / float64(b.terms.FallSpan) // no warm one to learn from
+		rate = min(1, 2/float64(b.met)) / b.beside / float64(b.terms.FallSpan) // no warm one to learn from
 	}
 	hold := 1 + rate*float64(b.terms.FallSpan)/4
 	b.purse[i] = min(hold, b.purse[i]+rate*float64(b.now-b.filled[i]))
@@ -741,7 +749,6 @@
 		k := min(buckets-1, int(math.Log(float64(max(took, ms))/float64(ms))/math.Log(1.1)))
 		b.latency[b.pane][k]++
 		b.samples[b.pane]++
-		b.stale = true
 	}
 	if r == Settled && b.warmth(i) == 1 {
 		b.settled++
@@ -782,13 +789,11 @@
 func (b *Balancer) judge(i int, bad bool) {
 	if bad {
 		b.bad[i]++
-		b.allBad++
 	} else {
 		b.good[i]++
-		b.allGood++
 	}
-	worse := b.allBad - b.bad[i]
-	all := worse + b.allGood - b.good[i]
+	worse := sum(b.bad) - b.bad[i]
+	all := worse + sum(b.good) - b.good[i]
 	usual := max(0.05, (float64(worse)+0.5)/(float64(all)+10))
 	unusual := min(4*usual, (1+usual)/2)
 	if bad {
@@ -931,8 +936,6 @@
 		for i := range b.good {
 			b.good[i], b.bad[i] = b.good[i]*3/4, b.bad[i]*3/4
 		}
-		b.allGood, b.allBad = sum(b.good), sum(b.bad)
-		b.stale = true
 	}
 	for b.now >= b.winTurn {
 		b.winTurn += winWindow / wins
@@ -946,9 +949,7 @@
 		copy(b.won[1:], b.won[:wins-1])
 		b.copies[0], b.won[0] = 0, 0
 	}
-	if b.stale {
-		b.estimate()
-	}
+	b.estimate()
 	for peer, at := range b.saidAt {
 		if b.now > at+heardFor {
 			b.forget(peer)
@@ -1046,8 +1047,7 @@
 
 // estimate reads the live quantile off the window.
 func (b *Balancer) estimate() {
-	b.stale, b.trigger = false, 0
-	if sum(b.samples[:]) < minSamples {
+	if b.trigger = 0; sum(b.samples[:]) < minSamples {
 		return
 	}
 	// Danger: a copy costs its loser's connection and slows what it goes to; what each of many sends twice adds
--- a/logic/types.go
+++ b/logic/types.go
@@ -34,9 +34,18 @@
 	Earnings     float64
 	LateEarnings float64 // the part earned by an answer after ContractTime
 
+	Mark any // the caller's own, never read here
+
 	longest int64 // that a client's first try was seen to wait
 }
 
+// Same reports whether two tariffs are told alike, whatever was learnt under them.
+func (f *Tariff) Same(other *Tariff) bool {
+	a, b := *f, *other
+	a.Mark, b.Mark, a.longest, b.longest = nil, nil, 0, 0
+	return a == b
+}
+
 // Customer is one of those who share the service.
 type Customer struct {
 	Rate float64 // transactions a second within its share, over all balancers
@@ -144,7 +153,10 @@
 
 // Transaction is one piece of work for a client, owed exactly one final answer.
 type Transaction struct {
-	Mark any // the caller's own, never read here
+	Mark    any    // the caller's own, never read here
+	Under   *Terms // those that it comes under; nil for those in force
+	Single  bool   // what goes out of it can't be sent a second time
+	Unwhole bool   // its last byte has yet to come, and its time to begin
 
 	tariff   *Tariff
 	customer *Customer
@@ -197,8 +209,6 @@
 	doubt    []float64 // log odds that it is bad
 	good     []int     // outcomes
 	bad      []int
-	allGood  int // sums of these
-	allBad   int
 	aside    []int64 // set aside: next probe or return; 0 in service
 	answered []int   // probes answered while aside
 	probing  []bool
@@ -219,7 +229,8 @@
 
 	touched []*Transaction // to look at in this round
 	dues    dueTimes
-	open    int // transactions in hand
+	beside  float64 // processes that are this balancer at present, itself included
+	open    int     // transactions in hand
 
 	latency [panes][buckets]int32
 	samples [panes]int
@@ -229,10 +240,8 @@
 	pane    int
 	turnsAt int64
 	trigger int64 // 0 while there are too few samples
-	stale   bool
-
-	bucket float64
-	losers int // cancelled pushes still running
+	bucket  float64
+	losers  int // cancelled pushes still running
 
 	copies    [wins]int
 	won       [wins]int
@@ -269,6 +278,51 @@
 // Known reports whether an index still belongs to a listed upstream.
 func (b *Balancer) Known(i int) bool { return b.known[i] }
 
+// Cluster is how many upstreams are listed, and how many of them get nothing new now.
+func (b *Balancer) Cluster() (listed, avoided int) {
+	for i, known := range b.known {
+		if known {
+			listed++
+			if !b.ready[i] || b.aside[i] != 0 {
+				avoided++
+			}
+		}
+	}
+	return listed, avoided
+}
+
+// Beside says how many processes are this balancer at present, itself included.
+func (b *Balancer) Beside(n int) { b.beside = float64(max(n, 1)) }
+
+// Retune puts other terms in force: what is open keeps those that it came under, and what was learnt stays.
+func (b *Balancer) Retune(terms *Terms, now int64) error {
+	if err := terms.check(); err != nil {
+		return err
+	}
+	b.now, b.moved = now, true
+	b.adopt(terms)
+	return nil
+}
+
+// listen makes room for what peers will say, and forgets what they have said: their numbers may be others'.
+func (b *Balancer) listen() {
+	for peer := range b.said {
+		b.forget(peer)
+	}
+	b.said, b.saidAt, b.saidSlow, b.peers = nil, nil, nil, nil
+	if b.terms.Peers {
+		b.said, b.saidAt = make([][]int, b.terms.Balancers), make([]int64, b.terms.Balancers)
+		b.saidSlow = make([]float64, b.terms.Balancers)
+	}
+}
+
+func (b *Balancer) forget(peer int) {
+	for _, i := range b.said[peer] {
+		b.others[i]--
+	}
+	b.said[peer] = b.said[peer][:0]
+}
+
 func sum(counts []int) (all int) {
 	for _, n := range counts {
 		all += n
