--- a/internal/httpwire/request.go
+++ b/internal/httpwire/request.go
@@ -126,7 +126,11 @@
 // path; else the pool's own.
 func kind(r *http.Request, book *terms.Book, said string) (tariff int, no *fault) {
 	if said != "" {
-		return book.Tariffs[said], nil
+		n, known := book.Tariffs[said]
+		if !known { // Danger: routes and terms change one after the other, and number 0 is another tariff
+			return 0, &fault{http.StatusNotFound, "unknown tariff"}
+		}
+		return n, nil
 	}
 	first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	name := r.Header.Get("X-Lane")
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -291,7 +291,7 @@
 			opened, wanted[l.Address] = append(opened, n), n
 		}
 	}
-	pools := map[string]*pool{}
+	pools, retuned := map[string]*pool{}, map[string]bool{}
 	for _, told := range p.Pools {
 		if at := here(told); at != "" {
 			if links[at] = s.links[at]; links[at] == nil {
@@ -305,6 +305,14 @@
 			pools[told.Name] = now
 			continue
 		}
+		// Danger: made anew it would know nothing of its upstreams, and feed cold ones beside its predecessor.
+		if now := s.pools[told.Name]; now != nil && now.Shards() == p.Limits.Cores && now.told.Book.Fits(told.Book) {
+			if err := told.Book.Terms.Check(); err != nil {
+				return fmt.Errorf("pool %s: %w", told.Name, err)
+			}
+			pools[told.Name], retuned[told.Name] = now, true
+			continue
+		}
 		n, err := s.make(told)
 		if err != nil {
 			return fmt.Errorf("pool %s: %w", told.Name, err)
@@ -332,6 +340,13 @@
 			n.Pool.List(first, true)
 		}
 	}
+	for _, told := range p.Pools {
+		if retuned[told.Name] {
+			if err := pools[told.Name].Retune(told.Book); err != nil {
+				s.own.Error("reload", "step", "terms", "pool", told.Name, "fault", err) // a fault of ours: it was checked
+			}
+		}
+	}
 	board := &httpwire.Board{Table: p.Table, Pools: map[string]*httpwire.Pool{}}
 	parts := map[*httpwire.Pool]httpwire.Share{}
 	for _, told := range p.Pools {
--- a/internal/process/process_test.go
+++ b/internal/process/process_test.go
@@ -315,3 +315,47 @@
 	}
 	finish(t, s, client, one, two)
 }
+
+// A pool whose tariffs change stays as it is, with what it has learnt: what is open ends under the terms that it came
+// under, a tariff that was dropped is served for its hard stop, and one that came is served at once.
+func TestTermsChangeInPlace(t *testing.T) {
+	one := newStand(t, "one")
+	one.takes.Store(int64(300 * time.Millisecond))
+	address := []string{free(t)}
+	first := text(address, [2]any{"a.org", one})
+	second := strings.NewReplacer("[tariffs.view]", "[tariffs.look]", `"view"`, `"look"`, `"5s"`, `"250ms"`, `"2s"`, `"200ms"`).Replace(first)
+	s := begin(t, first)
+	client := &http.Transport{MaxIdleConnsPerHost: 64}
+	before := s.pools["p0"].Pool
+	open := make(chan string)
+	go func() {
+		status, body, err := ask(client, address[0], "a.org")
+		open <- fmt.Sprint(status, body, err)
+	}()
+	time.Sleep(100 * time.Millisecond)
+	if err := s.Reload(parse(t, second)); err != nil {
+		t.Fatal(err)
+	}
+	if s.pools["p0"].Pool != before {
+		t.Error("the pool was made anew")
+	}
+	if got := <-open; !strings.HasPrefix(got, "200") {
+		t.Errorf("what was open ended with %s", got)
+	}
+	if status, _, err := ask(client, address[0], "a.org"); status != 503 || err != nil { // 250 ms are too short for it
+		t.Errorf("under the new terms: %d %v", status, err)
+	}
+	r, _ := http.NewRequest(http.MethodGet, "http://"+address[0]+"/view", nil)
+	r.Host = "a.org"
+	r.Header.Set("X-Lane", "view")
+	a, err := client.RoundTrip(r)
+	if err != nil || a.StatusCode != 200 {
+		t.Errorf("a tariff that was dropped a moment ago: %v %v", a, err)
+	} else {
+		a.Body.Close()
+	}
+	if s.counts.Loaded.Load() != 1 {
+		t.Error("not counted")
+	}
+	finish(t, s, client, one)
+}
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -85,6 +85,14 @@
 	}
 }
 
+// Fits reports whether a pool that goes by this book can take another in service: all that is built by it stays.
+func (b *Book) Fits(other *Book) bool {
+	s, t := b.Terms, other.Terms
+	return b.DialTimeout == other.DialTimeout && b.IdleClose == other.IdleClose && b.Plain == other.Plain && b.Probe == other.Probe &&
+		!b.Watch && !other.Watch && slices.Equal(b.Peers, other.Peers) && s.Peers == t.Peers && s.LiveWeights == t.LiveWeights &&
+		s.Balancers == t.Balancers && s.Index == t.Index && s.Layer == t.Layer
+}
+
 // Before is the book without what came with the newer shape: live weights and peers.
 func (b *Book) Before() *Book {
 	before := b.Part(0, 1)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -68,7 +68,7 @@
 
 // New starts a balancer; it refuses terms that it cannot work with.
 func New(terms *Terms, now int64) (*Balancer, error) {
-	if err := terms.check(); err != nil {
+	if err := terms.Check(); err != nil {
 		return nil, err
 	}
 	b := &Balancer{now: now, last: now, carry: terms.Seed<<1 | 1, allowance: 1, bucket: 1, words: 4 * mostTold}
--- a/logic/types.go
+++ b/logic/types.go
@@ -81,8 +81,8 @@
 	BeyondShare    float64
 }
 
-// check names what can't be worked with.
-func (t *Terms) check() error {
+// Check names what can't be worked with.
+func (t *Terms) Check() error {
 	switch {
 	case t.Balancers < 1:
 		return errors.New("terms: no balancers in this tier")
@@ -296,7 +296,7 @@
 
 // Retune puts other terms in force: what is open keeps those that it came under, and what was learnt stays.
 func (b *Balancer) Retune(terms *Terms, now int64) error {
-	if err := terms.check(); err != nil {
+	if err := terms.Check(); err != nil {
 		return err
 	}
 	b.now, b.moved = now, true
