--- a/internal/process/process_test.go
+++ b/internal/process/process_test.go
@@ -252,14 +252,14 @@
 	address = address[1:]
 	must("a.org", 200)
 
-	// Other terms make another pool, which serves from its first moment; another source tells the same pool.
-	changed := strings.Replace(text(address, [2]any{"a.org", one}), "[pools.p0]\n", "[pools.p0]\nmax_pushes = 2\n", 1)
+	// Other limits towards upstreams make another pool, which serves from its first moment; another source tells the same pool.
+	changed := strings.Replace(text(address, [2]any{"a.org", one}), "[pools.p0]\n", "[pools.p0]\ndial_timeout = \"700ms\"\n", 1)
 	if err := s.Reload(parse(t, changed)); err != nil {
 		t.Fatal(err)
 	}
 	must("a.org", 200)
 	if kept == s.pools["p0"].Pool {
-		t.Error("a pool of other terms is the same")
+		t.Error("a pool of other limits is the same")
 	}
 	// Another number of cores makes all pools anew, each with as many shards; all of them have the list.
 	if err := s.Reload(parse(t, "limits.cores = 3\n"+changed)); err != nil {
