An answer of no stated length flows 50 ms after its head instead of a second

Cause: flow.go held what tells no length until 64 KiB or a second, so its transaction was given up while its first bytes lay here; and held so, it passed for a slow upstream and set those aside.

--- a/cmd/ottershift/days_test.go
+++ b/cmd/ottershift/days_test.go
@@ -667,3 +667,30 @@
 		t.Errorf("%d descriptors", n)
 	}
 }
+
+// An answer of no stated length that comes slowly is its client's from its first bytes. Danger: held until it is known to
+// be long, its contract time is up meanwhile, and what came in good time is given up.
+func TestSlowLongAnswersFlowAtOnce(t *testing.T) {
+	b, _ := begin(t, 64, newUpstream(t, func(_ int32, _ *http.Request, _ []byte, c net.Conn) bool {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for range 30 {
+			if _, err := fmt.Fprintf(c, "1000\r\n%s\r\n", strings.Repeat("x", 4096)); err != nil {
+				return false
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		_, err := io.WriteString(c, "0\r\n\r\n")
+		return err == nil
+	}))
+	c, in := b.dial()
+	began := time.Now()
+	io.WriteString(c, message("view", 0.7, "\r\n")) // it takes twice as long in all
+	c.SetDeadline(began.Add(5 * time.Second))
+	a, err := http.ReadResponse(in, nil)
+	if err != nil || a.StatusCode != 200 || time.Since(began) > 400*time.Millisecond {
+		t.Fatalf("%v %v after %s", a, err, time.Since(began))
+	}
+	if n, err := io.Copy(io.Discard, a.Body); n != 30*4096 || err != nil {
+		t.Errorf("%d bytes, %v", n, err)
+	}
+}
--- a/internal/httpwire/flow.go
+++ b/internal/httpwire/flow.go
@@ -10,10 +10,10 @@
 )
 
 const (
-	piece     = 16 << 10         // of an answer that flows
-	inFlow    = 32 << 10         // of it that is read and not written yet, at most
-	holdUntil = time.Second      // an answer that takes longer to come flows
-	mostStill = 15 * time.Second // that either side of an answer may stand still
+	piece     = 16 << 10              // of an answer that flows
+	inFlow    = 32 << 10              // of it that is read and not written yet, at most
+	holdUntil = 50 * time.Millisecond // from its head on; an answer of no stated length that takes longer flows
+	mostStill = 15 * time.Second      // that either side of an answer may stand still
 )
 
 // flow is an answer on its way from its upstream to its client. Its push reads it, and holds it until it is whole, too
