A transaction whose last byte comes while it waits in line is looked at again

Cause: queue moved nothing in the heap of due times, and Whole moves the arrival by which patience counts; looked at when the old patience ended, it stayed in line without a due time.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -898,6 +898,7 @@
 func (b *Balancer) queue(t *Transaction) {
 	patience := (t.contract - t.arrived) / 12
 	if t.inLine {
+		b.schedule(t, t.arrived+patience) // its last byte may have come meanwhile
 		if b.now >= t.arrived+patience {
 			b.end(t)
 		}
