Read again: the second address is no pool's key, cores are warned of, health in one place

Found by reading: an edit had put the key ops on every pool of a TOML file too, where it moved the process's address; the reload compared limits.cores after it had written the old ones over the new, so its warning could not come; both have a test. The room of answers that flow was not counted as bytes in hand. Whether there is a list was worked out twice, leaving and joining were two functions of one shape, ops.Server held a log that it never used, two tests had a stand-in each that reads by hand.

--- a/cmd/ottershift/days_test.go
+++ b/cmd/ottershift/days_test.go
@@ -293,6 +293,9 @@
 	if n := figure(t, second, ended("sing", "answered")); n != 15*len(broken) {
 		t.Errorf("%d of a class that comes and goes", n)
 	}
+	b.configure(strings.Replace(good, `"cores":1.0`, `"cores":2.0`, 1))
+	b.command.Process.Signal(syscall.SIGHUP)
+	soon(t, "what waits for the next start is said", func() bool { return strings.Contains(b.log.String(), "step=later key=limits.cores") })
 	time.Sleep(time.Second)
 	if status, _, _ := b.ask(strings.ReplaceAll(message("view", 0.9, "\r\n"), "view", "sing")); status != 404 {
 		t.Errorf("a class that was dropped: %d", status)
--- a/internal/httpwire/flow.go
+++ b/internal/httpwire/flow.go
@@ -98,6 +98,7 @@
 			p.into(into, answer, nil)
 			into.flow = f
 			p.front.flows.Add(1)
+			hand.grow(inFlow)
 			if won = p.desk.Flow(c, o); !won {
 				p.front.flows.Add(-1)
 				f.leave(false)
--- a/internal/httpwire/httpwire_test.go
+++ b/internal/httpwire/httpwire_test.go
@@ -227,6 +227,21 @@
 	}
 }
 
+// byHand answers each connection message by message, until answer has enough of it.
+func byHand(l net.Listener, answer func(c net.Conn, in *bufio.Reader) bool) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer c.Close()
+			for in := bufio.NewReader(c); answer(c, in); {
+			}
+		}()
+	}
+}
+
 // Danger: a connection goes straight to a push that waits for one, with bytes behind the answer that it brought.
 func TestStrayBytesAreNotTheNextAnswer(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -235,27 +250,17 @@
 	}
 	defer l.Close()
 	asked, waits := make(chan string, 2), make(chan struct{})
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				for in := bufio.NewReader(c); ; {
-					r, err := http.ReadRequest(in)
-					if err != nil {
-						return
-					}
-					asked <- r.Header.Get("X-Txn")
-					<-waits
-					answer := "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + r.Header.Get("X-Txn")
-					c.Write([]byte(answer + answer))
-				}
-			}()
+	go byHand(l, func(c net.Conn, in *bufio.Reader) bool {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return false
 		}
-	}()
+		asked <- r.Header.Get("X-Txn")
+		<-waits
+		answer := "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + r.Header.Get("X-Txn")
+		c.Write([]byte(answer + answer))
+		return true
+	})
 	_, pool := front(t)
 	dial, dials := pool.out.transport.DialContext, make(chan struct{}, 9)
 	pool.out.transport.DialContext = func(ctx context.Context, network, host string) (net.Conn, error) {
--- a/internal/httpwire/presence.go
+++ b/internal/httpwire/presence.go
@@ -31,36 +31,25 @@
 	parting time.Time // from then on connections end with their answers; zero for never
 	late    time.Time // from then on what comes is deferred; zero for never
 	relayed bool      // stopping, and another process goes on taking clients
-	round   int       // how often it left or stopped
+	round   int       // how often it turned
 }
 
-// leave drains, and tells whether that is news.
-func (p *Presence) leave(now time.Time) (news bool, err error) {
+// turn goes to leaving or back to serving, and tells whether that is news, and the how manieth time it is.
+func (p *Presence) turn(to step, now time.Time) (news bool, round int, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	switch p.step {
-	case stopping:
-		return false, errors.New("stopping")
-	case leaving:
-		return false, nil
+	if p.step == stopping {
+		return false, 0, errors.New("stopping")
 	}
-	p.step, p.at, p.parting, p.late = leaving, now, now.Add(untilNoticed), now.Add(lateFrom)
-	p.round++
-	return true, nil
-}
-
-// join takes clients again, and tells whether that is news.
-func (p *Presence) join(now time.Time) (news bool, err error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	switch p.step {
-	case stopping:
-		return false, errors.New("stopping")
-	case serving:
-		return false, nil
+	if p.step == to {
+		return false, 0, nil
+	}
+	p.step, p.at, p.parting, p.late = to, now, time.Time{}, time.Time{}
+	if to == leaving {
+		p.parting, p.late = now.Add(untilNoticed), now.Add(lateFrom)
 	}
-	p.step, p.at, p.parting, p.late = serving, now, time.Time{}, time.Time{}
-	return true, nil
+	p.round++
+	return true, p.round, nil
 }
 
 // stop ends it, for good. Connections end with their answers from a moment on, or from one that was set before.
@@ -71,7 +60,6 @@
 		parting, relayed = now, false
 	}
 	p.step, p.at, p.parting, p.late, p.relayed = stopping, now, parting, time.Time{}, relayed
-	p.round++
 }
 
 // serves reports whether this process takes clients.
@@ -81,8 +69,8 @@
 	return p.step == serving
 }
 
-// takes reports whether clients may come to the balancer that this process is, or is one of. Danger: where another process takes them under the same address, a no from
-// this one would keep them from both.
+// takes reports whether clients may come to the balancer that this process is, or is one of. Danger: where another
+// process takes them under the same address, a no from this one would keep them from both.
 func (p *Presence) takes() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -110,25 +98,12 @@
 	return now.Sub(p.at), p.step == leaving && p.round == round
 }
 
-func (p *Presence) rounds() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.round
-}
-
 // Takes is nil if clients may come to this process, else why not.
 func (f *Front) Takes() error {
-	board, stands := f.board.Load(), false
-	if board.Only != nil {
-		stands = board.Only.stands.Load()
-	}
-	for _, p := range board.Pools {
-		stands = stands || p.stands.Load()
-	}
 	switch {
 	case !f.presence.serves():
 		return errors.New("leaving or stopping")
-	case !stands:
+	case !f.board.Load().stands():
 		return errors.New("no list of upstreams")
 	case !f.accepts.Load():
 		return errors.New("not accepting yet")
@@ -139,12 +114,11 @@
 // Leave has clients go elsewhere: health says no, connections end with their answers, and those without a transaction
 // are closed as late as allowed. Nothing else changes, and the process stays.
 func (f *Front) Leave() error {
-	news, err := f.presence.leave(time.Now())
+	news, round, err := f.presence.turn(leaving, time.Now())
 	if !news {
 		return err
 	}
 	f.log.Info("leave", "step", "begin", "clients", f.sockets.in.Load())
-	round := f.presence.rounds()
 	go func() {
 		for {
 			time.Sleep(sweepEvery)
@@ -163,7 +137,7 @@
 
 // Join takes clients again.
 func (f *Front) Join() error {
-	news, err := f.presence.join(time.Now())
+	news, _, err := f.presence.turn(serving, time.Now())
 	if news {
 		f.log.Info("leave", "step", "end", "clients", f.sockets.in.Load())
 	}
--- a/internal/httpwire/request.go
+++ b/internal/httpwire/request.go
@@ -161,9 +161,8 @@
 	noRoom  = &fault{http.StatusServiceUnavailable, "no room for the body"}
 )
 
-// wait reads a transaction's body: all of it, or as much as there is room for. Danger: room made for what a length only
-// promises would cost more memory than there is.
-// spare may make some, in a moment.
+// wait reads a transaction's body: all of it, or as much as there is room for; spare may make some, in a moment. Danger:
+// room made for what a length only promises would cost more memory than there is.
 func (q *transaction) wait(w http.ResponseWriter, r *http.Request, hand *inHand, spare func() bool) *fault {
 	in := &upload{from: r.Body, control: http.NewResponseController(w), start: time.Now(), end: make(chan error, 1)}
 	for r.Body != http.NoBody {
--- a/internal/httpwire/serve.go
+++ b/internal/httpwire/serve.go
@@ -41,6 +41,15 @@
 	Pools map[string]*Pool
 }
 
+// stands reports whether there is a list of upstreams, of any pool.
+func (b *Board) stands() bool {
+	stands := b.Only != nil && b.Only.stands.Load()
+	for _, p := range b.Pools {
+		stands = stands || p.stands.Load()
+	}
+	return stands
+}
+
 // New makes a front, which serves nobody until it has a board; module decides for each of its pools.
 func New(log *slog.Logger, module desk.Make) *Front {
 	f := &Front{module: module, cores: 1, log: logs.Own(log), base: log, sockets: newSockets(), common: newCommon()}
@@ -162,8 +171,8 @@
 		case push := <-c.Pushes:
 			replies[push.Number] = &reply{}
 			go p.push(c, push, q, out, hand, replies[push.Number])
-		case left := <-q.rest.ended():
-			if left != nil { // its client sent no more
+		case err := <-q.rest.ended():
+			if err != nil { // its client sent no more
 				p.desk.Vanish(c)
 				out.close()
 				f.reject(w, bad("the body is cut, late or malformed"))
@@ -274,16 +283,11 @@
 
 // health says whether there is a list of upstreams: of any pool, or of the one that ?pool= names.
 func (f *Front) health(w http.ResponseWriter, r *http.Request) {
-	board, stands := f.board.Load(), false
-	if p := board.Only; p != nil {
-		stands = p.stands.Load()
-	} else if name := r.URL.Query().Get("pool"); name != "" {
+	board := f.board.Load()
+	stands := board.stands()
+	if name := r.URL.Query().Get("pool"); board.Only == nil && name != "" {
 		p := board.Pools[name]
 		stands = p != nil && p.stands.Load()
-	} else {
-		for _, p := range board.Pools {
-			stands = stands || p.stands.Load()
-		}
 	}
 	if takes := f.presence.takes(); !stands || !takes {
 		if !takes { // Danger: kept, it would be held open by a balancer that is to hold none
--- a/internal/httpwire/smuggle_test.go
+++ b/internal/httpwire/smuggle_test.go
@@ -23,37 +23,24 @@
 	}
 	t.Cleanup(func() { l.Close() })
 	read, odd, hidden = &atomic.Int64{}, &atomic.Int64{}, &atomic.Int64{}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
+	go byHand(l, func(c net.Conn, in *bufio.Reader) bool {
+		r, err := http.ReadRequest(in)
+		if err == nil {
+			_, err = io.Copy(io.Discard, r.Body)
+		}
+		if err != nil {
+			if err != io.EOF && err != io.ErrUnexpectedEOF && !strings.Contains(err.Error(), "reset") {
+				odd.Add(1)
 			}
-			go func() {
-				defer c.Close()
-				for in := bufio.NewReader(c); ; {
-					r, err := http.ReadRequest(in)
-					if err == nil {
-						_, err = io.Copy(io.Discard, r.Body)
-					}
-					if err == io.EOF {
-						return
-					}
-					if err != nil {
-						if !strings.Contains(err.Error(), "reset") && err != io.ErrUnexpectedEOF {
-							odd.Add(1)
-						}
-						return
-					}
-					read.Add(1)
-					if r.Header.Get("X-Txn") == "hidden" {
-						hidden.Add(1)
-					}
-					io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-				}
-			}()
+			return false
 		}
-	}()
+		read.Add(1)
+		if r.Header.Get("X-Txn") == "hidden" {
+			hidden.Add(1)
+		}
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
 	return l, read, odd, hidden
 }
 
--- a/internal/httpwire/sockets.go
+++ b/internal/httpwire/sockets.go
@@ -94,10 +94,10 @@
 	}
 }
 
-// room finds who makes room: who has never said anything or stopped in a body, then who has been idle for long, then who
-// stopped in a head, each time the one that is silent for longest; then the oldest idle one of
-// the pool that crowds the others. Danger: one that has just said something may be a good client with its message on the way,
-// and a slow client stops between two pieces of a head.
+// room finds who makes room: who has never said anything or stopped in a body, then who has been idle for long, then
+// who stopped in a head, each time the one that is silent for longest; then the oldest idle one of the pool that crowds
+// the others. Danger: one that has just said something may be a good client with its message on the way, and a slow
+// client stops between two pieces of a head.
 func (s *sockets) room(now time.Time) *counted {
 	recent := now.Add(-fresh).UnixNano()
 	for range looks {
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -9,7 +9,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"log/slog"
 	"net"
 	"strings"
 	"sync"
@@ -34,9 +33,8 @@
 
 // Server answers at one address.
 type Server struct {
-	l   net.Listener
-	of  Balancer
-	log *slog.Logger
+	l  net.Listener
+	of Balancer
 
 	mu      sync.Mutex
 	callers list.List // without a whole call yet, the oldest first
@@ -45,12 +43,12 @@
 }
 
 // Open listens, and answers until Close.
-func Open(address string, of Balancer, log *slog.Logger) (*Server, error) {
+func Open(address string, of Balancer) (*Server, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{l: l, of: of, log: log}
+	s := &Server{l: l, of: of}
 	s.all.Go(s.accept)
 	return s, nil
 }
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -235,3 +235,13 @@
 		}
 	}
 }
+
+func TestSecondAddressIsTheProcesss(t *testing.T) {
+	p, _ := Parse("f.toml", []byte("ops = \"127.0.0.1:1\"\n"+whole), nothing)
+	if p == nil || p.Ops != "127.0.0.1:1" {
+		t.Errorf("%+v", p)
+	}
+	if p, _ := Parse("f.toml", []byte(strings.Replace(whole, "[pools.album]", "[pools.album]\nops = \"127.0.0.1:1\"", 1)), nothing); p != nil {
+		t.Error("a pool has one of its own")
+	}
+}
--- a/internal/plan/pools.go
+++ b/internal/plan/pools.go
@@ -194,9 +194,6 @@
 
 	p := &Pool{Name: name, Book: b, Share: t.Number("share", -1, 0, 1)}
 	r.shares += max(0, p.Share)
-	if t.Has("ops") {
-		r.p.Ops = t.Address("ops", "the second address, such as \"127.0.0.1:9901\"")
-	}
 
 	l := t.Table("limits")
 	p.Open = int64(l.Whole("open", 0, 1, 1e6))
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -96,7 +96,7 @@
 	}
 	if p.Ops != "" {
 		var err error
-		if s.ops, err = ops.Open(p.Ops, s, log); err != nil {
+		if s.ops, err = ops.Open(p.Ops, s); err != nil {
 			s.finish()
 			return nil, fmt.Errorf("ops: %w", err)
 		}
@@ -196,7 +196,7 @@
 
 // Reload puts another plan in force, all of it or nothing; a plan that could not be read is counted by Refused.
 func (s *Process) Reload(p *plan.Plan) error {
-	start, before := time.Now(), s.plan
+	start, before, cores := time.Now(), s.plan, p.Limits.Cores
 	change := s.change
 	if p.Platform {
 		change = s.retune
@@ -216,7 +216,7 @@
 	later("ops", p.Ops != before.Ops)
 	if p.Platform {
 		later("listen", p.Listeners[0].Address != before.Listeners[0].Address)
-		later("limits.cores", p.Limits.Cores != before.Limits.Cores)
+		later("limits.cores", cores != before.Limits.Cores)
 		later("name", p.Name != before.Name)
 	}
 	return nil
@@ -243,9 +243,8 @@
 	to := told.List.Discovery
 	s.own.Info("reload", "step", "list", "discovery", to, "moved", now.watch.Move(to))
 	now.told = told
-	cores := s.plan.Limits.Cores
+	p.Limits.Cores = s.plan.Limits.Cores
 	s.plan = p
-	s.plan.Limits.Cores = cores
 	s.limit(s.plan)
 	s.front.Alone(s.plan.Limits.Bodies / int64(s.beside))
 	return nil
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -16,7 +16,7 @@
 	unsaidProbe = "/ping"     // as the platform has it
 )
 
-// MostBody is the bytes that a message holds at most, either way.
+// MostBody is the bytes of a message that are held for certain, either way.
 const MostBody = 64 << 10
 
 // Book is the settings as a balancer uses them: the module's terms, the names behind its numbers, and what only
