--- a/cmd/ottershift/lab.go
+++ b/cmd/ottershift/lab.go
@@ -85,17 +85,9 @@
 		return nil, err
 	}
 	defer os.RemoveAll(dir)
-	progress := func(float64) {}
-	if about, err := os.Stderr.Stat(); err == nil && about.Mode()&os.ModeCharDevice != 0 {
-		progress = func(done float64) {
-			n := int(done * 40)
-			fmt.Fprintf(c.ErrOrStderr(), "\r\x1b[K%-28s [%s%s] %3.0f%%", what, strings.Repeat("#", n), strings.Repeat(".", 40-n), 100*done)
-		}
-	}
+	progress, end := bar(c, what)
 	r, err := run.Play(ctx, e, e.Load(), run.Options{Program: program, Variant: variant, Dir: dir, Progress: progress})
-	if about, serr := os.Stderr.Stat(); serr == nil && about.Mode()&os.ModeCharDevice != 0 {
-		fmt.Fprint(c.ErrOrStderr(), "\r\x1b[K")
-	}
+	end()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -61,6 +61,7 @@
 	pushes chan *Push
 	answer chan Answer
 	sent   []*Push
+	out    int // of them, without an outcome
 	class  *figures.Class
 	over   bool // has its answer, or its client is gone
 	flows  bool // its answer has begun and goes on without the module
@@ -88,6 +89,12 @@
 	Round(now int64, w logic.Writer)
 }
 
+// observed is a module that tells what it makes of things. Nothing is decided by it.
+type observed interface {
+	Seen() logic.Seen
+	Turns(take func(logic.Turn))
+}
+
 // Make starts a module.
 type Make func(terms *logic.Terms, now int64) (Module, error)
 
@@ -111,6 +118,7 @@
 	counts *figures.Pool
 	book   *terms.Book                // in force
 	say    func(peer int, raw []byte) // to another balancer; nil if there is no way
+	seen   observed                   // what the module makes of things; nil if it doesn't tell
 	watch  *watch.Module              // if what a newer shape would have changed is counted
 
 	follow chan struct{}
@@ -134,6 +142,7 @@
 	if err != nil {
 		return nil, err
 	}
+	d.seen, _ = b.(observed)
 	d.b, d.roster = b, roster.New[string](b, book.Zones)
 	d.show(book)
 	d.wake = time.AfterFunc(time.Hour, func() { d.tell(func(int64) {}) }) // the module sets the time
@@ -156,19 +165,31 @@
 	now := d.now()
 	what(now)
 	d.b.Round(now, writer{d})
+	if d.seen != nil {
+		d.seen.Turns(d.turn)
+	}
 	return true
 }
 
+// turn logs that an upstream was set aside or taken back, and why.
+func (d *Desk) turn(t logic.Turn) {
+	if t.Back {
+		d.log.Info("upstream", "step", "back", "upstream", d.roster.Name(t.Upstream), "cold", t.Cold)
+	} else {
+		d.log.Info("upstream", "step", "aside", "upstream", d.roster.Name(t.Upstream), "why", t.Why)
+	}
+}
+
 // Probes are the orders to probe.
 func (d *Desk) Probes() <-chan Probe { return d.probes }
 
 // Follow tells when the module wants the list followed.
 func (d *Desk) Follow() <-chan struct{} { return d.follow }
 
-// List takes a report of the list, and tells which hosts have left by it.
-func (d *Desk) List(entries []roster.Entry[string], whole bool) (left []string) {
-	d.tell(func(now int64) { left = d.roster.Apply(entries, whole, now) })
-	return left
+// List takes a report of the list, and tells what has changed by it.
+func (d *Desk) List(entries []roster.Entry[string], whole bool) (c roster.Change) {
+	d.tell(func(now int64) { c = d.roster.Apply(entries, whole, now) })
+	return c
 }
 
 // Entries is the list as it stands.
@@ -197,7 +218,12 @@
 
 // Probed tells how a probe ended.
 func (d *Desk) Probed(upstream int, ok bool) {
-	d.tell(func(int64) { d.b.Probed(upstream, ok) })
+	d.tell(func(int64) {
+		if !ok {
+			d.tally.Unanswered++
+		}
+		d.b.Probed(upstream, ok)
+	})
 }
 
 // Arrive takes a transaction. Its answer will come; so will orders to push it.
@@ -255,6 +281,7 @@
 	p.end(context.Canceled)
 	d.tell(func(now int64) {
 		d.tally.Results[r]++
+		c.out--
 		d.b.Outcome(&c.t, p.Number, r, now-p.sent, c.over || r.Final(), now)
 		switch r {
 		case logic.Settled:
@@ -275,6 +302,7 @@
 		}
 		won, c.flows = true, true
 		d.tally.Results[logic.Settled]++
+		c.out--
 		d.b.Outcome(&c.t, p.Number, logic.Settled, now-p.sent, true, now)
 		d.finish(c, Answer{Ending: Settled, Push: p.Number})
 	})
@@ -369,9 +397,15 @@
 // Tally is what has happened since the last one was taken.
 type Tally struct {
 	Arrived, Vanished int
-	Edge              int                     // deferred before the module knew of them
+	Edge              int                // deferred before the module knew of them
+	Ended             [2][logic.Whys]int // deferred and forfeited by the module, by reason
+	First             int                // pushes
+	Copies, Retries   int
+	Probes            int
+	Unanswered        int                     // probes
 	Results           [logic.Rejected + 1]int // of pushes
-	Open              int                     // transactions now
+	Seen              logic.Seen
+	Open              int // transactions now
 	Watched           watch.Counts
 }
 
@@ -379,6 +413,13 @@
 func (t *Tally) Add(o Tally) {
 	t.Watched.Add(o.Watched)
 	t.Arrived, t.Vanished, t.Edge, t.Open = t.Arrived+o.Arrived, t.Vanished+o.Vanished, t.Edge+o.Edge, t.Open+o.Open
+	t.First, t.Copies, t.Retries = t.First+o.First, t.Copies+o.Copies, t.Retries+o.Retries
+	t.Probes, t.Unanswered = t.Probes+o.Probes, t.Unanswered+o.Unanswered
+	for how := range t.Ended {
+		for why, n := range o.Ended[how] {
+			t.Ended[how][why] += n
+		}
+	}
 	for i, n := range o.Results {
 		t.Results[i] += n
 	}
@@ -393,6 +434,9 @@
 	if d.watch != nil {
 		t.Watched = d.watch.Counts()
 	}
+	if d.seen != nil {
+		t.Seen = d.seen.Seen()
+	}
 	d.tally = Tally{}
 	return t
 }
@@ -453,6 +497,15 @@
 	}
 	p.Context, p.end = context.WithCancelCause(context.Background())
 	p.timer = time.AfterFunc(time.Until(p.Until), func() { p.end(context.DeadlineExceeded) })
+	switch {
+	case len(c.sent) == 0:
+		w.tally.First++
+	case c.out > 0:
+		w.tally.Copies++
+	default:
+		w.tally.Retries++
+	}
+	c.out++
 	c.sent = append(c.sent, p)
 	select {
 	case c.pushes <- p:
@@ -468,15 +521,18 @@
 	t.Mark.(*Case).sent[push].end(context.Canceled)
 }
 
-func (w writer) Defer(t *logic.Transaction, backoff int64) {
+func (w writer) Defer(t *logic.Transaction, why logic.Why, backoff int64) {
+	w.tally.Ended[0][why]++
 	w.finish(t.Mark.(*Case), Answer{Ending: Deferred, Backoff: time.Duration(backoff)})
 }
 
-func (w writer) Forfeit(t *logic.Transaction) {
+func (w writer) Forfeit(t *logic.Transaction, why logic.Why) {
+	w.tally.Ended[1][why]++
 	w.finish(t.Mark.(*Case), Answer{Ending: Forfeited})
 }
 
 func (w writer) Probe(upstream int) {
+	w.tally.Probes++
 	select {
 	case w.probes <- Probe{upstream, w.roster.Place(upstream)}:
 	default: // Danger: as with pushes; a probe that is never answered would hold its upstream for good
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -181,11 +181,13 @@
 	if index != Unknown {
 		query += "&after=" + strconv.FormatInt(index, 10)
 	}
+	asked := time.Now()
 	answer, err := w.open(ctx, address, query)
 	if err != nil {
 		return false, cause(ctx, err)
 	}
 	defer answer.Body.Close()
+	w.log.Info("watch", "step", "open", "after", index, "took", time.Since(asked).Round(time.Millisecond))
 	lines := bufio.NewReaderSize(answer.Body, 64<<10)
 	var parser fastjson.Parser
 	var line []byte
@@ -280,6 +282,7 @@
 	}
 	w.mu.Unlock()
 	if err == nil {
+		w.log.Info("watch", "step", "told", "index", r.Index, "whole", r.Whole || whole, "entries", len(r.Entries))
 		w.sink.List(r.Entries, r.Whole || whole)
 	}
 	return err
--- a/internal/httpwire/drain.go
+++ b/internal/httpwire/drain.go
@@ -116,7 +116,7 @@
 		f.log.Warn("drain", "step", "forced", "forfeited", forfeited)
 	}
 	for _, p := range pools {
-		p.logTally()
+		p.look(true)
 	}
 	f.log.Info("drain", "step", "end", "took", time.Since(start).Round(time.Millisecond))
 }
--- a/internal/httpwire/httpwire_test.go
+++ b/internal/httpwire/httpwire_test.go
@@ -143,7 +143,7 @@
 	s := o.sockets
 	server := httptest.NewServer(http.NotFoundHandler())
 	defer server.Close()
-	to := toward(t.Context(), stay(server.Listener), time.Now().Add(time.Second))
+	to := toward(t.Context(), stay(server.Listener), time.Now().Add(time.Second), false)
 	c, err := o.transport.DialContext(to, "tcp", "u1:80")
 	if err != nil || s.out.Load() != 1 || o.part.out.Used() != 1 {
 		t.Fatal(err, s.out.Load())
@@ -304,7 +304,7 @@
 	}
 	defer l.Close()
 	board := func() (*ride, net.Conn) {
-		ctx := toward(t.Context(), stay(l), time.Now().Add(time.Second))
+		ctx := toward(t.Context(), stay(l), time.Now().Add(time.Second), false)
 		ours, err := outwards(t).transport.DialContext(ctx, "tcp", "u1:80")
 		if err != nil {
 			t.Fatal(err)
--- a/internal/httpwire/outbound.go
+++ b/internal/httpwire/outbound.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -13,16 +14,41 @@
 	"ottershift/internal/terms"
 )
 
+// way of a connection to an upstream: why it was opened, how that failed, why it was closed.
+const (
+	dialFirst  = iota // there had been none to this upstream
+	dialAgain         // those that there were have closed
+	dialBusy          // those that there are were in use
+	dialProbe         // for a probe
+	dialFailed        // it did not come up
+	dialShort         // not tried, for want of descriptors or beyond the pool's part
+	closeOff          // with a push on it that was called off, or whose time was up
+	closeThem         // by the upstream
+	closeIdle         // by us, idle for long
+	closeLeft         // its upstream has left
+	traffics
+)
+
+var trafficNames = [traffics]string{
+	"dial_first", "dial_again", "dial_busy", "dial_probe", "dial_failed", "dial_short", "close_called_off", "close_by_upstream",
+	"close_idle", "close_left",
+}
+
+// traffic counts connections to upstreams.
+type traffic [traffics]atomic.Int64
+
 // outbound owns a pool's connections to its upstreams.
 type outbound struct {
 	sockets   *sockets
+	traffic   traffic
 	part      *part
 	transport *http.Transport
 
 	mu    sync.Mutex
 	hosts map[string]map[*outward]struct{}
 	dials map[string]*dials
-	ended bool // the pool has gone; nothing is kept any more
+	had   map[string]struct{} // hosts to which there has been a connection
+	ended bool                // the pool has gone; nothing is kept any more
 }
 
 // dials are the connections to one host that are coming up. Danger: the host may leave meanwhile, and such a connection
@@ -38,15 +64,17 @@
 type way struct {
 	roster.Place
 	until time.Time
+	probe bool
 }
 
 // toward lets a dial know where its upstream is. The transport's pool goes by host.
-func toward(ctx context.Context, at roster.Place, until time.Time) context.Context {
-	return context.WithValue(ctx, placeKey{}, way{at, until})
+func toward(ctx context.Context, at roster.Place, until time.Time, probe bool) context.Context {
+	return context.WithValue(ctx, placeKey{}, way{at, until, probe})
 }
 
 func newOutbound(s *sockets, p *part, book *terms.Book) *outbound {
-	b := &outbound{sockets: s, part: p, hosts: map[string]map[*outward]struct{}{}, dials: map[string]*dials{}}
+	b := &outbound{sockets: s, part: p, hosts: map[string]map[*outward]struct{}{}, dials: map[string]*dials{},
+		had: map[string]struct{}{}}
 	dialer := net.Dialer{Timeout: book.DialTimeout}
 	b.transport = &http.Transport{
 		DisableCompression:     true, // bodies go on unchanged
@@ -57,13 +85,15 @@
 		DialContext: func(ctx context.Context, network, _ string) (net.Conn, error) {
 			to := ctx.Value(placeKey{}).(way)
 			if err := b.count(to.until); err != nil {
+				b.traffic[dialShort].Add(1)
 				return nil, err
 			}
-			left := b.dial(to.Host)
+			left := b.dial(to)
 			c, err := dialer.DialContext(ctx, network, to.Address)
 			if err != nil {
 				left()
 				b.uncount()
+				b.traffic[dialFailed].Add(1)
 				if errors.Is(err, syscall.EMFILE) {
 					err = errFull
 				}
@@ -90,10 +120,22 @@
 }
 
 // dial notes that a connection is coming up; left ends that and tells whether its host has left meanwhile.
-func (b *outbound) dial(host string) (left func() bool) {
+func (b *outbound) dial(to way) (left func() bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	host := to.Host
 	d := b.dials[host]
+	_, had := b.had[host]
+	switch b.had[host] = struct{}{}; {
+	case to.probe:
+		b.traffic[dialProbe].Add(1)
+	case d != nil || len(b.hosts[host]) > 0:
+		b.traffic[dialBusy].Add(1)
+	case had:
+		b.traffic[dialAgain].Add(1)
+	default:
+		b.traffic[dialFirst].Add(1)
+	}
 	if d == nil {
 		d = &dials{}
 		b.dials[host] = d
@@ -144,6 +186,7 @@
 	var all []*outward
 	b.mu.Lock()
 	for _, host := range hosts {
+		delete(b.had, host)
 		if d := b.dials[host]; d != nil {
 			d.left = true
 		}
--- a/internal/httpwire/outward.go
+++ b/internal/httpwire/outward.go
@@ -27,6 +27,7 @@
 	empty  bool       // the reader waits, and all that came is read
 	closed bool
 	idle   bool // counted in kept
+	theirs bool // they ended it
 	hangUp sync.Once
 	kept   *atomic.Int32 // of its upstream
 	last   bool          // its upstream has left: nothing more after this ride
@@ -174,6 +175,7 @@
 		defer o.mu.Unlock()
 		for n, err = syscall.Read(int(fd), b); err == syscall.EINTR; n, err = syscall.Read(int(fd), b) {
 		}
+		o.theirs = o.theirs || n == 0 && err == nil && len(b) > 0 || err == syscall.ECONNRESET
 		if o.empty = err == syscall.EAGAIN; o.empty {
 			o.change.Broadcast()
 			return false
@@ -206,8 +208,20 @@
 	o.closed = true
 	o.rest(false)
 	o.change.Broadcast()
+	why := closeIdle
+	switch {
+	case o.theirs:
+		why = closeThem
+	case o.last:
+		why = closeLeft
+	case o.ride != nil:
+		why = closeOff
+	}
 	o.mu.Unlock()
 	o.owner.forget(o)
-	o.hangUp.Do(o.owner.part.hangUp)
+	o.hangUp.Do(func() {
+		o.owner.traffic[why].Add(1)
+		o.owner.part.hangUp()
+	})
 	return o.counted.Close()
 }
--- a/internal/httpwire/pool.go
+++ b/internal/httpwire/pool.go
@@ -20,7 +20,8 @@
 	shards []*shard
 	book   atomic.Pointer[terms.Book]
 	counts *figures.Pool
-	tally  [figures.Endings]int64 // at the last tally in the log
+	looks  sync.Mutex
+	tally  tally
 	log    *slog.Logger
 	part   *part
 	ids    ids
@@ -153,10 +154,19 @@
 
 // List implements lists.Sink, as do Unlisted and Follow.
 func (p *Pool) List(entries []roster.Entry[string], whole bool) {
+	var c roster.Change
 	for _, sh := range p.shards {
-		sh.out.leave(sh.desk.List(entries, whole))
+		c = sh.desk.List(entries, whole)
+		sh.out.leave(c.Left)
+	}
+	first := p.stands.Swap(true)
+	if late := time.Duration(0); !whole || !first || c.Joined+c.Ends+c.Gone > 0 {
+		if first && c.Born > 0 { // what had started before the first list was not told late
+			late = time.Since(time.Unix(0, c.Born))
+		}
+		p.log.Info("list", "step", "changed", "whole", whole, "entries", len(entries), "joined", c.Joined, "draining", c.Ends,
+			"gone", c.Gone, "listed", c.Listed, "late", late.Round(time.Millisecond))
 	}
-	p.stands.Store(true)
 }
 
 // Unlisted implements lists.Sink.
@@ -229,7 +239,7 @@
 		sh.desk.Stop()
 		sh.out.end()
 	}
-	p.logTally()
+	p.look(true)
 	p.front.sockets.part(p)
 	for range 200 { // pushes that were called off are giving back their connections
 		if _, out, _, _ := p.part.holds(); out == 0 {
--- a/internal/httpwire/push.go
+++ b/internal/httpwire/push.go
@@ -60,7 +60,7 @@
 	on := &ride{gate: out}
 	defer on.alight()
 	var cut atomic.Bool // before its last byte was written
-	ctx := httptrace.WithClientTrace(toward(o.Context, o.Place, o.Until), &httptrace.ClientTrace{
+	ctx := httptrace.WithClientTrace(toward(o.Context, o.Place, o.Until, false), &httptrace.ClientTrace{
 		GotConn: on.board,
 		WroteRequest: func(i httptrace.WroteRequestInfo) {
 			if cut.Store(i.Err != nil); i.Err == nil {
@@ -192,7 +192,7 @@
 	defer end()
 	on := &ride{}
 	defer on.alight()
-	ctx = httptrace.WithClientTrace(toward(ctx, at, until), &httptrace.ClientTrace{
+	ctx = httptrace.WithClientTrace(toward(ctx, at, until, true), &httptrace.ClientTrace{
 		GotConn: on.board,
 	})
 	r := (&http.Request{
--- a/internal/httpwire/serve.go
+++ b/internal/httpwire/serve.go
@@ -216,6 +216,10 @@
 	if !r.ProtoAtLeast(1, 1) {
 		return nil, "", bad("not HTTP/1.1")
 	}
+	// Danger: a tunnel's target is no path, and what an upstream makes of "CONNECT /" is its own affair.
+	if r.Method == http.MethodConnect {
+		return nil, "", &fault{http.StatusNotImplemented, "a balancer is no tunnel"}
+	}
 	q := routes.Query{Method: r.Method}
 	for {
 		board := f.board.Load()
--- a/internal/lab/baseline/baseline.go
+++ b/internal/lab/baseline/baseline.go
@@ -207,9 +207,9 @@
 	harmless := s.mayRepeat() || s.tariff.Repeat == logic.Tagged && s.tariff.Group == logic.Everywhere
 	b.close(s)
 	if harmless {
-		b.w.Defer(s.t, b.terms.Backoff(s.tariff))
+		b.w.Defer(s.t, logic.Failed, b.terms.Backoff(s.tariff))
 	} else {
-		b.w.Forfeit(s.t)
+		b.w.Forfeit(s.t, logic.Failed)
 	}
 	b.decide(s)
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -66,24 +66,36 @@
 	return r
 }
 
-// Apply hands a report of the list on, entry by entry, and tells which hosts have left by it. Who is missing from a
-// whole list has left.
-func (r *Roster[Name]) Apply(entries []Entry[Name], whole bool, now int64) (left []string) {
+// Change is what a report of the list has changed.
+type Change struct {
+	Left               []string // hosts
+	Joined, Ends, Gone int      // upstreams that are new, drain from now on, and are no longer listed
+	Listed             int      // in all, from now on
+	Born               int64    // the latest start among the new ones, 0 if none was told
+}
+
+// Apply hands a report of the list on, entry by entry, and tells what has changed by it. Who is missing from a whole
+// list has left.
+func (r *Roster[Name]) Apply(entries []Entry[Name], whole bool, now int64) (c Change) {
 	here := map[Name]bool{}
 	for _, e := range entries {
 		here[e.Name] = true
 		i, known := r.index[e.Name]
 		if e.Gone {
 			if known {
-				left = r.leave(i, left)
+				r.leave(i, &c)
 			}
 			continue
 		}
 		if !known || !r.b.Known(i) {
 			i = r.join(e.Name)
+			c.Joined, c.Born = c.Joined+1, max(c.Born, e.Up.Born)
 		}
 		if r.place[i].Address != e.Address {
-			left = r.move(i, e.Address, left)
+			r.move(i, e.Address, &c)
+		}
+		if e.Ends && !r.entry[i].Ends {
+			c.Ends++
 		}
 		r.entry[i] = e
 		e.Up.Zone, e.Up.Kind = numbered(r.zones, e.Zone), numbered(r.kinds, e.Kind)
@@ -95,27 +107,34 @@
 	if whole {
 		for i, name := range r.names {
 			if !here[name] {
-				left = r.leave(i, left)
+				r.leave(i, &c)
 			}
 		}
 	}
+	for i := range r.names {
+		if r.b.Known(i) {
+			c.Listed++
+		}
+	}
 	r.b.Listed(true, now)
-	return left
+	return c
 }
 
-func (r *Roster[Name]) leave(i int, left []string) []string {
+func (r *Roster[Name]) leave(i int, c *Change) {
+	if r.b.Known(i) {
+		c.Gone++
+	}
 	r.b.Leave(i)
-	return r.move(i, "", left)
+	r.move(i, "", c)
 }
 
 // move begins a stay and ends the one before.
-func (r *Roster[Name]) move(i int, address string, left []string) []string {
+func (r *Roster[Name]) move(i int, address string, c *Change) {
 	if r.place[i].Address != "" {
-		left = append(left, r.place[i].Host)
+		c.Left = append(c.Left, r.place[i].Host)
 	}
 	r.stays++
 	r.place[i] = Place{"u" + strconv.Itoa(r.stays), address, new(atomic.Int32)}
-	return left
 }
 
 // Zone is the number of a zone.
@@ -153,7 +172,7 @@
 		if r.index[r.names[i]] == i {
 			delete(r.index, r.names[i])
 		}
-		r.names[i] = name
+		r.names[i], r.entry[i] = name, Entry[Name]{}
 	}
 	r.index[name] = i
 	return i
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -60,13 +60,13 @@
 	_, r := empty(t)
 	hosts, gone := map[string]bool{}, 0
 	for n := range 5000 {
-		left := r.Apply([]Entry[string]{
+		c := r.Apply([]Entry[string]{
 			{Name: strconv.Itoa(n), Zone: "a", Address: "always the same", Up: logic.Upstream{Weight: 1}},
 			{Name: strconv.Itoa(n - 3), Gone: true},
 		}, false, int64(n))
 		i, _ := r.Index(strconv.Itoa(n))
 		hosts[r.Place(i).Host] = true
-		gone += len(left)
+		gone += len(c.Left)
 	}
 	if len(r.index) > 8 || len(r.names) > 8 || len(hosts) != 5000 || gone != 4997 {
 		t.Errorf("%d names, %d places, %d hosts, of which %d left", len(r.index), len(r.names), len(hosts), gone)
--- a/internal/simwire/write.go
+++ b/internal/simwire/write.go
@@ -51,12 +51,12 @@
 	in.start("abandon").call(t).field("shot", int64(push)).stop()
 }
 
-func (in *instance) Defer(t *logic.Transaction, backoff int64) {
+func (in *instance) Defer(t *logic.Transaction, _ logic.Why, backoff int64) {
 	in.start("say_no").call(t).field("backoff", backoff/microsecond).stop()
 	in.drop(t)
 }
 
-func (in *instance) Forfeit(t *logic.Transaction) {
+func (in *instance) Forfeit(t *logic.Transaction, _ logic.Why) {
 	in.start("lose").call(t).stop()
 	in.drop(t)
 }
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -135,6 +135,10 @@
 
 func (m *Module) Cluster() (listed, avoided int) { return m.before.Cluster() }
 
+func (m *Module) Seen() logic.Seen { return m.before.Seen() }
+
+func (m *Module) Turns(take func(logic.Turn)) { m.before.Turns(take) }
+
 func (m *Module) Outcome(t *logic.Transaction, n int, r logic.Result, took int64, final bool, now int64) {
 	m.before.Outcome(t, n, r, took, final, now)
 	if p := m.cases[t]; p != nil {
@@ -249,13 +253,13 @@
 	h.w.Push(t, i, until)
 }
 func (h here) Cancel(t *logic.Transaction, n int) { h.w.Cancel(t, n) }
-func (h here) Defer(t *logic.Transaction, backoff int64) {
+func (h here) Defer(t *logic.Transaction, why logic.Why, backoff int64) {
 	h.refused(t)
-	h.w.Defer(t, backoff)
+	h.w.Defer(t, why, backoff)
 }
-func (h here) Forfeit(t *logic.Transaction) {
+func (h here) Forfeit(t *logic.Transaction, why logic.Why) {
 	h.refused(t)
-	h.w.Forfeit(t)
+	h.w.Forfeit(t, why)
 }
 func (h here) refused(t *logic.Transaction) {
 	if p := h.cases[t]; p != nil {
@@ -272,13 +276,13 @@
 // there takes note of what the other would have done. None of it is done.
 type there struct{ *Module }
 
-func (o there) Kept(j int) bool                           { return o.w.Kept(o.back[j]) }
-func (o there) Push(t *logic.Transaction, _ int, _ int64) { o.queue(t.Mark.(*pair)) }
-func (o there) Cancel(*logic.Transaction, int)            {}
-func (o there) Defer(t *logic.Transaction, _ int64)       { o.queue(t.Mark.(*pair)) }
-func (o there) Forfeit(t *logic.Transaction)              { o.queue(t.Mark.(*pair)) }
-func (o there) Probe(j int)                               { o.probes = append(o.probes, j) }
-func (o there) Tell(peer int, raw []byte)                 { o.w.Tell(peer, raw) }
-func (o there) Follow()                                   {} // the list is followed here
-func (o there) Wake(at int64)                             { o.wakes[1] = at }
-func (o there) Note(string)                               {}
+func (o there) Kept(j int) bool                                  { return o.w.Kept(o.back[j]) }
+func (o there) Push(t *logic.Transaction, _ int, _ int64)        { o.queue(t.Mark.(*pair)) }
+func (o there) Cancel(*logic.Transaction, int)                   {}
+func (o there) Defer(t *logic.Transaction, _ logic.Why, _ int64) { o.queue(t.Mark.(*pair)) }
+func (o there) Forfeit(t *logic.Transaction, _ logic.Why)        { o.queue(t.Mark.(*pair)) }
+func (o there) Probe(j int)                                      { o.probes = append(o.probes, j) }
+func (o there) Tell(peer int, raw []byte)                        { o.w.Tell(peer, raw) }
+func (o there) Follow()                                          {} // the list is followed here
+func (o there) Wake(at int64)                                    { o.wakes[1] = at }
+func (o there) Note(string)                                      {}
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -54,12 +54,12 @@
 	w.open = append(w.open, push{t, t.Pushes() - 1, i, w.now, w.now + 20*ms + int64(i)*40*ms})
 	w.pushed = w.now
 }
-func (w *world) Cancel(t *logic.Transaction, n int)  { w.note("cancel %d.%d", w.ids[t], n) }
-func (w *world) Defer(t *logic.Transaction, _ int64) { w.note("defer %d", w.ids[t]) }
-func (w *world) Forfeit(t *logic.Transaction)        { w.note("forfeit %d", w.ids[t]) }
-func (w *world) Tell(_ int, raw []byte)              { w.said = append(w.said, raw) }
-func (w *world) Kept(int) bool                       { return false }
-func (w *world) Wake(int64)                          {}
+func (w *world) Cancel(t *logic.Transaction, n int)               { w.note("cancel %d.%d", w.ids[t], n) }
+func (w *world) Defer(t *logic.Transaction, _ logic.Why, _ int64) { w.note("defer %d", w.ids[t]) }
+func (w *world) Forfeit(t *logic.Transaction, _ logic.Why)        { w.note("forfeit %d", w.ids[t]) }
+func (w *world) Tell(_ int, raw []byte)                           { w.said = append(w.said, raw) }
+func (w *world) Kept(int) bool                                    { return false }
+func (w *world) Wake(int64)                                       {}
 
 // play has a module decide on seeded traffic that is too much for its upstreams now and then.
 func play(m module, said func(step int) []byte) *world {
--- a/logic/fleet_test.go
+++ b/logic/fleet_test.go
@@ -185,14 +185,14 @@
 	b.fleet.done[how]++
 }
 
-func (b *member) Defer(t *Transaction, _ int64) { b.end(t, "deferred") }
-func (b *member) Forfeit(t *Transaction)        { b.end(t, "forfeited") }
-func (b *member) Probe(int)                     {}
-func (b *member) Follow()                       {}
-func (b *member) Wake(int64)                    {}
-func (b *member) Tell(int, []byte)              {}
-func (b *member) Note(string)                   {}
-func (b *member) Kept(int) bool                 { return false }
+func (b *member) Defer(t *Transaction, _ Why, _ int64) { b.end(t, "deferred") }
+func (b *member) Forfeit(t *Transaction, _ Why)        { b.end(t, "forfeited") }
+func (b *member) Probe(int)                            {}
+func (b *member) Follow()                              {}
+func (b *member) Wake(int64)                           {}
+func (b *member) Tell(int, []byte)                     {}
+func (b *member) Note(string)                          {}
+func (b *member) Kept(int) bool                        { return false }
 
 // Most of the list is new at once: the few warm ones that are left can't carry the work, and what all balancers
 // together send to a cold one is still below what makes it fall.
--- a/logic/helpers_test.go
+++ b/logic/helpers_test.go
@@ -250,17 +250,17 @@
 	return o
 }
 
-func (w *world) Defer(t *Transaction, backoff int64) {
+func (w *world) Defer(t *Transaction, _ Why, backoff int64) {
 	o := w.end(t, "deferred")
 	if f := o.tariff; o.bound() != nil && (f.Repeat == OnceOnly || f.Repeat == Tagged && f.Group != Everywhere) {
 		w.t.Fatalf("a deferral though the work may have run")
 	}
 }
 
-func (w *world) Forfeit(t *Transaction) { w.end(t, "forfeited") }
-func (w *world) Probe(i int)            { w.probes[i] = w.now + 20*ms }
-func (w *world) Follow()                { w.finals["followed"]++ }
-func (w *world) Wake(at int64)          { w.wake = at }
+func (w *world) Forfeit(t *Transaction, _ Why) { w.end(t, "forfeited") }
+func (w *world) Probe(i int)                   { w.probes[i] = w.now + 20*ms }
+func (w *world) Follow()                       { w.finals["followed"]++ }
+func (w *world) Wake(at int64)                 { w.wake = at }
 func (w *world) Tell(peer int, raw []byte) {
 	if peer < 0 || peer >= w.terms.Balancers || peer == w.terms.Index || len(raw) == 0 || len(raw) > 256 {
 		w.t.Fatalf("%d bytes for balancer %d", len(raw), peer)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -102,9 +102,8 @@
 			return i
 		}
 	}
-	i := b.grow()
-	b.reset(i)
-	return i
+	b.reset(b.grow())
+	return len(b.known) - 1
 }
 
 // reset forgets what was learnt of an upstream.
@@ -339,7 +338,7 @@
 				b.silent(p)
 			}
 		}
-		b.end(t)
+		b.end(t, GivenUp)
 		return
 	}
 
@@ -354,7 +353,7 @@
 		}
 		i := b.next(t)
 		if i < 0 {
-			b.end(t) // nobody to send it to, and no news in sight: say so at once
+			b.end(t, NoUpstream) // nobody to send it to, and no news in sight: say so at once
 			return
 		}
 		b.sends[b.pane]++
@@ -366,11 +365,11 @@
 	// A further push after a failure, if the tariff bears it and the bucket pays.
 	if t.out == 0 {
 		i := -1
-		if b.repeatable(t) && b.funded() {
+		if b.repeatable(t) && b.pass(RetryUnpaid, b.funded()) {
 			i = b.next(t)
 		}
 		if i < 0 {
-			b.end(t)
+			b.end(t, Failed)
 			return
 		}
 		b.bucket--
@@ -384,8 +383,8 @@
 		if outrun = last.sent + b.trigger; b.now >= outrun {
 			outrun = math.MaxInt64
 			b.overdue(t, last)
-			if t.out == 1 && b.terms.SecondCopies && b.repeatable(t) && !b.gated() && b.funded() &&
-				b.chance() < b.allowance {
+			if t.out == 1 && b.terms.SecondCopies && b.repeatable(t) && b.pass(CopyGated, !b.gated()) &&
+				b.pass(CopyUnpaid, b.funded()) && b.pass(CopyLoop, b.chance() < b.allowance) {
 				if i := b.next(t); i >= 0 {
 					b.bucket--
 					b.copies[0]++
@@ -411,14 +410,14 @@
 }
 
 // end gives the final answer: a deferral if it is certain that trying again is harmless, else a forfeit.
-func (b *Balancer) end(t *Transaction) {
+func (b *Balancer) end(t *Transaction, why Why) {
 	b.unschedule(t)
 	t.recall()
 	b.close(t)
 	if f := t.tariff; t.anchor < 0 || f.Repeat == Repeatable || f.Repeat == Tagged && f.Group == Everywhere {
-		b.w.Defer(t, b.terms.Backoff(t.tariff))
+		b.w.Defer(t, why, b.terms.Backoff(t.tariff))
 	} else {
-		b.w.Forfeit(t)
+		b.w.Forfeit(t, why)
 	}
 	b.callOff(t)
 }
@@ -761,7 +760,7 @@
 	} else if r == Settled {
 		b.dead[i] = false
 	}
-	b.judge(i, r.fault())
+	b.judge(i, r)
 }
 
 // overdue counts silence as evidence before any time-out. Danger: an upstream that takes work and answers
@@ -780,14 +779,14 @@
 func (b *Balancer) silent(p *Push) {
 	if !p.overdue && p.out {
 		p.overdue = true
-		b.judge(p.upstream, true)
+		b.judge(p.upstream, TimedOut)
 	}
 }
 
 // judge is a sequential test of one upstream against its peers: is it as bad as they are, or several times as
 // bad? Where all are alike, nobody stands out.
-func (b *Balancer) judge(i int, bad bool) {
-	if bad {
+func (b *Balancer) judge(i int, r Result) {
+	if r.fault() {
 		b.bad[i]++
 	} else {
 		b.good[i]++
@@ -796,17 +795,17 @@
 	all := worse + sum(b.good) - b.good[i]
 	usual := max(0.05, (float64(worse)+0.5)/(float64(all)+10))
 	unusual := min(4*usual, (1+usual)/2)
-	if bad {
+	if r.fault() {
 		b.doubt[i] += math.Log(unusual / usual)
 	} else {
 		b.doubt[i] = max(0, b.doubt[i]+math.Log((1-unusual)/(1-usual)))
 	}
 	if b.doubt[i] >= setAsideAt && b.aside[i] == 0 && b.ready[i] {
-		b.setAside(i)
+		b.setAside(i, r)
 	}
 }
 
-func (b *Balancer) setAside(i int) {
+func (b *Balancer) setAside(i int, why Result) {
 	out, total := b.part[i], 0.0
 	for _, j := range b.own {
 		if total += b.part[j]; b.aside[j] != 0 {
@@ -818,13 +817,14 @@
 		b.doubt[i] = setAsideAt // the rest could not carry the work
 		return
 	}
-	b.aside[i] = b.now + int64(float64(asideFor)*(0.75+b.chance()/2))
-	b.answered[i] = 0
+	b.aside[i], b.answered[i] = b.now+int64(float64(asideFor)*(0.75+b.chance()/2)), 0
+	b.turned(Turn{Upstream: i, Why: why})
 }
 
 // restore takes an upstream back under half the doubt. Danger: one that was dead may be cold, unannounced.
 func (b *Balancer) restore(i int) {
 	b.aside[i], b.doubt[i] = 0, setAsideAt/2
+	b.turned(Turn{Upstream: i, Back: true, Cold: b.dead[i]})
 	if b.dead[i] {
 		b.born[i], b.dead[i], b.purse[i], b.filled[i] = b.now, false, b.chance(), b.now
 	}
@@ -900,7 +900,7 @@
 	if t.inLine {
 		b.schedule(t, t.arrived+patience) // its last byte may have come meanwhile
 		if b.now >= t.arrived+patience {
-			b.end(t)
+			b.end(t, NoRoom)
 		}
 		return
 	}
@@ -909,7 +909,7 @@
 		place--
 	}
 	if float64(place) > b.rate*float64(patience)+1 {
-		b.end(t)
+		b.end(t, LineFull)
 		return
 	}
 	t.inLine = true
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -360,7 +360,7 @@
 func TestReturnFromTheDeadIsCold(t *testing.T) {
 	w := newWorld(t, terms(tariff(Repeatable, Everywhere)), 3, 1)
 	w.b.dead[1] = true
-	w.b.setAside(1)
+	w.b.setAside(1, Errored)
 	w.b.restore(1)
 	if w.b.warmth(1) >= 1 {
 		t.Error("taken for warm")
--- a/logic/types.go
+++ b/logic/types.go
@@ -129,6 +129,12 @@
 	Rejected           // the upstream found the transaction itself at fault
 )
 
+func (r Result) String() string {
+	return [Rejected + 1]string{
+		"settled", "errored", "turned_away", "timed_out", "unreachable", "broken", "called_off", "unsent", "rejected",
+	}[r]
+}
+
 // Final reports whether a push that ends so ends its transaction.
 func (r Result) Final() bool { return r == Settled || r == Rejected }
 
@@ -273,6 +279,9 @@
 	following bool
 	follow    int64 // when to ask for the list again
 	refusals  int
+
+	held  [Helds]int
+	turns []Turn // to be told
 }
 
 // Known reports whether an index still belongs to a listed upstream.
@@ -335,8 +344,8 @@
 	Kept(upstream int) bool                         // no decision: does a connection to it wait for a push?
 	Push(t *Transaction, upstream int, until int64) // until: when the push is abandoned
 	Cancel(t *Transaction, push int)
-	Defer(t *Transaction, backoff int64) // final: trying again is harmless
-	Forfeit(t *Transaction)              // final: nothing is promised
+	Defer(t *Transaction, why Why, backoff int64) // final: trying again is harmless
+	Forfeit(t *Transaction, why Why)              // final: nothing is promised
 	Probe(upstream int)
 	Tell(peer int, raw []byte) // says something to another balancer
 	Follow()                   // subscribe to the list
