Lists that contradict themselves: one upstream for each address; odd entries told once

Read from the code: a machine that is listed under two names had two parts of every balancer's work, and while cold two purses, each of half of what makes it fall.

Change: of two upstreams at one address the later start stands, of two alike who serves; the other is left out, counted (odd= on event=list) and told once. discovery's step=odd is told when its count changes instead of with each report.

--- a/cmd/ottershift/pools_test.go
+++ b/cmd/ottershift/pools_test.go
@@ -291,6 +291,22 @@
 	}
 }
 
+// A tunnel's target is no path: nothing of it reaches an upstream.
+func TestNoTunnels(t *testing.T) {
+	u := newUpstream(t, says(fine))
+	b := serving(t, tariffs+poolText("www", "", u.Addr().String())+"[[routes]]\npool = \"www\"\n")
+	for _, target := range []string{"host:80", "/x", "http://host/x"} {
+		c, err := net.Dial("tcp", b.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		status, _, _, err := on(c, bufio.NewReader(c), "CONNECT "+target+" HTTP/1.1\r\nHost: host:80\r\n\r\n")
+		if c.Close(); err != nil || status < 400 || u.arrived.Load() > 0 {
+			t.Errorf("CONNECT %s: %d %v, %d arrived", target, status, err, u.arrived.Load())
+		}
+	}
+}
+
 // check and routes say what serve would do.
 func TestCheckAndRoutes(t *testing.T) {
 	say := func(want int, args ...string) string {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -89,6 +89,7 @@
 	index   int64
 	end     context.CancelCauseFunc // of the watch that is open
 	moved   chan struct{}
+	odd     int // entries of the last report that made no sense, told once
 }
 
 // New makes a watch that goes on after the version that is known already.
@@ -272,9 +273,10 @@
 	if err != nil {
 		return err
 	}
-	if odd > 0 {
+	if was := w.odd; odd > 0 && odd != was {
 		w.log.Warn("watch", "step", "odd", "entries", odd)
 	}
+	w.odd = odd
 	w.mu.Lock()
 	if err = ctx.Err(); err == nil {
 		// Danger: after a restart of discovery its versions may start anew; the last one told counts, not the highest.
--- a/internal/httpwire/pool.go
+++ b/internal/httpwire/pool.go
@@ -27,6 +27,7 @@
 	ids    ids
 
 	stands atomic.Bool // the list does
+	odd    int         // entries that its last report left out, told once; its source's alone
 
 	mu      sync.Mutex
 	open    int           // transactions, the writing of their answers included
@@ -160,12 +161,13 @@
 		sh.out.leave(c.Left)
 	}
 	first := p.stands.Swap(true)
-	if late := time.Duration(0); !whole || !first || c.Joined+c.Ends+c.Gone > 0 {
+	if late := time.Duration(0); !whole || !first || c.Joined+c.Ends+c.Gone > 0 || c.Odd != p.odd {
+		p.odd = c.Odd
 		if first && c.Born > 0 { // what had started before the first list was not told late
 			late = time.Since(time.Unix(0, c.Born))
 		}
 		p.log.Info("list", "step", "changed", "whole", whole, "entries", len(entries), "joined", c.Joined, "draining", c.Ends,
-			"gone", c.Gone, "listed", c.Listed, "late", late.Round(time.Millisecond))
+			"gone", c.Gone, "listed", c.Listed, "odd", c.Odd, "late", late.Round(time.Millisecond))
 	}
 }
 
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -54,12 +54,13 @@
 	names []Name
 	place []Place
 	entry []Entry[Name]
-	stays int // so far
+	at    map[string]int // index by address, as far as any is told
+	stays int            // so far
 }
 
 // New starts an empty roster; zones are numbered by their place.
 func New[Name comparable](b Module, zones []string) *Roster[Name] {
-	r := &Roster[Name]{b: b, zones: map[string]int{}, kinds: map[string]int{"": 0}, index: map[Name]int{}}
+	r := &Roster[Name]{b: b, zones: map[string]int{}, kinds: map[string]int{"": 0}, index: map[Name]int{}, at: map[string]int{}}
 	for _, z := range zones {
 		numbered(r.zones, z)
 	}
@@ -71,6 +72,7 @@
 	Left               []string // hosts
 	Joined, Ends, Gone int      // upstreams that are new, drain from now on, and are no longer listed
 	Listed             int      // in all, from now on
+	Odd                int      // entries left out: another upstream is at their address
 	Born               int64    // the latest start among the new ones, 0 if none was told
 }
 
@@ -87,6 +89,17 @@
 			}
 			continue
 		}
+		// Danger: one machine under two names would get two parts, and be paid twice while it is cold. The later start
+		// stands; of two that started alike, who serves.
+		if j, taken := r.at[e.Address]; taken && r.names[j] != e.Name && r.b.Known(j) {
+			if has := r.entry[j]; e.Up.Born < has.Up.Born || e.Up.Born == has.Up.Born && (!has.Ends || e.Ends) {
+				if c.Odd++; known && r.b.Known(i) {
+					r.leave(i, &c)
+				}
+				continue
+			}
+			r.leave(j, &c)
+		}
 		if !known || !r.b.Known(i) {
 			i = r.join(e.Name)
 			c.Joined, c.Born = c.Joined+1, max(c.Born, e.Up.Born)
@@ -130,8 +143,13 @@
 
 // move begins a stay and ends the one before.
 func (r *Roster[Name]) move(i int, address string, c *Change) {
-	if r.place[i].Address != "" {
-		c.Left = append(c.Left, r.place[i].Host)
+	if was := r.place[i].Address; was != "" {
+		if c.Left = append(c.Left, r.place[i].Host); r.at[was] == i {
+			delete(r.at, was)
+		}
+	}
+	if address != "" {
+		r.at[address] = i
 	}
 	r.stays++
 	r.place[i] = Place{"u" + strconv.Itoa(r.stays), address, new(atomic.Int32)}
