How things stood is told by losses and tally: the sum over shards had left it out

Lines that http.Transport writes by itself (Unsolicited response) are counted apart instead of as unread.

--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -413,6 +413,7 @@
 func (t *Tally) Add(o Tally) {
 	t.Watched.Add(o.Watched)
 	t.Arrived, t.Vanished, t.Edge, t.Open = t.Arrived+o.Arrived, t.Vanished+o.Vanished, t.Edge+o.Edge, t.Open+o.Open
+	t.Seen.Add(o.Seen)
 	t.First, t.Copies, t.Retries = t.First+o.First, t.Copies+o.Copies, t.Retries+o.Retries
 	t.Probes, t.Unanswered = t.Probes+o.Probes, t.Unanswered+o.Unanswered
 	for how := range t.Ended {
--- a/internal/fleet/count.go
+++ b/internal/fleet/count.go
@@ -81,6 +81,7 @@
 	Nodes    int                `json:"balancers"`
 	Lines    int                `json:"lines"`
 	Wrong    int                `json:"unread_lines"`
+	Others   int                `json:"library_lines"` // "Unsolicited response", by http.Transport itself
 	Faults   []Fault            `json:"faults"`
 	Losses   map[string]float64 `json:"losses"`
 	Figures  map[string]float64 `json:"figures"`
@@ -157,7 +158,7 @@
 
 // member counts what one process tells.
 func (w *counting) member(n *node) {
-	w.Nodes, w.Lines, w.Wrong = w.Nodes+1, w.Lines+n.lines, w.Wrong+n.wrong
+	w.Nodes, w.Lines, w.Wrong, w.Others = w.Nodes+1, w.Lines+n.lines, w.Wrong+n.wrong, w.Others+n.others
 	w.Faults = append(w.Faults, n.faults...)
 	m := &Member{File: n.file, Name: n.name, Tier: n.tier, Reasons: map[string]float64{}}
 	w.Members = append(w.Members, m)
--- a/internal/fleet/read.go
+++ b/internal/fleet/read.go
@@ -67,6 +67,7 @@
 	tallies     []sample
 	faults      []Fault
 	wrong       int // lines that could not be read
+	others      int // lines of the library, which are no log of ours
 }
 
 // Logs are those of a fleet.
@@ -123,7 +124,7 @@
 	if err := errors.Join(errs...); err != nil {
 		return nil, err
 	}
-	l.nodes = slices.DeleteFunc(l.nodes, func(n *node) bool { return n.lines == 0 && n.wrong == 0 })
+	l.nodes = slices.DeleteFunc(l.nodes, func(n *node) bool { return n.lines+n.wrong+n.others == 0 })
 	slices.SortFunc(l.nodes, func(a, b *node) int { return cmp.Compare(a.file, b.file) })
 	if !slices.ContainsFunc(l.nodes, func(n *node) bool { return n.lines > 0 }) {
 		return nil, fmt.Errorf("%s: %d files, no line of a balancer's log in them", dir, len(files))
@@ -142,6 +143,8 @@
 	return n, n.read(f, progress)
 }
 
+var unsolicited = []byte("Unsolicited response received on idle HTTP channel")
+
 func (n *node) read(from io.Reader, progress func(bytes int)) error {
 	lines := bufio.NewReaderSize(from, 64<<10)
 	r := record{known: map[string]string{}}
@@ -156,7 +159,9 @@
 		if err != nil && err != io.EOF {
 			return fmt.Errorf("%s: %w", n.file, err)
 		}
-		if text := bytes.TrimSpace(line); long {
+		if text := bytes.TrimSpace(line); bytes.Contains(text, unsolicited) {
+			n.others++ // what http.Transport says by itself
+		} else if long {
 			n.fault(number, fmt.Sprintf("a line of over %d bytes", mostLine))
 		} else if len(text) > 0 {
 			if wrong := r.parse(text); wrong != nil {
--- a/internal/httpwire/tally.go
+++ b/internal/httpwire/tally.go
@@ -59,7 +59,7 @@
 	p.tally.moved = moved
 	seen := t.Seen
 	p.logLosses(&t, now)
-	p.tally.sum.Seen = logic.Seen{Held: p.tally.sum.Seen.Held} // how things stand is no sum
+	p.tally.sum.Seen = logic.Seen{Held: p.tally.sum.Seen.Held} // how things stand adds up to nothing over time
 	p.tally.sum.Add(t)
 	p.tally.sum.Open = t.Open
 	if whole {
