More of the list for one sent several times the mean; the least of few means allows for chance

Lines at fault: divide (every balancer one part, whatever it is sent), makeRoom (min over means of any number).

--- a/logic/fleet_test.go
+++ b/logic/fleet_test.go
@@ -19,6 +19,7 @@
 	done  map[string]int
 
 	uneven bool // work takes longer or shorter by chance
+	heavy  int  // so many balancers are sent five times as much as the others
 }
 
 // member is one balancer and takes its decisions.
@@ -115,6 +116,11 @@
 		f.now += step
 		for n := rate * float64(step) / float64(s); n > 0 && f.rand.Float64() < n; n-- {
 			b := f.all[f.rand.IntN(len(f.all))]
+			if f.heavy > 0 && f.rand.IntN(len(f.all)+4*f.heavy) < 5*f.heavy {
+				b = f.all[f.rand.IntN(f.heavy)]
+			} else if f.heavy > 0 {
+				b = f.all[f.heavy+f.rand.IntN(len(f.all)-f.heavy)]
+			}
 			j := &job{stop: f.now + 2*s}
 			f.begun++
 			f.jobs = append(f.jobs, j)
@@ -282,6 +288,58 @@
 	}
 }
 
+// Some are sent five times as much as the others. Danger: with a part of the list as large as theirs they fill it, and are
+// out of room, while the rest is idle.
+func TestOneThatIsSentManyTimesTheMeanHasMoreOfTheList(t *testing.T) {
+	for seed := range uint64(3) {
+		terms := *terms(tariff(Repeatable, Everywhere))
+		terms.Tariffs[0].LateEarnings, terms.Customers = 0, []*Customer{{Rate: 1080}}
+		f := newFleet(t, terms, 40, 64, 20, seed+1)
+		f.uneven, f.heavy = true, 5
+		f.play(900, 4*s)
+		for _, m := range f.up {
+			m.sent = nil
+		}
+		f.begun, f.done = 0, map[string]int{}
+		f.play(900, 16*s)
+		most := 0
+		for _, m := range f.up {
+			most = max(most, len(m.sent))
+		}
+		if of := float64(most) / (900 * 16 / 64); of > 1.4 || f.done["deferred"] > f.begun/200 {
+			t.Errorf("seed %d: one upstream has %.2f times the mean; %v of %d", seed, of, f.done, f.begun)
+		}
+		for n, b := range f.all {
+			if (b.wide > 1) != (n < f.heavy) {
+				t.Errorf("seed %d: balancer %d has %.0f parts", seed, n, b.wide)
+			}
+		}
+	}
+}
+
+// Nothing is wrong and each balancer has seen little. Danger: the least of many means over few is far below what is usual,
+// and whatever is usual passes for a crowd from then on.
+func TestLeastOfFewIsNotTakenForUsual(t *testing.T) {
+	low, all := 0, 0
+	for seed := range uint64(3) {
+		f := newFleet(t, *terms(tariff(Repeatable, Everywhere)), 20, 40, 8, seed+1)
+		f.uneven = true
+		f.play(150, 5*s)
+		usual := 0.0
+		for _, b := range f.all {
+			usual += b.longLoad / b.longRate / float64(len(f.all))
+		}
+		for _, b := range f.all {
+			if all++; crowded*b.base < usual {
+				low++
+			}
+		}
+	}
+	if low > all/20 {
+		t.Errorf("%d of %d balancers take the usual for a crowd", low, all)
+	}
+}
+
 // Each balancer of a fleet opens connections to all of its part, whatever it sends there.
 func TestPartsOfTheListNeedFewConnections(t *testing.T) {
 	f := newFleet(t, *terms(tariff(Repeatable, Everywhere)), 40, 40, 20, 1)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,9 +1,9 @@
 // Package logic decides, for one balancer, where each transaction goes and how it ends.
 //
 // How it is called: New once with the Terms. Then, for each round, the calls that tell what came in, in order
-// (Join, List, Drain, Leave, Listed; Arrive, Whole, Outcome, Began, Vanish; Probed; Told; Retune, Beside), and
-// one Round(now, w), which writes all decisions into w. The interface, Writer, and all types and state are in
-// types.go; why it decides so is in docs/design.md.
+// (Join, List, Drain, Leave, Listed; Arrive, Whole, Outcome, Began, Vanish; Probed; Told; Retune, Beside),
+// and one Round(now, w), which writes all decisions into w. The interface, Writer, and all types and state
+// are in types.go; why it decides so is in docs/design.md.
 package logic
 
 import (
@@ -13,26 +13,18 @@
 )
 
 const (
-	ms = int64(1e6)
-	s  = int64(1e9)
+	ms, s = int64(1e6), int64(1e9)
 
 	// The mechanism, as the design page gives it.
-	copied     = 0.05 // of the pushes outrun the quantile of a balancer alone
-	copiedMany = 0.01 // and of one among many
-	many       = 8    // so many beside it, and what each sends twice has to halve
-	window     = 30 * s
-	minDelay   = 10 * ms
-	minSamples = 20
-	bucketPart = 0.1 // copies and retries per recent first send
-	gateAt     = 0.2 // copying pauses above this share of bad outcomes
-	winWindow  = 20 * s
-	winFloor   = 0.2
-	winSamples = 10
-	winLeast   = 0.05
-
-	panes   = 6 // the window moves in steps of a sixth
-	buckets = 128
-	wins    = 4
+	copied                                    = 0.05 // of the pushes outrun the quantile of a balancer alone
+	copiedMany                                = 0.01 // and of one among many
+	many                                      = 8    // so many beside it, and what each sends twice has to halve
+	window, minDelay, minSamples              = 30 * s, 10 * ms, 20
+	bucketPart                                = 0.1 // copies and retries per recent first send
+	gateAt                                    = 0.2 // copying pauses above this share of bad outcomes
+	winWindow, winFloor, winSamples, winLeast = 20 * s, 0.2, 10, 0.05
+
+	panes, buckets, wins = 6, 128, 4 // the windows move in steps of a sixth and a quarter
 
 	ahead      = 4.0    // turns that an upstream may be ahead of its due while a connection to it is kept
 	wellAbove  = 0.25   // skip an upstream with this many pushes more in flight than its part of the mean
@@ -52,18 +44,16 @@
 	tellAgain = 500 * ms // and no less while something is in flight
 	heardFor  = 3 * tellAgain
 
-	metBy     = 6 // balancers, at the least, that meet an upstream
-	fewOwn    = 4 // upstreams, at the least, for one balancer
-	metBySaid = 4 // and the same two where peers tell: each more of them is told all
-	fewSaid   = 2
-	mostSaid  = 12 // danger: told by many more, each would do little but listen
-	meanOver  = 500 * ms
-
-	setAsideAt = 4.5 // log odds at which an upstream is set aside
-	mostAside  = 0.4 // of the list's weight may be set aside
-	asideFor   = 4 * s
-	probeEvery = 300 * ms
-	probesDue  = 2 // answered probes before a return
+	metBy              = 6    // balancers, at the least, that meet an upstream
+	fewOwn             = 4    // upstreams, at the least, for one balancer
+	metBySaid, fewSaid = 4, 2 // the same two where peers tell: each more of them is told all
+	mostSaid           = 12   // danger: told by many more, each would do little but listen
+	meanOver           = 500 * ms
+
+	setAsideAt           = 4.5 // log odds at which an upstream is set aside
+	mostAside            = 0.4 // of the list's weight may be set aside
+	asideFor, probeEvery = 4 * s, 300 * ms
+	probesDue            = 2 // answered probes before a return
 )
 
 // New starts a balancer; it refuses terms that it cannot work with.
@@ -72,14 +62,14 @@
 		return nil, err
 	}
 	b := &Balancer{now: now, last: now, carry: terms.Seed<<1 | 1, allowance: 1, bucket: 1, words: 4 * mostTold}
-	b.turnsAt, b.winTurn, b.nextBit, b.beside = now+window/panes, now+winWindow/wins, now+beat, 1
+	b.turnsAt, b.winTurn, b.nextBit, b.beside, b.wide = now+window/panes, now+winWindow/wins, now+beat, 1, 1
 	b.adopt(terms)
 	return b, nil
 }
 
 // adopt takes what terms say beforehand of room and purses.
 func (b *Balancer) adopt(terms *Terms) {
-	b.terms, b.shares = terms, 0
+	b.terms, b.shares, b.fair = terms, 0, 0
 	b.away = 1 / (1 + zoneCare*terms.CrossZonePrice) // the dearer crossings are, the fewer turns go there
 	b.listen()
 	time := 0.0
@@ -87,6 +77,7 @@
 		time += ample * float64(f.ContractTime) / float64(len(terms.Tariffs))
 	}
 	for _, c := range terms.Customers {
+		b.fair += c.Rate / float64(s) / float64(terms.Balancers)
 		if b.shares += c.Rate / float64(s) * time; c.filled == 0 {
 			c.purse, c.filled = c.Rate/float64(terms.Balancers)+chanceCome, b.now
 		}
@@ -108,9 +99,8 @@
 
 // reset forgets what was learnt of an upstream.
 func (b *Balancer) reset(i int) {
-	b.doubt[i], b.good[i], b.bad[i] = 0, 0, 0
 	b.aside[i], b.answered[i], b.dead[i] = 0, 0, false
-	b.weight[i], b.kind[i], b.others[i] = 0, 0, 0
+	b.doubt[i], b.weight[i], b.good[i], b.bad[i], b.kind[i], b.others[i] = 0, 0, 0, 0, 0, 0
 	for peer, all := range b.said {
 		b.said[peer] = slices.DeleteFunc(all, func(j int) bool { return j == i })
 	}
@@ -175,6 +165,7 @@
 func (b *Balancer) Arrive(t *Transaction, tariff, customer int, work, left int64, again bool, now int64) {
 	t.Under = cmp.Or(t.Under, b.terms)
 	f := t.Under.Tariffs[tariff]
+	b.came++
 	t.tariff, t.arrived, t.slot, t.anchor, t.again = f, now, -1, -1, again
 	t.stop = now + left
 	t.contract = min(now+f.ContractTime+int64(f.Stretch*float64(work)), t.stop)
@@ -558,19 +549,16 @@
 // upstream. So they are dealt out to rounds, and those of one share out each zone in an order of their own.
 func (b *Balancer) divide() {
 	b.moved, b.own = false, b.own[:0]
+	zones := map[int]bool{}
 	for i, ready := range b.ready {
 		if b.part[i] == 0 { // Danger: what fell to another until now would bring a full purse
 			b.purse[i], b.filled[i] = b.chance(), b.now
 		}
 		b.part[i] = 0
 		if ready {
-			b.own = append(b.own, i)
+			b.own, zones[b.zone[i]] = append(b.own, i), true
 		}
 	}
-	zones := map[int]bool{}
-	for _, i := range b.own {
-		zones[b.zone[i]] = true
-	}
 	// One balancer of each round meets an upstream. Where crossings are dear those of its zone must be enough.
 	n := float64(len(zones))
 	least, few := metBy, fewOwn
@@ -585,8 +573,9 @@
 	}
 	b.met = min(rounds, b.terms.Balancers)
 	place := b.terms.Index % b.terms.Balancers // one more than there should be shares another's part
-	round, from, wide := place%rounds, float64(place/rounds), 1.0
+	round, from := place%rounds, float64(place/rounds)
 	parts := float64((b.terms.Balancers-1-round)/rounds + 1)
+	wide := min(b.wide, parts)
 	if b.terms.Peers {
 		round = 0
 		from, wide, parts = b.gather(place)
@@ -602,6 +591,7 @@
 		for _, i := range b.own[first:next] {
 			to := at + b.weight[i]*parts/total
 			b.part[i] = max(0, min(to, from+wide)-max(at, from)) * total / parts
+			b.part[i] += max(0, min(to, from+wide-parts)-at) * total / parts // round its end
 			at = to
 		}
 		first = next
@@ -985,7 +975,10 @@
 // makeRoom bounds what is in hand by what it does to the time that an answer takes. Danger: upstreams that
 // hold far more than they can work on turn slower and stay so; the line here costs nothing.
 func (b *Balancer) makeRoom(span float64) {
-	b.beats++ // at first the means are over what there is
+	if b.beats++; b.came+b.asked == 0 { // at first the means are over what there is
+		b.beats = 0
+		return
+	}
 	// Danger: where few come in chance looks like a crowd; so the means are over time enough for many.
 	seen := max(b.longRate, 1/float64(10*s))
 	short := max(1/b.beats, min(1, span/max(float64(s), 20/seen)))
@@ -997,7 +990,14 @@
 	b.longHand += long * (float64(b.open-b.stuckAll) - b.longHand)
 	n, strength := b.serving()
 	b.strength += long * (strength - b.strength)
-	b.ends = 0
+	b.asked += long * (b.came/span - b.asked)
+	b.ends, b.came = 0, 0
+	// Danger: one that is sent several times the mean would fill its part of the list while the rest is idle.
+	times := b.asked / max(b.fair, 1e-12)
+	wide, several := max(1, math.Round(times)), b.fair > 0 && !b.terms.Peers && b.met < b.terms.Balancers
+	if several && b.beats >= 5 && (times > 1.6*b.wide || wide < b.wide/2) {
+		b.room, b.wide, b.moved = b.room*wide/b.wide, wide, true
+	}
 	if b.beats < 10 || b.longRate*float64(s) < 1 {
 		return
 	}
@@ -1006,7 +1006,8 @@
 	if b.base == 0 {
 		b.base = ample // a balancer started amid a crowd would take that for usual
 	}
-	b.base = min(ample, usual, b.base*(1+span/float64(300*s)))
+	few := 0.8 + 2/min(10, math.Sqrt(b.longRate*span/long)) // danger: the least of few passes for usual
+	b.base = min(ample, usual*few, b.base*(1+span/float64(300*s)))
 	b.best = max(b.best*(1-span/float64(40*s)), b.longRate/b.strength)
 	first := b.each * float64(n) / float64(b.terms.Balancers)
 	bear, held, mix, most := crowded, float64(b.open), b.counted()/max(b.inHand, 1e-9), 0.0
@@ -1051,8 +1052,7 @@
 	if b.trigger = 0; sum(b.samples[:]) < minSamples {
 		return
 	}
-	// Danger: a copy costs its loser's connection and slows what it goes to; what each of many sends twice adds
-	// up, and over several tiers it multiplies.
+	// Danger: a copy costs its loser's connection; what each of many sends twice adds up, tier by tier.
 	others := float64(b.terms.Balancers-1) / many
 	b.trigger = max(minDelay, b.reach(1-max(copiedMany, copied/(1+others*others))))
 }
--- a/logic/types.go
+++ b/logic/types.go
@@ -273,6 +273,10 @@
 	strength float64 // of what is in service, as long
 	best     float64 // the most that left a nanosecond and unit of strength
 	beats    float64 // since the start
+	came     float64 // transactions since the last beat
+	asked    float64 // the same a nanosecond, over as long as longRate
+	fair     float64 // and what customers send within their shares to each balancer in the mean
+	wide     float64 // parts of the list that this balancer has
 	nextBit  int64
 
 	wake      int64
