A successor at an address already listed is taken, also before its predecessor's end is told

The report names the successor first and the end of the one before behind it, at one address, and no start of either.

Cause: internal/roster Apply left out whoever came second of two that started alike, for good: a report of changes never names it again. Nobody was left to send to.

Change: of two that started alike and both serve the last told stands, unless one report names both as there; then the one that is there stays, so that a list that names a machine twice does not move it with each report. Late news that an older one drains moves nobody.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -79,9 +79,11 @@
 // Apply hands a report of the list on, entry by entry, and tells what has changed by it. Who is missing from a whole
 // list has left.
 func (r *Roster[Name]) Apply(entries []Entry[Name], whole bool, now int64) (c Change) {
-	here := map[Name]bool{}
+	here, stands := map[Name]bool{}, map[Name]bool{}
+	for _, e := range entries {
+		here[e.Name], stands[e.Name] = true, !e.Gone
+	}
 	for _, e := range entries {
-		here[e.Name] = true
 		i, known := r.index[e.Name]
 		if e.Gone {
 			if known {
@@ -90,9 +92,11 @@
 			continue
 		}
 		// Danger: one machine under two names would get two parts, and be paid twice while it is cold. The later start
-		// stands; of two that started alike, who serves.
+		// stands; of two that started alike, who serves; of two that serve, who came last, unless one report tells both.
 		if j, taken := r.at[e.Address]; taken && r.names[j] != e.Name && r.b.Known(j) {
-			if has := r.entry[j]; e.Up.Born < has.Up.Born || e.Up.Born == has.Up.Born && (!has.Ends || e.Ends) {
+			has := r.entry[j]
+			alike := e.Up.Born == has.Up.Born
+			if e.Up.Born < has.Up.Born || alike && e.Ends && !has.Ends || alike && e.Ends == has.Ends && stands[has.Name] {
 				if c.Odd++; known && r.b.Known(i) {
 					r.leave(i, &c)
 				}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -109,6 +109,15 @@
 			t.Errorf("list %d: u is at %q", n, r.Place(i).Address)
 		}
 	}
+	// A successor at the same address, told before the one that it follows is: nothing of it may be lost.
+	r.Apply([]Entry[string]{entry("y", "1", 0, false), {Name: "v", Gone: true}}, false, 99)
+	if all := r.Entries(); len(all) != 1 || all[0].Name != "y" {
+		t.Errorf("after a successor at v's address there are %v", all)
+	}
+	r.Apply([]Entry[string]{entry("v", "1", 0, true)}, false, 100) // late news of the one before
+	if all := r.Entries(); len(all) != 1 || all[0].Name != "y" {
+		t.Errorf("after late news of v there are %v", all)
+	}
 	if len(r.at) > 1 {
 		t.Errorf("addresses of those that left are kept: %v", r.at)
 	}
