--- a/internal/fleet/count.go
+++ b/internal/fleet/count.go
@@ -66,7 +66,6 @@
 	File      string             `json:"file"`
 	Name      string             `json:"name"`
 	Tier      string             `json:"tier"`
-	From, To  float64            `json:"-"`
 	Arrived   float64            `json:"arrived"`
 	Lost      float64            `json:"lost"` // deferred and forfeited by the module, and deferred before it
 	Reasons   map[string]float64 `json:"reasons"`
@@ -97,7 +96,6 @@
 // stay is one time that one balancer had an upstream set aside.
 type stay struct {
 	from, to int64
-	back     bool
 }
 
 const mostRows = 20_000
@@ -165,7 +163,6 @@
 	if n.lines == 0 || n.first > w.to || n.last < w.from {
 		return
 	}
-	m.From, m.To = w.at(n.first), w.at(n.last)
 	for k := w.row(n.first); k <= w.row(n.last); k++ {
 		w.Rows[k].Alive++
 	}
@@ -263,7 +260,7 @@
 	}
 	b.Seconds += float64(to-from) / 1e9
 	b.Longest = max(b.Longest, float64(to-from)/1e9)
-	w.stays[upstream] = append(w.stays[upstream], stay{from, to, back})
+	w.stays[upstream] = append(w.stays[upstream], stay{from, to})
 	for k := w.row(from); k <= w.row(to); k++ {
 		w.Rows[k].Aside++
 	}
--- a/internal/httpwire/outbound.go
+++ b/internal/httpwire/outbound.go
@@ -14,7 +14,7 @@
 	"ottershift/internal/terms"
 )
 
-// way of a connection to an upstream: why it was opened, how that failed, why it was closed.
+// What is counted of connections to upstreams: why they were opened, how that failed, why they were closed.
 const (
 	dialFirst  = iota // there had been none to this upstream
 	dialAgain         // those that there were have closed
