A wing for the cluster: members by gossip, links between them, and who is there

Need: the operators' first concern is how processes behave together when parts fail; balancers knew one another only as a list of addresses and a count in the settings.

Change: internal/cluster with config (settings and bounds as formulas), link (frames, a caller without I/O, a runner with bounded queues, deadlines that shrink, through), member (a core without I/O over hashicorp/memberlist: each run of a name is a node of its own, epochs grow, an old run is told that it is over), [cluster] in the configuration with line and key, peers = "cluster" for pools, MEMBERS at the second address, ottershift members, bounds in check.

Found by tests on the way: connections compared by value (a panic at the first answer), datagrams of a version that nobody had agreed on were taken.

--- a/cmd/ottershift/check.go
+++ b/cmd/ottershift/check.go
@@ -29,6 +29,12 @@
 			}
 			fmt.Fprintf(c.OutOrStdout(), "%s: in order: %s, %s, %s, %s\n", args[0], count(len(p.Listeners), "listener"),
 				count(len(p.Pools), "pool"), count(len(p.Routes), "route"), count(m, "remark"))
+			if s := p.Cluster; s != nil {
+				n := max(len(s.Voters), len(s.Join)+1)
+				for _, b := range s.Bounds(n) {
+					fmt.Fprintf(c.OutOrStdout(), "bound: %s\n", b)
+				}
+			}
 			return nil
 		},
 	}
--- /dev/null
+++ b/internal/cluster/cluster.go
@@ -0,0 +1,178 @@
+// Package cluster is the wing in which processes are one fleet: who is there (member), how they speak (link). A process
+// opens it where its settings have a [cluster] table; without one nothing of it runs.
+package cluster
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"ottershift/internal/cluster/config"
+	"ottershift/internal/cluster/disk"
+	"ottershift/internal/cluster/link"
+	"ottershift/internal/cluster/member"
+)
+
+// Options say how a process takes part.
+type Options struct {
+	Settings *config.Settings
+	Ops      string // its second address, told to others
+	Build    string
+	Seed     uint64
+	Log      *slog.Logger
+	Lab      *Lab // nil but where the lab started the process
+	Status   func() member.Status
+	Changed  func() // the members may have changed; may be nil
+}
+
+// Cluster is this process among the others.
+type Cluster struct {
+	o      Options
+	link   *link.Link
+	gossip *member.Gossip
+
+	end chan struct{}
+	all sync.WaitGroup
+
+	mu    sync.Mutex
+	pools map[uint32]*Route // of peers, by pool
+	said  chan said
+}
+
+const viewWithin = 700 * time.Millisecond // for another's view
+
+// Open takes part.
+func Open(o Options) (*Cluster, error) {
+	c := &Cluster{o: o, pools: map[uint32]*Route{}, end: make(chan struct{})}
+	var err error
+	c.link, err = link.Listen(link.Options{
+		Cluster: o.Settings.Name, Self: o.Settings.Self, Address: o.Settings.Address, Through: o.Settings.Through, Seed: o.Seed, Log: o.Log,
+		Stream:   func(conn net.Conn) { c.gossip.Stream(conn) },
+		Datagram: c.datagram,
+		Resolve:  func(name string) (string, bool) { return c.gossip.Resolve(name) },
+	})
+	if err != nil {
+		return nil, fmt.Errorf("cluster: %w", err)
+	}
+	var fs disk.FS
+	guards := member.Guards{Refutation: true, Epochs: true}
+	if o.Settings.Directory != "" {
+		if fs = disk.Dir(o.Settings.Directory); o.Lab != nil && o.Lab.Disk != "" {
+			fs = disk.Faulty{Dir: disk.Dir(o.Settings.Directory), Says: o.Lab.Disk}
+		}
+	}
+	if o.Lab != nil {
+		guards.Refutation, guards.Epochs = !o.Lab.without("refutation"), !o.Lab.without("epochs")
+	}
+	c.gossip, err = member.Join(member.Options{
+		Settings: o.Settings, Ops: o.Ops, Build: o.Build, Seed: o.Seed, Guards: guards, FS: fs, Log: o.Log, Link: c.link, Status: o.Status,
+		Changed: func(member.Change) {
+			if o.Changed != nil {
+				o.Changed()
+			}
+		},
+	})
+	if err != nil {
+		c.link.Close()
+		return nil, fmt.Errorf("cluster: %w", err)
+	}
+	c.link.Serve()
+	if err := c.gossip.Begin(); err != nil {
+		c.link.Close()
+		return nil, fmt.Errorf("cluster: %w", err)
+	}
+	return c, nil
+}
+
+// Settings are what it goes by.
+func (c *Cluster) Settings() *config.Settings { return c.o.Settings }
+
+// Divert takes over the settings that change in service.
+func (c *Cluster) Divert(s *config.Settings) {
+	c.link.Divert(s.Through)
+	c.gossip.Divert(s)
+}
+
+// Leaving tells the others whether this process takes no new clients, by intent.
+func (c *Cluster) Leaving(yes bool) { c.gossip.Leaving(yes) }
+
+// Close leaves by intent and ends it.
+func (c *Cluster) Close() {
+	close(c.end)
+	c.all.Wait()
+	c.gossip.Leave()
+	c.link.Close()
+}
+
+func (c *Cluster) datagram(kind byte, payload []byte, from net.Addr) {
+	switch kind {
+	case link.Gossip:
+		c.gossip.Packet(payload, from)
+	case link.Notice:
+		c.gossip.Notice(payload)
+	case link.Peers:
+		c.told(payload)
+	}
+}
+
+// Members writes what is held here of all members, as a line of JSON; all asks each living one as well.
+func (c *Cluster) Members(to io.Writer, all bool) error {
+	out := bufio.NewWriter(to)
+	say := json.NewEncoder(out)
+	own := c.gossip.View()
+	if err := say.Encode(own); err != nil {
+		return err
+	}
+	if all {
+		for _, v := range c.gossip.Views(viewWithin) {
+			if err := say.Encode(v); err != nil {
+				return err
+			}
+		}
+	}
+	return out.Flush()
+}
+
+// Figures writes the cluster's figures, a line each.
+func (c *Cluster) Figures(to io.Writer) {
+	states := map[string]int{}
+	v := c.gossip.View()
+	oldest := int64(0)
+	for _, m := range v.Members {
+		states[m.State]++
+		if m.State == member.Alive.String() {
+			oldest = max(oldest, m.Age)
+		}
+	}
+	for _, s := range []string{"alive", "dead", "left", "over"} {
+		fmt.Fprintf(to, "cluster_members{state=\"%s\"} %d\n", s, states[s])
+	}
+	over := 0
+	if v.Over != "" {
+		over = 1
+	}
+	n := &c.link.Counts
+	for _, f := range []struct {
+		name string
+		v    int64
+	}{
+		{"cluster_over", int64(over)}, {"cluster_oldest_word_ms", oldest},
+		{"cluster_bound_death_ms", c.o.Settings.Death(states["alive"]).Milliseconds()},
+		{"cluster_bound_return_ms", c.o.Settings.Return(states["alive"]).Milliseconds()},
+		{"cluster_datagrams_in", n.DatagramsIn.Load()}, {"cluster_datagrams_out", n.DatagramsOut.Load()},
+		{"cluster_datagram_bytes_in", n.BytesIn.Load()}, {"cluster_datagram_bytes_out", n.BytesOut.Load()},
+		{"cluster_stream_bytes_in", n.StreamBytesIn.Load()}, {"cluster_stream_bytes_out", n.StreamBytesOut.Load()},
+		{"cluster_spoilt", n.Spoilt.Load()}, {"cluster_refused", n.Refused.Load()}, {"cluster_dropped", n.Dropped.Load()},
+		{"cluster_connections", n.Connections.Load()},
+		{"cluster_calls", n.Called.Load()}, {"cluster_calls_answered", n.Answered.Load()}, {"cluster_calls_never_sent", n.NeverSent.Load()},
+		{"cluster_calls_unknown", n.Unknown.Load()}, {"cluster_calls_refused_here", n.Full.Load()},
+		{"cluster_served", n.Served.Load()}, {"cluster_busy", n.Busy.Load()},
+	} {
+		fmt.Fprintf(to, "%s %d\n", f.name, f.v)
+	}
+}
--- /dev/null
+++ b/internal/cluster/config/config.go
@@ -0,0 +1,92 @@
+// Package config is what a process is told of its cluster, and the bounds that follow from it as formulas. It has no I/O.
+package config
+
+import (
+	"fmt"
+	"math"
+	"time"
+)
+
+// Settings are the [cluster] table.
+type Settings struct {
+	Name      string            // members of another cluster are refused
+	Self      string            // the process's name
+	Address   string            // TCP and UDP of the fleet's own traffic
+	Directory string            // what outlives a run; "" for nothing
+	Join      []string          // addresses of other members
+	Voters    []string          // keepers, by name
+	Zone      string            // where this process stands
+	Through   map[string]string // members' names to the addresses at which they are reached
+	Probe     time.Duration     // between two looks at other members
+	Rejoin    time.Duration     // between two tries to reach who is held dead
+}
+
+// Defaults of what isn't said.
+const (
+	Probe  = 500 * time.Millisecond
+	Rejoin = 2 * time.Second
+)
+
+// What the membership library is told, in units of Probe where it is a time. The bounds below are made of these.
+const (
+	Suspicion    = 4 // probes until a suspicion is a death, at least, times the logarithm of the size
+	Suspected    = 3 // times as long where nobody confirms it
+	Slower       = 2 // times that a member in trouble itself may take for a probe
+	Indirect     = 3 // members asked to look as well
+	GossipPart   = 5 // parts of Probe between two rounds of gossip
+	GossipTo     = 3 // members in each round
+	Retransmit   = 4 // rounds for each message, times the logarithm of the size
+	ExchangeEach = 10
+	AtOnce       = 4 // members that are tried again at once
+)
+
+// Exchange is how long a whole exchange of states may take, and a connection for it.
+const Exchange = time.Second
+
+// unlikely is how many probes by chance it takes until the odds that no member looked at a given one are under
+// 1 in a thousand million: e to the minus 21.
+const unlikely = 21
+
+func log10(n int) float64 { return math.Max(1, math.Log10(float64(max(n, 1)))) }
+
+// Spread is how long gossip takes to all of n members.
+func (s *Settings) Spread(n int) time.Duration {
+	rounds := Retransmit * int(math.Ceil(math.Log10(float64(n+1))))
+	return time.Duration(rounds) * s.Probe / GossipPart
+}
+
+// Death is the bound on the time from a member's death until all living members that reach one another hold it dead.
+func (s *Settings) Death(n int) time.Duration {
+	looks := min(2*(n-1), unlikely) + 1
+	return time.Duration(looks)*Slower*s.Probe + time.Duration(Suspected*Suspicion*log10(n)*float64(s.Probe)) + s.Spread(n)
+}
+
+// Return is the bound on the time from when all links of n members are well again until every living member is held
+// alive by all, and an old run by nobody.
+func (s *Settings) Return(n int) time.Duration {
+	turns := (n - 1 + len(s.Join) + AtOnce - 1) / AtOnce
+	// A try that began while a link was cut ends first; then each is tried in turn, and two rounds of gossip carry what
+	// was false and its refutation. A suspicion that began while a link was cut may still run out.
+	return Exchange + time.Duration(turns)*s.Rejoin*5/4 + Exchange + s.Between(n) + 2*s.Spread(n) +
+		time.Duration(Suspected*Suspicion*log10(n)*float64(s.Probe))
+}
+
+// Between is how long a member of n goes without a whole exchange of states at most.
+func (s *Settings) Between(n int) time.Duration {
+	times := 1
+	if n > 32 { // the library spaces them out by the logarithm of the size
+		times = int(math.Ceil(math.Log2(float64(n))-5)) + 1
+	}
+	return time.Duration(ExchangeEach*times) * s.Probe
+}
+
+// Bounds are the formulas with their values, as check prints them.
+func (s *Settings) Bounds(n int) []string {
+	return []string{
+		fmt.Sprintf("a death is known to all within %s: (min(2(n-1), %d) + 1) x %d x probe_every + %d x %d x max(1, log10 n) x probe_every + spread, with n = %d",
+			s.Death(n).Round(time.Millisecond), unlikely, Slower, Suspected, Suspicion, n),
+		fmt.Sprintf("after the links are back all views are the same within %s: 2 x %s + ceil((n - 1 + joins) / %d) x 1.25 x rejoin_every + %d x probe_every x max(1, ceil(log2 n) - 4) + 2 x spread + %d x %d x max(1, log10 n) x probe_every",
+			s.Return(n).Round(time.Millisecond), Exchange, AtOnce, ExchangeEach, Suspected, Suspicion),
+		fmt.Sprintf("spread is %s: %d x ceil(log10(n + 1)) x probe_every / %d", s.Spread(n).Round(time.Millisecond), Retransmit, GossipPart),
+	}
+}
--- /dev/null
+++ b/internal/cluster/disk/disk.go
@@ -0,0 +1,68 @@
+// Package disk is the small part of a file system that a member's directory needs. The real one is the operating
+// system's; the lab puts one with faults in its place.
+package disk
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"syscall"
+)
+
+// FS keeps whole files durably.
+type FS interface {
+	Read(name string) ([]byte, error)
+	// Replace puts a file in the place of the one before, all of it or nothing, and returns once it is on the disk.
+	Replace(name string, content []byte) error
+}
+
+// Dir is a real directory.
+type Dir string
+
+// Read implements FS.
+func (d Dir) Read(name string) ([]byte, error) { return os.ReadFile(filepath.Join(string(d), name)) }
+
+// Replace implements FS.
+func (d Dir) Replace(name string, content []byte) error {
+	if err := os.MkdirAll(string(d), 0o700); err != nil {
+		return err
+	}
+	path := filepath.Join(string(d), name)
+	f, err := os.OpenFile(path+".new", os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(content)
+	// Danger: a rename may reach the disk before what it names does.
+	if err = errors.Join(err, f.Sync(), f.Close()); err != nil {
+		return err
+	}
+	if err = os.Rename(path+".new", path); err != nil {
+		return err
+	}
+	in, err := os.Open(string(d))
+	if err != nil {
+		return err
+	}
+	return errors.Join(in.Sync(), in.Close())
+}
+
+// Faulty is a directory whose writes fail while a file beside it says so: "full", "read-only" or "sync".
+type Faulty struct {
+	Dir
+	Says string // path of that file
+}
+
+// Replace implements FS.
+func (f Faulty) Replace(name string, content []byte) error {
+	says, _ := os.ReadFile(f.Says)
+	switch string(says) {
+	case "full":
+		return &os.PathError{Op: "write", Path: name, Err: syscall.ENOSPC}
+	case "read-only":
+		return &os.PathError{Op: "open", Path: name, Err: syscall.EROFS}
+	case "sync":
+		return &os.PathError{Op: "sync", Path: name, Err: syscall.EIO}
+	}
+	return f.Dir.Replace(name, content)
+}
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -17,10 +17,11 @@
 
 const (
 	// Most is how many connections are held at once; descriptors for them are set aside.
-	Most     = 16
-	longest  = 64              // bytes of a call
-	silent   = 5 * time.Second // until a caller without a call is let go
-	answered = time.Second     // until an answer that nobody reads is
+	Most       = 16
+	longest    = 64              // bytes of a call
+	silent     = 5 * time.Second // until a caller without a call is let go
+	answered   = time.Second     // until an answer that nobody reads is
+	mostAnswer = 64 << 20        // bytes that staff's side takes: the views of some hundred members
 )
 
 // Balancer is what can be asked.
@@ -29,6 +30,7 @@
 	Figures(to io.Writer) error
 	Leave() error
 	Join() error
+	Members(to io.Writer, all bool) error // of its cluster; an error if it is in none
 }
 
 // Server answers at one address.
@@ -121,10 +123,16 @@
 		if s.of.Figures(c) == nil {
 			io.WriteString(c, "EOT\n")
 		}
+	case "MEMBERS", "MEMBERS ALL":
+		if err := s.of.Members(c, call != "MEMBERS"); err != nil {
+			say(c, err)
+		} else {
+			io.WriteString(c, "EOT\n")
+		}
 	case "":
-		io.WriteString(c, "FAILURE an empty line; the calls are HEALTH, DUMP, LEAVE, JOIN\n")
+		io.WriteString(c, "FAILURE an empty line; the calls are HEALTH, DUMP, LEAVE, JOIN, MEMBERS\n")
 	default:
-		fmt.Fprintf(c, "FAILURE no call %q; the calls are HEALTH, DUMP, LEAVE, JOIN\n", call)
+		fmt.Fprintf(c, "FAILURE no call %q; the calls are HEALTH, DUMP, LEAVE, JOIN, MEMBERS\n", call)
 	}
 }
 
@@ -147,7 +155,7 @@
 	if _, err = fmt.Fprintf(c, "%s\n", call); err != nil {
 		return "", false, err
 	}
-	raw, err := io.ReadAll(io.LimitReader(c, 1<<20))
+	raw, err := io.ReadAll(io.LimitReader(c, mostAnswer))
 	text = string(raw)
 	return text, strings.HasPrefix(text, "SUCCESS") || strings.HasSuffix(text, "EOT\n"), err
 }
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"ottershift/internal/cluster/config"
 	"ottershift/internal/discovery"
 	"ottershift/internal/roster"
 	"ottershift/internal/routes"
@@ -22,7 +23,8 @@
 	Table     *routes.Table // of Routes; nil on the platform
 	Limits    Limits
 	Log       Log
-	Ops       string // the second address, for staff; "" for none
+	Ops       string           // the second address, for staff; "" for none
+	Cluster   *config.Settings // nil where it is in none
 
 	keys []string // of the platform's file
 }
--- a/internal/plan/pools.go
+++ b/internal/plan/pools.go
@@ -63,6 +63,8 @@
 		r.p.Ops = t.Address("ops", "the second address, such as \"127.0.0.1:9901\"")
 	}
 
+	r.cluster(t)
+
 	l := t.Table("limits")
 	r.p.Limits = Limits{
 		Cores:       l.Whole("cores", 0, 1, 1024),
@@ -178,8 +180,8 @@
 		Zones: t.Texts("zones"),
 	}
 	m.LiveWeights = t.One("weights", "nominal", "nominal", "live") == "live"
-	b.Peers, b.Watch = r.peers(m, t), t.Flag("watch", false)
-	m.Peers = len(b.Peers) > 0
+	b.Peers, b.Watch = r.peers(b, t), t.Flag("watch", false)
+	m.Peers = len(b.Peers) > 0 || b.Fleet
 	if b.Watch && !m.Peers && !m.LiveWeights {
 		r.Fault(settings.Join(t.Path, "watch"), "there is nothing to watch: neither weights = \"live\" nor peers is there")
 	}
@@ -212,11 +214,27 @@
 }
 
 // peers reads where the balancers of a pool are told what the others hold.
-func (r *reader) peers(m *logic.Terms, t *settings.Table) []string {
+func (r *reader) peers(b *terms.Book, t *settings.Table) []string {
+	m := b.Terms
 	all, path := t.Texts("peers"), settings.Join(t.Path, "peers")
 	if !t.Has("peers") {
 		return nil
 	}
+	if len(all) == 1 && all[0] == "cluster" {
+		b.Fleet = true
+		switch {
+		case r.p.Cluster == nil:
+			r.Fault(path, "there is no [cluster] whose members it could take")
+		case t.Has("index"):
+			r.Fault(settings.Join(t.Path, "index"), "the cluster numbers the balancers; leave it out, or write peers as addresses")
+		case t.Flag("watch", false):
+			r.Fault(settings.Join(t.Path, "watch"), "a shape that is watched can't change with the members; write peers as addresses, or leave watch out")
+		case !t.Has("balancers"):
+			r.Remark(path, "cut off from all others for long this balancer would count as the only one, and cold upstreams be sent too much by all "+
+				"together; write balancers = N, as many as there are meant to be: never fewer are counted")
+		}
+		return nil
+	}
 	if len(all) != m.Balancers {
 		r.Fault(path, "there are %d addresses for %d balancers; write one for each, by index", len(all), m.Balancers)
 	} else if m.Balancers == 1 {
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -47,6 +47,7 @@
 	front    *httpwire.Front
 	plan     *plan.Plan
 	ended    chan error
+	fleet    *fleet // nil without [cluster]
 
 	mu        sync.Mutex
 	pools     map[string]*pool
@@ -63,6 +64,7 @@
 	stop  context.CancelFunc // ends the source of its list
 	link  *peers.Link        // to the others, if they tell one another what they hold
 	route *peers.Route
+	among []string      // members that count as its balancers, where the cluster says
 	heard chan struct{} // closed once its source has told something
 	once  sync.Once
 }
@@ -105,6 +107,10 @@
 		s.finish()
 		return nil, err
 	}
+	if err := s.joinCluster(p); err != nil {
+		s.Close()
+		return nil, err
+	}
 	if s.seat != nil {
 		go s.seat.Watch(ctx, s.share)
 	}
@@ -117,6 +123,9 @@
 	if s.ops != nil {
 		s.ops.Close()
 	}
+	if s.fleet != nil {
+		s.fleet.close()
+	}
 	if s.seat != nil {
 		s.seat.Leave()
 	}
@@ -155,14 +164,18 @@
 		views = append(views, v)
 	}
 	slices.SortFunc(views, func(a, b figures.View) int { return cmp.Compare(a.Name, b.Name) })
-	return figures.Write(to, &s.counts, views)
+	if err := figures.Write(to, &s.counts, views); err != nil || s.fleet == nil {
+		return err
+	}
+	s.fleet.Figures(to)
+	return nil
 }
 
 // Leave has clients go elsewhere, until Join.
-func (s *Process) Leave() error { return s.front.Leave() }
+func (s *Process) Leave() error { return s.leaving(true, s.front.Leave()) }
 
 // Join takes clients again.
-func (s *Process) Join() error { return s.front.Join() }
+func (s *Process) Join() error { return s.leaving(false, s.front.Join()) }
 
 // Ended tells why a listener ended by itself.
 func (s *Process) Ended() <-chan error { return s.ended }
@@ -175,7 +188,11 @@
 		relayed = slices.Collect(maps.Values(s.listeners))
 		s.mu.Unlock()
 	}
+	s.leaving(true, nil)
 	s.front.Drain(relayed...)
+	if s.fleet != nil {
+		s.fleet.close()
+	}
 }
 
 // Close gives back all that is left after a drain, for those that go on.
@@ -214,6 +231,7 @@
 	}
 	later("log.format", p.Log.Format != before.Log.Format)
 	later("ops", p.Ops != before.Ops)
+	s.reloadCluster(before, p, later)
 	if p.Platform {
 		later("listen", p.Listeners[0].Address != before.Listeners[0].Address)
 		later("limits.cores", cores != before.Limits.Cores)
@@ -341,7 +359,8 @@
 	}
 	for _, told := range p.Pools {
 		if retuned[told.Name] {
-			if err := pools[told.Name].Retune(told.Book); err != nil {
+			book, _, _ := s.among(told)
+			if err := pools[told.Name].Retune(book); err != nil {
 				s.own.Error("reload", "step", "terms", "pool", told.Name, "fault", err) // a fault of ours: it was checked
 			}
 		}
@@ -413,6 +432,9 @@
 		}
 	}
 	s.pools, s.listeners, s.plan = pools, wanted, p
+	if s.fleet != nil {
+		s.fleet.changed()
+	}
 	return nil
 }
 
@@ -451,7 +473,8 @@
 		number.Write([]byte(told.Name))
 		told.Book.Terms.Seed = s.seed ^ number.Sum64()
 	}
-	n, err := s.front.NewPool(told.Name, told.Book)
+	book, _, _ := s.among(told)
+	n, err := s.front.NewPool(told.Name, book)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/settings/tree.go
+++ b/internal/settings/tree.go
@@ -427,6 +427,16 @@
 	return ""
 }
 
+// Map reads a table of texts.
+func (t *Table) Map(key string) map[string]string {
+	in := t.Table(key)
+	m := map[string]string{}
+	for _, name := range in.Names() {
+		m[name] = in.Text(name, "")
+	}
+	return m
+}
+
 // Table reads a table; one that isn't there is empty.
 func (t *Table) Table(key string) *Table {
 	v, path := t.take(key)
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -35,6 +35,7 @@
 	Probe   string // path of a probe
 
 	Peers []string // addresses of the balancers, by index, that tell one another what they hold; none where they don't
+	Fleet bool     // the balancers are the members of the cluster; Terms.Balancers is the least that count
 	Watch bool     // decides without live weights and peers, and counts what these would have changed
 }
 
@@ -88,11 +89,21 @@
 // Fits reports whether a pool that goes by this book can take another in service: all that is built by it stays.
 func (b *Book) Fits(other *Book) bool {
 	s, t := b.Terms, other.Terms
-	return b.DialTimeout == other.DialTimeout && b.IdleClose == other.IdleClose && b.Plain == other.Plain && b.Probe == other.Probe &&
+	if b.Fleet && other.Fleet { // who the balancers are changes in service there
+		s, t = &logic.Terms{Layer: s.Layer, LiveWeights: s.LiveWeights}, &logic.Terms{Layer: t.Layer, LiveWeights: t.LiveWeights}
+	}
+	return b.Fleet == other.Fleet && b.DialTimeout == other.DialTimeout && b.IdleClose == other.IdleClose && b.Plain == other.Plain && b.Probe == other.Probe &&
 		!b.Watch && !other.Watch && slices.Equal(b.Peers, other.Peers) && s.Peers == t.Peers && s.LiveWeights == t.LiveWeights &&
 		s.Balancers == t.Balancers && s.Index == t.Index && s.Layer == t.Layer
 }
 
+// Among is the book of one of so many balancers, of which this is the one at an index.
+func (b *Book) Among(balancers, index int) *Book {
+	one := b.Part(0, 1)
+	one.Terms.Balancers, one.Terms.Index, one.Terms.Peers = balancers, index, balancers > 1
+	return one
+}
+
 // Before is the book without what came with the newer shape: live weights and peers.
 func (b *Book) Before() *Book {
 	before := b.Part(0, 1)
