The lab breaks links and members of a cluster, and its judge learns the fleet's own rules

Need: what members hold of each other has to be shown by several processes with faults between them, by a judge that trusts none of them, and each guard by a variant that is convicted without it.

Found by the virtual clock, with tests that fail without the mend: a run that was to take another epoch was called over by what came meanwhile; words of an old run's library came to its successor's core; members met in the same exchange as its own name made a new run count as settled; the last word of a leave was gossiped twice only, and a leave looked like a death.

--- a/cmd/ottershift/lab.go
+++ b/cmd/ottershift/lab.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -100,6 +101,7 @@
 func labRun() *cobra.Command {
 	o := &labOptions{}
 	var keep, page string
+	var beside bool
 	c := &cobra.Command{
 		Use: "run FILE", Short: "Play an experiment", Args: cobra.ExactArgs(1),
 		Long: `Plays each variant of an experiment, prints a table and, as its last line, the verdict. Exits with 1 if it fell short or
@@ -117,11 +119,19 @@
 			out, seed := outcome.New(e), e.Seed
 			for n := range o.runs {
 				e.Seed = seed + uint64(n)
+				results, faults := make([]*judge.Result, len(e.Variants)), make([]error, len(e.Variants))
+				var all sync.WaitGroup
 				for i, v := range e.Variants {
-					r, err := o.play(c, e, o.program, v, fmt.Sprintf("%s %s", e.Name, v))
-					if err != nil {
-						return err
+					all.Go(func() { results[i], faults[i] = o.play(c, e, o.program, v, fmt.Sprintf("%s %s", e.Name, v)) })
+					if !beside {
+						all.Wait()
 					}
+				}
+				all.Wait()
+				if err := errors.Join(faults...); err != nil {
+					return err
+				}
+				for i, r := range results {
 					out.Variants[i].Runs = append(out.Variants[i].Runs, r)
 				}
 			}
@@ -145,6 +155,7 @@
 	c.Flags().IntVar(&o.runs, "runs", 1, "how often, each with the next seed, the variants in turn")
 	c.Flags().StringSliceVar(&o.variants, "variants", nil, "others than the file's, separated by commas")
 	c.Flags().StringVar(&o.program, "program", "", "the balancers' program, if not this one")
+	c.Flags().BoolVar(&beside, "side-by-side", false, "play the variants at once: sooner, and each gets less of the machine")
 	c.Flags().StringVar(&keep, "json", "", "keep all that was seen in this file")
 	c.Flags().StringVar(&page, "html", "", "write a report to look at")
 	return c
--- a/internal/cluster/member/core.go
+++ b/internal/cluster/member/core.go
@@ -123,6 +123,7 @@
 	forgetDead = 3600 * second
 	forgetLeft = 60 * second
 	mostMarks  = 4096
+	settles    = 2 * second  // among others, until what is known of its own name has come to it
 	fresh      = 10 * second // after a start, in which a run of too low an epoch takes another
 	tellsOver  = second      // between two words to the same old run
 	stoppedFor = 4           // probes without a tick that count as having been held up
@@ -133,7 +134,9 @@
 type Core struct {
 	self   Record
 	over   bool
-	met    bool // anybody yet, or renewed once
+	met    int64 // when anybody was first met, -1 for not yet
+	second bool  // it has taken another epoch once
+	spent  bool  // it is to take another epoch
 	begun  int64
 	guards Guards
 	s      *config.Settings
@@ -152,7 +155,7 @@
 // NewCore makes one for a run of this process, which began at some time; again says that the run took another epoch before.
 func NewCore(self Record, s *config.Settings, g Guards, seed uint64, begun int64, again bool, w Writer) *Core {
 	c := &Core{
-		self: self, s: s, guards: g, w: w, begun: begun, met: again, chance: rand.New(rand.NewPCG(seed, 0x22)),
+		self: self, s: s, guards: g, w: w, begun: begun, met: -1, second: again, chance: rand.New(rand.NewPCG(seed, 0x22)),
 		runs: map[ID]*Member{}, marks: map[string]Mark{}, told: map[ID]int64{},
 	}
 	c.marks[self.Name] = Mark{ID: self.ID}
@@ -230,7 +233,9 @@
 		}
 		return
 	}
-	c.met = true
+	if c.met < 0 {
+		c.met = now
+	}
 	c.hold(now, r)
 }
 
@@ -273,13 +278,14 @@
 
 // selfOver takes word of a newer run of this very name.
 func (c *Core) selfOver(now int64, newer ID, ended bool) {
-	if c.over || !newer.Newer(c.self.ID) {
+	if c.over || c.spent || !newer.Newer(c.self.ID) {
 		return
 	}
-	// Danger: a run that could ask nobody at its start may have taken too low an epoch. Once it has met others, a newer one
-	// is truly newer; before that, one that has ended, or is met right after the start, only tells how low its own is.
-	if !c.met && (ended || now-c.begun < fresh) {
-		c.met = true
+	// Danger: a run that could ask nobody at its start may have taken too low an epoch. Once it has been among others, a
+	// newer one is truly newer; before that, one that has ended, or is met right after the start, only tells how low its own is.
+	settled := c.second || c.met >= 0 && now-c.met > settles
+	if !settled && (ended || now-c.begun < fresh) {
+		c.spent = true // danger: what comes until it has taken the other epoch would call it over
 		c.w.Renew(newer.Epoch)
 		return
 	}
--- a/internal/cluster/member/core_test.go
+++ b/internal/cluster/member/core_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -20,7 +22,8 @@
 	core   *Core
 	self   Record
 	up     bool
-	halted bool // stopped by a signal
+	halted bool  // stopped by a signal
+	renews *Core // the one that asked for another epoch
 	over   ID
 	marks  map[string]ID // seen in its core before
 	states map[ID]State
@@ -100,6 +103,9 @@
 }
 
 func (p *process) OverNow(newer ID) {
+	if p.renews == p.core {
+		p.w.fail("%s is over, and was to take another epoch", p.self.ID)
+	}
 	if p.over != (ID{}) {
 		p.w.fail("%s is over twice", p.self.ID)
 	}
@@ -109,7 +115,16 @@
 	p.over = newer
 }
 
-func (p *process) Renew(beyond uint64) { p.run(beyond+1, true) }
+// Renew is done somewhat later, as a runner does it: what comes until then comes to the old core.
+func (p *process) Renew(beyond uint64) {
+	core := p.core
+	p.renews = core
+	p.w.flying = append(p.w.flying, func() {
+		if p.up && p.core == core {
+			p.run(beyond+1, true)
+		}
+	})
+}
 
 // exchange is two members' whole states, both ways.
 func (w *world) exchange(p, q *process) {
@@ -252,9 +267,11 @@
 	for round := range 12 {
 		w.now += int64(3 * time.Second)
 		for _, p := range w.all {
-			for _, q := range w.all {
-				if p.up && !q.up {
-					p.core.Ended(w.now, q.self.ID)
+			for _, name := range slices.Sorted(maps.Keys(w.began)) {
+				for _, id := range w.began[name] {
+					if p.up && !w.runs(id) {
+						p.core.Ended(w.now, id)
+					}
 				}
 			}
 		}
@@ -308,6 +325,11 @@
 	}
 }
 
+// runs reports whether a process goes by a run now.
+func (w *world) runs(id ID) bool {
+	return slices.ContainsFunc(w.all, func(p *process) bool { return p.up && p.self.ID == id })
+}
+
 func play(t testing.TB, seed uint64, g Guards) string {
 	w := &world{
 		t: t, chance: rand.New(rand.NewPCG(seed, 1)), disks: map[string]uint64{}, began: map[string][]ID{}, cut: map[[2]int]bool{}, guards: g,
--- a/internal/cluster/member/gossip.go
+++ b/internal/cluster/member/gossip.go
@@ -41,6 +41,16 @@
 	retransmit = 2 // rounds for each status
 )
 
+// Way is how members reach one another: link.Link, or another in tests on a virtual clock.
+type Way interface {
+	Addr() *net.TCPAddr
+	Handle(method uint16, h link.Handler)
+	Call(ctx context.Context, name string, method uint16, body []byte) ([]byte, error)
+	Send(kind byte, name, address string, payload []byte) error
+	Dial(kind byte, name, address string, within time.Duration) (net.Conn, error)
+	Forget(name string)
+}
+
 // Options say how a member is made.
 type Options struct {
 	Settings *config.Settings
@@ -50,7 +60,7 @@
 	Guards   Guards
 	FS       disk.FS // nil for a directory that isn't there
 	Log      *slog.Logger
-	Link     *link.Link
+	Link     Way
 	Status   func() Status    // what is said of this process; its count is set here
 	Changed  func(c Change)   // told in order, from one goroutine; may be nil
 	Wall     func() time.Time // nil for the real one
@@ -167,11 +177,11 @@
 	g.core = NewCore(g.self, s, g.o.Guards, g.o.Seed, 0, g.renewed, (*writer)(g))
 	g.way = &transport{g: g, packets: make(chan *memberlist.Packet, mostQueue), streams: make(chan net.Conn), end: make(chan struct{})}
 	g.count, g.saidAt = 0, time.Time{}
-	way, self := g.way, g.self
+	way, self, d := g.way, g.self, &delegate{g, g.core, g.self}
 	g.mu.Unlock()
 
 	c := memberlist.DefaultLANConfig()
-	c.Name, c.Transport, c.Delegate, c.Events, c.Alive, c.Ping = self.ID.String(), way, (*delegate)(g), (*delegate)(g), (*delegate)(g), (*delegate)(g)
+	c.Name, c.Transport, c.Delegate, c.Events, c.Alive, c.Ping = self.ID.String(), way, d, d, d, d
 	at := g.o.Link.Addr()
 	c.AdvertiseAddr, c.AdvertisePort, c.BindAddr, c.BindPort = at.IP.String(), at.Port, at.IP.String(), at.Port
 	c.ProbeInterval, c.ProbeTimeout, c.TCPTimeout = s.Probe, s.Probe/2, config.Exchange
@@ -261,7 +271,18 @@
 	id := g.self.ID
 	g.mu.Unlock()
 	w := wireStatusOf(id, s)
-	g.words.QueueBroadcast(word{id.String(), pack(&w)})
+	raw := pack(&w)
+	g.words.QueueBroadcast(word{id.String(), raw})
+	if atOnce { // gossip may take its time; this is sent to each as well
+		g.mu.Lock()
+		list := g.list
+		g.mu.Unlock()
+		for _, n := range list.Members() {
+			if n.Name != id.String() {
+				list.SendBestEffort(n, raw)
+			}
+		}
+	}
 }
 
 // word is a status on its way; a newer one takes the place of an older one of the same run.
@@ -544,14 +565,18 @@
 	})
 }
 
-// delegate is how the library tells what it heard. Danger: it calls with its own locks held, so nothing here calls it.
-type delegate Gossip
+// delegate is how the library tells what it heard, for one run. Danger: it calls with its own locks held, so nothing here
+// calls it; and it may call for a run that has taken another epoch since.
+type delegate struct {
+	g    *Gossip
+	core *Core
+	self Record
+}
 
 func (d *delegate) with(f func(c *Core, now int64)) {
-	g := (*Gossip)(d)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	f(g.core, g.now())
+	d.g.mu.Lock()
+	defer d.g.mu.Unlock()
+	f(d.core, d.g.now())
 }
 
 func record(n *memberlist.Node) (Record, error) {
@@ -563,12 +588,9 @@
 }
 
 func (d *delegate) NodeMeta(limit int) []byte {
-	g := (*Gossip)(d)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	raw := g.self.pack()
+	raw := d.self.pack()
 	if len(raw) > limit {
-		short := g.self
+		short := d.self
 		short.Build, short.Zone = "", short.Zone[:min(len(short.Zone), 64)]
 		raw = short.pack()
 	}
@@ -618,29 +640,29 @@
 	news := false
 	d.with(func(c *Core, now int64) { news = c.Says(now, id, s) })
 	if news { // passed on, so that it comes to all
-		(*Gossip)(d).words.QueueBroadcast(word{w.ID, append([]byte(nil), raw...)})
+		d.g.words.QueueBroadcast(word{w.ID, append([]byte(nil), raw...)})
 	}
 }
 
 func (d *delegate) GetBroadcasts(overhead, limit int) [][]byte {
-	return (*Gossip)(d).words.GetBroadcasts(overhead, limit)
+	return d.g.words.GetBroadcasts(overhead, limit)
 }
 
 func (d *delegate) LocalState(bool) []byte {
 	var s wireState
-	g := (*Gossip)(d)
+	g := d.g
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.core.guards.Epochs {
-		for _, m := range g.core.Marks() {
+	if d.core.guards.Epochs {
+		for _, m := range d.core.Marks() {
 			s.Marks = append(s.Marks, wireMark{m.String(), m.Ended})
 		}
 	}
-	if g.status.Count > 0 {
-		s.Statuses = append(s.Statuses, wireStatusOf(g.self.ID, g.status))
+	if g.status.Count > 0 && g.core == d.core {
+		s.Statuses = append(s.Statuses, wireStatusOf(d.self.ID, g.status))
 	}
-	for _, m := range g.core.View() {
-		if m.State == Alive && m.Count > 0 {
+	for _, m := range d.core.View() {
+		if (m.State == Alive || m.State == Left) && m.Count > 0 {
 			s.Statuses = append(s.Statuses, wireStatusOf(m.ID, m.Status))
 		}
 	}
--- a/internal/lab/judge/judge.go
+++ b/internal/lab/judge/judge.go
@@ -96,7 +96,8 @@
 			total += n
 		}
 	}
-	j.out.Figures["breaches"] = float64(total)
+	j.cluster()
+	j.out.Figures["breaches"] = float64(total) + j.out.Figures["cluster"]
 	j.lag()
 	return j.out
 }
--- a/internal/lab/record/record.go
+++ b/internal/lab/record/record.go
@@ -60,4 +60,41 @@
 	Outages []Outage
 	Lag     []int64 // of the lab itself: how late it did what was due, sampled
 	Broken  string  // why the run ended before its time
+
+	Processes []Process // balancers that are members of a cluster
+	Views     []View
+	Links     []Trouble
+	Acts      []Act
+}
+
+// Process is one run of one member.
+type Process struct {
+	Member   int // balancer
+	ID       string
+	From, To int64 // To is 0 if it ran to the end
+	Stops    []Span
+}
+
+// Span is from one time to another.
+type Span struct{ From, To int64 }
+
+// View is whom a process held alive at some time.
+type View struct {
+	Process int
+	At      int64
+	Over    bool
+	Alive   []string
+}
+
+// Trouble is a link that was not well in one direction.
+type Trouble struct {
+	From, To int // members
+	Kind     string
+	Span
+}
+
+// Act is something that the lab did.
+type Act struct {
+	At   int64
+	What string
 }
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -120,6 +120,20 @@
 			o.Words = append(o.Words, fmt.Sprintf("%s broke the rules %g times", v.Name, m.Figures["breaches"]))
 		}
 	}
+	for _, name := range e.Convicts {
+		m := means[name]
+		if m == nil {
+			continue // it was not asked for
+		}
+		word := "convicted"
+		// Danger: a judge that finds nothing where a guard is missing proves nothing of the design either.
+		if m.Figures["cluster"]+m.Figures["rule2"] == 0 {
+			if word = "short: not convicted"; o.Verdict == "held" {
+				o.Verdict = "short"
+			}
+		}
+		o.Words = append(o.Words, fmt.Sprintf("%s: %s (%g of the cluster's rules broken, %g of the four)", word, name, m.Figures["cluster"], m.Figures["breaches"]-m.Figures["cluster"]))
+	}
 	for _, c := range e.Verdict {
 		ok, left, right := judge.Holds(c, means)
 		word := "held"
@@ -137,6 +151,7 @@
 var columns = []struct{ figure, format string }{
 	{"service", "%.4f"}, {"settled", "%.4f"}, {"deferred", "%.4f"}, {"failed", "%.4f"}, {"lost", "%.4f"}, {"attempts", "%.3f"},
 	{"p50", "%.1f"}, {"p99", "%.1f"}, {"p999", "%.1f"}, {"worst", "%.3f"}, {"recover", "%.1f"}, {"breaches", "%g"},
+	{"death_seen", "%.1f"}, {"death_bound", "%.1f"}, {"views_back", "%.1f"}, {"views_bound", "%.1f"},
 }
 
 // Table writes what was seen, and the verdict as its last line.
--- /dev/null
+++ b/internal/lab/run/cluster.go
@@ -0,0 +1,306 @@
+package run
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"ottershift/internal/cluster"
+	"ottershift/internal/cluster/member"
+	"ottershift/internal/lab/between"
+	"ottershift/internal/lab/record"
+	"ottershift/internal/lab/spec"
+	"ottershift/internal/ops"
+)
+
+const (
+	samples = 100 * time.Millisecond // of views
+	answers = 80 * time.Millisecond  // until a view that doesn't come counts as none
+)
+
+// seat is a balancer's place in the cluster of a run.
+type seat struct {
+	spec.Seat
+	lab  string // the file by which the lab tells the process of its own
+	disk string // and the one that says which fault its directory has
+	copy string // an earlier copy of its directory
+}
+
+// clustered reports whether the balancers of this run are members of a cluster.
+func (s *stage) clustered() bool { return s.e.Cluster != nil && s.o.Variant != "no-cluster" }
+
+func free() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// links makes the links and a place for each balancer.
+func (s *stage) links() (err error) {
+	if !s.clustered() {
+		return nil
+	}
+	if s.mesh, err = between.New(s.e.Balancers, s.e.Seed); err != nil {
+		return err
+	}
+	for n := range s.e.Balancers {
+		t, err := s.seat(n, "")
+		if err != nil {
+			return err
+		}
+		s.seats = append(s.seats, t)
+		s.mesh.Target(n, t.Address)
+	}
+	return nil
+}
+
+// seat makes a place; a second one of the same balancer has a suffix.
+func (s *stage) seat(n int, suffix string) (t *seat, err error) {
+	name := spec.Name(n) + suffix
+	t = &seat{lab: filepath.Join(s.o.Dir, name+".lab"), disk: filepath.Join(s.o.Dir, name+".disk"), copy: filepath.Join(s.o.Dir, name+".old")}
+	t.Dir, t.Through = filepath.Join(s.o.Dir, name), map[string]string{}
+	if t.Address, err = free(); err != nil {
+		return nil, err
+	}
+	if t.Ops, err = free(); err != nil {
+		return nil, err
+	}
+	for other := range s.e.Balancers {
+		if other != n {
+			t.Through[spec.Name(other)] = s.mesh.Address(n, other)
+			t.Join = append(t.Join, s.mesh.Address(n, other))
+		}
+	}
+	lab := cluster.Lab{Process: os.Getpid(), Disk: t.disk}
+	if guard, some := strings.CutPrefix(s.o.Variant, "without-"); some {
+		lab.Without = []string{guard}
+	}
+	raw, err := json.Marshal(lab)
+	if err != nil {
+		return nil, err
+	}
+	return t, os.WriteFile(t.lab, raw, 0o600)
+}
+
+// more is what a balancer is told beside its pools.
+func (s *stage) more(n int, t *seat) map[string]any {
+	if t == nil {
+		return nil
+	}
+	return s.e.Clustered(n, t.Seat)
+}
+
+func (s *stage) seatOf(n int) *seat {
+	if n < len(s.seats) {
+		return s.seats[n]
+	}
+	return nil
+}
+
+func (s *stage) act(text string, values ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.acts = append(s.acts, record.Act{At: s.now(), What: fmt.Sprintf(text, values...)})
+}
+
+// begun notes that a member's process runs; its end and its stops are noted by the same number.
+func (s *stage) begun(n int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.processes = append(s.processes, record.Process{Member: n, From: s.now()})
+	return len(s.processes) - 1
+}
+
+func (s *stage) gone(process int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if process < len(s.processes) && s.processes[process].To == 0 {
+		s.processes[process].To = s.now()
+	}
+}
+
+func (s *stage) stopped(process int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := &s.processes[process]
+	p.Stops = append(p.Stops, record.Span{From: s.now()})
+}
+
+func (s *stage) continued(process int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := &s.processes[process]
+	p.Stops[len(p.Stops)-1].To = s.now()
+}
+
+// sample asks a member's process for its view again and again, until it has ended.
+func (s *stage) sample(b *balancer, process int, ended <-chan struct{}) {
+	tick := time.NewTicker(samples)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-ended:
+			return
+		case <-s.over:
+			return
+		}
+		text, ok, err := ops.Call(b.seat.Ops, "MEMBERS", answers)
+		var v member.View
+		if err != nil || !ok || json.NewDecoder(strings.NewReader(text)).Decode(&v) != nil {
+			continue
+		}
+		s.mu.Lock()
+		s.processes[process].ID = v.Self
+		s.views = append(s.views, record.View{Process: process, At: s.now(), Over: v.Over != "", Alive: v.Present()})
+		s.mu.Unlock()
+	}
+}
+
+// trouble has a link be unwell until some time.
+func (s *stage) trouble(f *spec.Fault, wait func()) {
+	kind := strings.TrimPrefix(f.Kind, "link-")
+	directions := f.Link.Directions(s.e.Balancers)
+	if kind == "reset" {
+		for _, d := range directions {
+			s.mesh.Reset(d[0], d[1])
+		}
+		s.act("reset %v", names(directions))
+		return
+	}
+	set := func(on bool) {
+		for _, d := range directions {
+			s.mesh.Set(d[0], d[1], func(t *between.Trouble) {
+				switch kind {
+				case "cut":
+					t.Cut = on
+				case "stall":
+					t.Stall = on
+				case "delay":
+					if t.Delay, t.Jitter = 0, 0; on {
+						t.Delay, t.Jitter = f.Link.Delay, f.Link.Jitter
+					}
+				case "loss":
+					if t.Loss = 0; on {
+						t.Loss = f.Link.Part
+					}
+				case "duplicate":
+					if t.Duplicate = 0; on {
+						t.Duplicate = f.Link.Part
+					}
+				case "reorder":
+					if t.Reorder = 0; on {
+						t.Reorder = f.Link.Part
+					}
+				case "trickle":
+					if t.Trickle = 0; on {
+						t.Trickle = f.Link.Pace
+					}
+				}
+			})
+		}
+	}
+	from := s.now()
+	s.act("%s %v begins", kind, names(directions))
+	set(true)
+	wait()
+	set(false)
+	s.act("%s %v ends", kind, names(directions))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, d := range directions {
+		s.troubles = append(s.troubles, record.Trouble{From: d[0], To: d[1], Kind: kind, Span: record.Span{From: from, To: s.now()}})
+	}
+}
+
+func names(directions [][2]int) (all []string) {
+	for _, d := range directions {
+		all = append(all, spec.Name(d[0])+">"+spec.Name(d[1]))
+	}
+	return all
+}
+
+// double stops a member's process, starts another of the same name elsewhere, and lets the old one go on.
+func (s *stage) double(b *balancer, wait func()) {
+	t, err := s.seat(b.index, "x")
+	if err != nil {
+		s.broke(err)
+		return
+	}
+	b.command.Process.Signal(syscall.SIGSTOP)
+	s.stopped(b.process)
+	s.act("%s is stopped, and another run of it is started elsewhere", spec.Name(b.index))
+	s.mesh.Target(b.index, t.Address) // others reach a name where its newest run is
+	other, err := s.start(b.index, t, "x")
+	if err != nil {
+		s.broke(err)
+		return
+	}
+	s.mu.Lock()
+	s.doubles = append(s.doubles, other)
+	s.mu.Unlock()
+	wait()
+	b.command.Process.Signal(syscall.SIGCONT)
+	s.continued(b.process)
+	s.act("the old run of %s goes on", spec.Name(b.index))
+}
+
+// directory has a member's directory fail.
+func (s *stage) directory(b *balancer, kind string, wait func()) {
+	s.act("the directory of %s: %s", spec.Name(b.index), kind)
+	if err := os.WriteFile(b.seat.disk, []byte(strings.TrimPrefix(kind, "disk-")), 0o600); err != nil {
+		s.broke(err)
+		return
+	}
+	wait()
+	os.Remove(b.seat.disk)
+	s.act("the directory of %s is well", spec.Name(b.index))
+}
+
+// before does what an outage does to a member's directory.
+func (b *balancer) before(kind string) {
+	if b.seat == nil {
+		return
+	}
+	switch kind {
+	case "balancer-wipe":
+		os.RemoveAll(b.seat.Dir)
+	case "balancer-old":
+		os.RemoveAll(b.seat.Dir)
+		copyDir(b.seat.copy, b.seat.Dir)
+	}
+}
+
+// copyDir copies the files of a flat directory.
+func copyDir(from, to string) {
+	all, _ := os.ReadDir(from)
+	os.MkdirAll(to, 0o700)
+	for _, e := range all {
+		in, err := os.Open(filepath.Join(from, e.Name()))
+		if err != nil || e.IsDir() {
+			continue
+		}
+		if out, err := os.Create(filepath.Join(to, e.Name())); err == nil {
+			io.Copy(out, in)
+			out.Close()
+		}
+		in.Close()
+	}
+}
+
+// environment is a member's.
+func (b *balancer) environment(c *exec.Cmd) {
+	if b.seat != nil {
+		c.Env = append(os.Environ(), cluster.Variable+"="+b.seat.lab)
+	}
+}
--- a/internal/lab/run/run.go
+++ b/internal/lab/run/run.go
@@ -5,21 +5,23 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"ottershift/internal/lab/between"
 	"ottershift/internal/lab/emulate"
 	"ottershift/internal/lab/load"
 	"ottershift/internal/lab/record"
 	"ottershift/internal/lab/spec"
+	"ottershift/internal/ops"
 )
 
 // Options say what is under test.
@@ -39,7 +41,7 @@
 
 // arguments start a balancer of a variant.
 func arguments(variant, config string) []string {
-	if variant == "design" || variant == "no-copies" {
+	if variant == "design" || variant == "no-copies" || variant == "no-cluster" || strings.HasPrefix(variant, "without-") {
 		return []string{"serve", "--config", config}
 	}
 	return []string{"lab", "balancer", "--policy", variant, "--config", config}
@@ -52,10 +54,12 @@
 	address string
 	args    []string
 	log     *os.File
+	seat    *seat // nil where it is in no cluster
 
 	mu      sync.Mutex
 	command *exec.Cmd
 	killed  bool // by us
+	process int  // of those of members
 	ended   chan struct{}
 }
 
@@ -70,13 +74,28 @@
 	balancers []*balancer
 	broke     context.CancelCauseFunc
 
-	mu      sync.Mutex
-	outages []record.Outage
+	mesh  *between.Mesh
+	seats []*seat
+	over  chan struct{} // closed at the end
+
+	mu        sync.Mutex
+	outages   []record.Outage
+	doubles   []*balancer
+	processes []record.Process
+	views     []record.View
+	troubles  []record.Trouble
+	acts      []record.Act
+	done      map[string]chan struct{} // faults by name, closed at their end
 }
 
 // Play plays an experiment. An error means that it could not begin; what broke it later stands in the record.
 func Play(ctx context.Context, e *spec.Experiment, plan []spec.Call, o Options) (*record.Run, error) {
-	s := &stage{e: e, o: o}
+	s := &stage{e: e, o: o, over: make(chan struct{}), done: map[string]chan struct{}{}, epoch: time.Now()}
+	for _, f := range e.Faults {
+		if f.Name != "" {
+			s.done[f.Name] = make(chan struct{})
+		}
+	}
 	var err error
 	if s.fleet, err = emulate.NewFleet(e); err != nil {
 		return nil, err
@@ -89,6 +108,12 @@
 	ctx, s.broke = context.WithCancelCause(ctx)
 	defer s.broke(nil)
 	defer s.kill()
+	if err = s.links(); err != nil {
+		return nil, err
+	}
+	if s.mesh != nil {
+		defer s.mesh.Close()
+	}
 	var addresses []string
 	for n := range e.Balancers {
 		b, err := s.balancer(n)
@@ -104,7 +129,10 @@
 		}
 	}
 
-	s.epoch = time.Now()
+	for _, t := range s.seats {
+		copyDir(t.Dir, t.copy)
+	}
+	s.restart()
 	s.fleet.Begin(s.epoch)
 	s.load = load.New(e, s.epoch, addresses)
 	s.fleet.Call = s.load.Call
@@ -118,7 +146,23 @@
 	defer end()
 	var faults sync.WaitGroup
 	for _, f := range e.Faults {
-		faults.Go(func() { s.fault(ctx, f) })
+		faults.Go(func() {
+			if f.Name != "" {
+				defer close(s.done[f.Name])
+			}
+			if f.After != "" {
+				select {
+				case <-s.done[f.After]:
+				case <-ctx.Done():
+					return
+				}
+				later := *f
+				later.At += s.now()
+				s.fault(ctx, &later)
+				return
+			}
+			s.fault(ctx, f)
+		})
 	}
 	done := make(chan struct{})
 	go func() {
@@ -146,47 +190,79 @@
 	s.broke(nil)
 	faults.Wait()
 
-	r := &record.Run{Told: s.lists.Told(), Outages: s.outages, Broken: broken}
+	close(s.over)
+	s.mu.Lock()
+	r := &record.Run{
+		Told: s.lists.Told(), Outages: s.outages, Broken: broken, Processes: s.processes, Views: s.views, Links: s.troubles, Acts: s.acts,
+	}
+	s.mu.Unlock()
 	s.load.Gather(r)
 	s.fleet.Gather(r)
 	return r, nil
 }
 
+// restart has the clock of the record begin; members run already.
+func (s *stage) restart() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.epoch = time.Now()
+	for i := range s.processes {
+		s.processes[i].From = 0
+	}
+	s.views, s.acts = nil, nil
+}
+
 // balancer starts one.
-func (s *stage) balancer(n int) (*balancer, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func (s *stage) balancer(n int) (*balancer, error) { return s.start(n, s.seatOf(n), "") }
+
+func (s *stage) start(n int, t *seat, suffix string) (*balancer, error) {
+	address, err := free()
 	if err != nil {
 		return nil, err
 	}
-	address := l.Addr().String()
-	l.Close()
-	file := filepath.Join(s.o.Dir, fmt.Sprintf("balancer-%d.toml", n+1))
-	if err := os.WriteFile(file, s.e.Configuration(n, address, s.lists.Addresses(n), s.o.Variant != "no-copies"), 0o600); err != nil {
-		return nil, err
-	}
+	file := filepath.Join(s.o.Dir, fmt.Sprintf("balancer-%d%s.toml", n+1, suffix))
 	log, err := os.Create(strings.TrimSuffix(file, ".toml") + ".log")
 	if err != nil {
 		return nil, err
 	}
-	b := &balancer{s: s, index: n, address: address, args: arguments(s.o.Variant, file), log: log}
+	b := &balancer{s: s, index: n, address: address, args: arguments(s.o.Variant, file), log: log, seat: t}
+	if err := b.configure(); err != nil {
+		return nil, err
+	}
 	return b, b.start()
 }
 
+// configure writes what it is told.
+func (b *balancer) configure() error {
+	s := b.s
+	text := s.e.Configuration(b.index, b.address, s.lists.Addresses(b.index), s.o.Variant != "no-copies", s.more(b.index, b.seat))
+	return os.WriteFile(b.args[len(b.args)-1], text, 0o600)
+}
+
 func (b *balancer) start() error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c := exec.Command(b.s.o.Program, b.args...)
 	c.Stderr, c.Stdout = b.log, b.log
+	b.environment(c)
 	if err := c.Start(); err != nil {
 		return err
 	}
 	b.command, b.killed, b.ended = c, false, make(chan struct{})
 	ended := b.ended
+	if b.seat != nil {
+		b.process = b.s.begun(b.index)
+		go b.s.sample(b, b.process, ended)
+	}
+	process := b.process
 	go func() {
 		err := c.Wait()
 		b.mu.Lock()
 		killed := b.killed
 		b.mu.Unlock()
+		if b.seat != nil {
+			b.s.gone(process)
+		}
 		if !killed {
 			b.s.broke(fmt.Errorf("balancer %d ended by itself: %v; its last words: %s", b.index+1, err, b.words()))
 		}
@@ -235,7 +311,10 @@
 }
 
 func (s *stage) kill() {
-	for _, b := range s.balancers {
+	s.mu.Lock()
+	all := append(slices.Clone(s.balancers), s.doubles...)
+	s.mu.Unlock()
+	for _, b := range all {
 		b.stop()
 		b.log.Close()
 	}
@@ -312,13 +391,44 @@
 		s.lists.Lacks(f.Upstreams, true)
 		s.wait(ctx, end)
 		s.lists.Lacks(f.Upstreams, false)
-	case "balancer-kill", "balancer-stop":
+	case "balancer-kill", "balancer-stop", "balancer-wipe", "balancer-old":
 		var all sync.WaitGroup
 		for _, n := range f.Balancers {
-			all.Go(func() { s.outage(ctx, s.balancers[n], f.Kind == "balancer-kill", end) })
+			all.Go(func() { s.outage(ctx, s.balancers[n], f, end) })
 		}
 		all.Wait()
 	}
+	if f.Kind == "balancer-double" && !s.clustered() { // what it costs there is the stop alone
+		stop := *f
+		stop.Kind = "balancer-stop"
+		s.fault(ctx, &stop)
+	}
+	if !s.clustered() {
+		return
+	}
+	wait := func() { s.wait(ctx, end) }
+	var all sync.WaitGroup
+	defer all.Wait()
+	switch {
+	case f.Link != nil:
+		s.trouble(f, wait)
+	case f.Kind == "balancer-double":
+		for _, n := range f.Balancers {
+			all.Go(func() { s.double(s.balancers[n], wait) })
+		}
+	case f.Kind == "balancer-leave":
+		for _, n := range f.Balancers {
+			all.Go(func() {
+				ops.Call(s.seats[n].Ops, "LEAVE", time.Second)
+				wait()
+				ops.Call(s.seats[n].Ops, "JOIN", time.Second)
+			})
+		}
+	case strings.HasPrefix(f.Kind, "disk-"):
+		for _, n := range f.Balancers {
+			all.Go(func() { s.directory(s.balancers[n], f.Kind, wait) })
+		}
+	}
 }
 
 // replace is one step of a deploy: an upstream drains, ends, and its successor starts cold under another name.
@@ -338,20 +448,41 @@
 }
 
 // outage kills or stops a balancer until some time.
-func (s *stage) outage(ctx context.Context, b *balancer, kill bool, end int64) {
+func (s *stage) outage(ctx context.Context, b *balancer, f *spec.Fault, end int64) {
 	o := record.Outage{Balancer: b.index, From: s.now()}
+	kill := f.Kind != "balancer-stop"
 	var told atomic.Bool
 	if kill {
 		b.stop()
+		s.act("%s is killed (%s)", spec.Name(b.index), f.Kind)
 		time.AfterFunc(noticed, func() { told.Store(true); s.load.Down(b.index, true) })
 	} else {
 		b.command.Process.Signal(syscall.SIGSTOP)
+		s.act("%s is stopped", spec.Name(b.index))
+		if b.seat != nil {
+			s.stopped(b.process)
+		}
 	}
 	s.wait(ctx, end)
 	if !kill {
 		b.command.Process.Signal(syscall.SIGCONT)
+		if b.seat != nil {
+			s.continued(b.process)
+		}
+		s.act("%s goes on", spec.Name(b.index))
 	} else if ctx.Err() == nil {
+		b.before(f.Kind)
+		if f.Moves && b.seat != nil {
+			if address, err := free(); err == nil {
+				b.seat.Address = address
+				s.mesh.Target(b.index, address)
+				if err := b.configure(); err != nil {
+					s.broke(err)
+				}
+			}
+		}
 		if b.start() == nil {
+			s.act("%s is started again", spec.Name(b.index))
 			b.ready(ctx)
 		}
 		if told.Load() {
--- a/internal/lab/spec/load.go
+++ b/internal/lab/spec/load.go
@@ -103,7 +103,14 @@
 		for _, u := range f.Upstreams {
 			fmt.Fprintf(out, " %s", e.Upstreams[u].Name)
 		}
-		fmt.Fprintf(out, " balancers %v pool %s\n", f.Balancers, e.Pools[f.Pool])
+		fmt.Fprintf(out, " balancers %v pool %s", f.Balancers, e.Pools[f.Pool])
+		if f.Link != nil {
+			fmt.Fprintf(out, " links %v", f.Link.Directions(e.Balancers))
+		}
+		if f.After != "" {
+			fmt.Fprintf(out, " after %s", f.After)
+		}
+		fmt.Fprintln(out)
 	}
 	for _, c := range e.Load() {
 		k := e.Clients[c.Clients]
--- a/internal/lab/spec/spec.go
+++ b/internal/lab/spec/spec.go
@@ -40,6 +40,8 @@
 	Clients     []*Clients
 	Faults      []*Fault
 	Verdict     []Condition
+	Convicts    []string // variants that the judge must convict of breaking a rule of the cluster
+	Cluster     *Cluster // nil where balancers are in none
 
 	base map[string]any // the balancer's configuration
 }
@@ -112,6 +114,10 @@
 	Upstreams []int // by index; none: all balancers, or the list
 	Balancers []int
 	Pool      int
+	Link      *Link  // for those of links
+	Name      string // by which others begin after it
+	After     string // At counts from the end of that one
+	Moves     bool   // comes back at another address
 }
 
 // Condition is what a verdict wants.
@@ -130,19 +136,21 @@
 	Number        float64
 }
 
-// Variants that there are.
-var Variants = []string{"design", "no-copies", "random", "round-robin", "least-in-flight", "two-choices"}
+// Variants that there are; "without-GUARD" is the design without one of its guards.
+var Variants = []string{"design", "no-copies", "random", "round-robin", "least-in-flight", "two-choices", "no-cluster", "without-refutation", "without-epochs"}
 
 // Figures that a verdict may name.
 var Figures = []string{
 	"service", "settled", "deferred", "failed", "lost", "attempts", "p50", "p99", "p999", "breaches", "rule1", "rule2",
-	"rule3", "rule4", "recover", "worst",
+	"rule3", "rule4", "recover", "worst", "cluster", "death_seen", "death_bound", "views_back", "views_bound",
 }
 
 // Kinds of fault.
 var kinds = []string{
 	"hang", "fail", "slow", "cores", "die", "reset", "garbage", "half", "deaf", "drain", "deploy", "list-late", "list-lacks",
-	"list-down", "balancer-kill", "balancer-stop",
+	"list-down", "balancer-kill", "balancer-stop", "balancer-wipe", "balancer-old", "balancer-double", "balancer-leave",
+	"link-cut", "link-reset", "link-delay", "link-loss", "link-duplicate", "link-reorder", "link-stall", "link-trickle",
+	"disk-full", "disk-read-only", "disk-sync",
 }
 
 // Read takes an experiment, in its short form if asked for. All that is wrong with it comes at once.
@@ -204,6 +212,7 @@
 		r.Fault("settle", "leaves nothing of the length to count")
 	}
 	r.balancer(t)
+	r.cluster(t)
 	r.work(t)
 	r.upstreams(t)
 	r.configuration()
@@ -366,10 +375,11 @@
 // Host is where clients ask for a pool.
 func (e *Experiment) Host(pool int) string { return e.Pools[pool] + ".lab" }
 
-// Configuration is what a balancer is told. lists are the addresses where it is told of its upstreams, by pool.
-func (e *Experiment) Configuration(index int, listen string, lists []string, copies bool) []byte {
+// Configuration is what a balancer is told, with more beside it. lists are the addresses where it is told of its upstreams, by pool.
+func (e *Experiment) Configuration(index int, listen string, lists []string, copies bool, more map[string]any) []byte {
 	c := clone(e.base)
 	c["name"] = fmt.Sprintf("balancer-%d", index+1)
+	maps.Copy(c, more)
 	c["seed"] = int64(e.Seed + uint64(index)*7919 + 1)
 	c["log"] = map[string]any{"level": "info"}
 	c["listeners"] = map[string]any{"lab": map[string]any{"address": listen}}
@@ -379,7 +389,13 @@
 		p := clone(pools[name].(map[string]any))
 		pools[name] = p
 		p["protocol"], p["discovery"] = "platform", lists[n]
-		p["balancers"], p["index"] = int64(e.Balancers), int64(index)
+		if p["peers"] != "cluster" {
+			p["index"] = int64(index)
+		} else if more["cluster"] == nil {
+			delete(p, "peers")
+			p["index"] = int64(index)
+		}
+		p["balancers"] = int64(e.Balancers)
 		if !copies {
 			p["second_copies"] = false
 		}
@@ -421,7 +437,7 @@
 	for i := range lists {
 		lists[i] = "127.0.0.1:1"
 	}
-	p, faults := plan.Parse(r.Name, r.e.Configuration(0, "127.0.0.1:1", lists, true), os.LookupEnv)
+	p, faults := plan.Parse(r.Name, r.e.Configuration(0, "127.0.0.1:1", lists, true, r.e.Clustered(0, Seat{Address: "127.0.0.1:2", Ops: "127.0.0.1:3", Dir: os.TempDir()})), os.LookupEnv)
 	for _, f := range faults {
 		if !f.Remark {
 			r.Fault(f.Key, "%s", f.Text)
@@ -430,6 +446,9 @@
 	if p == nil {
 		return
 	}
+	if r.e.Cluster != nil {
+		r.e.Cluster.Settings = p.Cluster
+	}
 	book := p.Pools[0].Book
 	for _, q := range p.Pools {
 		if len(q.Book.Tariffs) > len(book.Tariffs) {
@@ -487,6 +506,11 @@
 		f := &Fault{
 			Kind: u.One("kind", "", kinds...), At: r.scaled(u.Time("at", 0, 0)), For: r.scaled(u.Time("for", 0, 0)),
 			Factor: u.Number("factor", 0, 0, 1e4), Pool: r.place(u, "pool", first(r.e.Pools), r.e.Pools),
+			Name: u.Text("name", ""), After: u.Text("after", ""), Moves: u.Flag("moves", false),
+		}
+		r.linkFault(u, f)
+		if f.After != "" && !slices.ContainsFunc(r.e.Faults, func(g *Fault) bool { return g.Name == f.After }) {
+			r.Fault(settings.Join(u.Path, "after"), "no fault before it is called %q", f.After)
 		}
 		share, times := u.Number("share", 1, 0, 1), u.Whole("times", 1, 1, 1000)
 		within := r.scaled(u.Time("within", 0, 0))
@@ -499,7 +523,9 @@
 			if within > 0 {
 				g.At += chance.Int64N(within)
 			}
-			if strings.HasPrefix(f.Kind, "balancer-") {
+			if f.Link != nil {
+				g.Link = r.chosen(f.Link, chance)
+			} else if strings.HasPrefix(f.Kind, "balancer-") || strings.HasPrefix(f.Kind, "disk-") {
 				g.Balancers = r.balancers(u, balancers, share, chance.Perm(r.e.Balancers))
 			} else if !strings.HasPrefix(f.Kind, "list-") || f.Kind == "list-lacks" {
 				var all []int
@@ -523,7 +549,7 @@
 
 func (r *reader) balancers(t *settings.Table, named []string, share float64, order []int) (all []int) {
 	for _, name := range named {
-		n, err := strconv.Atoi(name)
+		n, err := strconv.Atoi(strings.TrimPrefix(name, "b"))
 		if err != nil || n < 1 || n > r.e.Balancers {
 			r.Fault(settings.Join(t.Path, "balancers"), "%q is no balancer, which are counted from \"1\"", name)
 			continue
@@ -540,6 +566,12 @@
 // verdict reads what is wanted.
 func (r *reader) verdict(t *settings.Table) {
 	v := t.Table("verdict")
+	for i, name := range v.Texts("convicts") {
+		if !slices.Contains(r.e.Variants, name) {
+			r.Fault(fmt.Sprintf("verdict.convicts[%d]", i), "%q is no variant of this experiment", name)
+		}
+		r.e.Convicts = append(r.e.Convicts, name)
+	}
 	for _, key := range []string{"always", "full"} {
 		for i, text := range v.Texts(key) {
 			c, err := r.condition(text)
