--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -101,6 +101,9 @@
 // Leaving tells the others whether this process takes no new clients, by intent.
 func (c *Cluster) Leaving(yes bool) { c.gossip.Leaving(yes) }
 
+// Tell has the others told at once how this process is.
+func (c *Cluster) Tell() { c.gossip.Tell() }
+
 // Close leaves by intent and ends it.
 func (c *Cluster) Close() {
 	close(c.end)
--- a/internal/cluster/member/gossip.go
+++ b/internal/cluster/member/gossip.go
@@ -307,6 +307,9 @@
 	g.say(true)
 }
 
+// Tell tells others at once how this process is.
+func (g *Gossip) Tell() { g.say(true) }
+
 // Leave ends it by intent: others are told, so it is no failure.
 func (g *Gossip) Leave() {
 	g.mu.Lock()
--- a/internal/lab/run/cluster.go
+++ b/internal/lab/run/cluster.go
@@ -2,13 +2,16 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -36,13 +39,35 @@
 // clustered reports whether the balancers of this run are members of a cluster.
 func (s *stage) clustered() bool { return s.e.Cluster != nil && s.o.Variant != "no-cluster" }
 
+// Ports for balancers lie below those that the system hands out by itself (32768 and up on Linux). Danger: one from there
+// may be another's by the time its process starts, and again when it is started once more.
+const (
+	firstPort = 12000
+	ports     = 20000
+)
+
+var handed sync.Map // ports given to processes of this run and others beside it
+
+// free is an address at which nobody listens, TCP or UDP.
 func free() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range 200 {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		if _, taken := handed.LoadOrStore(address, true); taken {
+			continue // its process hasn't listened yet
+		}
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		u, err := net.ListenPacket("udp", address)
+		l.Close()
+		if err != nil {
+			continue
+		}
+		u.Close()
+		return address, nil
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", errors.New("no port is free")
 }
 
 // links makes the links and a place for each balancer.
--- a/internal/process/cluster.go
+++ b/internal/process/cluster.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"maps"
 	"runtime/debug"
 	"slices"
 	"sync"
@@ -23,6 +24,7 @@
 	done chan struct{}
 	once sync.Once
 
+	offered   []string
 	lastEnded int64
 	lastAt    time.Time
 }
@@ -50,9 +52,10 @@
 	if err != nil {
 		return err
 	}
+	s.mu.Lock()
 	s.fleet = f
+	s.mu.Unlock()
 	go f.run()
-	f.changed()
 	return nil
 }
 
@@ -81,8 +84,8 @@
 
 // leaving passes on whether clients are to go elsewhere, if that was done.
 func (s *Process) leaving(yes bool, err error) error {
-	if err == nil && s.fleet != nil {
-		s.fleet.Leaving(yes)
+	if f := s.inFleet(); err == nil && f != nil {
+		f.Leaving(yes)
 	}
 	return err
 }
@@ -112,9 +115,21 @@
 			return
 		}
 		f.s.recount()
+		if f.offers() {
+			f.Tell()
+		}
 	}
 }
 
+// offers reports whether this process offers other pools than it told last.
+func (f *fleet) offers() bool {
+	f.s.mu.Lock()
+	defer f.s.mu.Unlock()
+	now := slices.Sorted(maps.Keys(f.s.pools))
+	defer func() { f.offered = now }()
+	return !slices.Equal(now, f.offered)
+}
+
 // status is what others are told of this process.
 func (f *fleet) status() member.Status {
 	s := f.s
@@ -183,10 +198,18 @@
 
 // Members implements ops.Balancer.
 func (s *Process) Members(to io.Writer, all bool) error {
-	if s.fleet == nil {
+	f := s.inFleet()
+	if f == nil {
 		return errors.New("this process is in no cluster: its configuration has no [cluster]")
 	}
-	return s.fleet.Members(to, all)
+	return f.Members(to, all)
+}
+
+// inFleet is this process's part in its cluster, nil if it has none, or not yet.
+func (s *Process) inFleet() *fleet {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fleet
 }
 
 // reloadCluster takes over what may change of a cluster in service, and names what may not.
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -103,12 +103,12 @@
 			return nil, fmt.Errorf("ops: %w", err)
 		}
 	}
-	if err := s.change(p); err != nil {
+	if err := s.joinCluster(p); err != nil {
 		s.finish()
 		return nil, err
 	}
-	if err := s.joinCluster(p); err != nil {
-		s.Close()
+	if err := s.change(p); err != nil {
+		s.finish()
 		return nil, err
 	}
 	if s.seat != nil {
@@ -164,10 +164,12 @@
 		views = append(views, v)
 	}
 	slices.SortFunc(views, func(a, b figures.View) int { return cmp.Compare(a.Name, b.Name) })
-	if err := figures.Write(to, &s.counts, views); err != nil || s.fleet == nil {
+	if err := figures.Write(to, &s.counts, views); err != nil {
 		return err
 	}
-	s.fleet.Figures(to)
+	if f := s.inFleet(); f != nil {
+		f.Figures(to)
+	}
 	return nil
 }
 
@@ -190,8 +192,8 @@
 	}
 	s.leaving(true, nil)
 	s.front.Drain(relayed...)
-	if s.fleet != nil {
-		s.fleet.close()
+	if f := s.inFleet(); f != nil {
+		f.close()
 	}
 }
 
