--- /dev/null
+++ b/internal/cluster/keep/keeper_test.go
@@ -0,0 +1,186 @@
+package keep
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"ottershift/internal/cluster/disk"
+	"ottershift/internal/cluster/link"
+)
+
+// host is a process's share of it: a link and a keeper, on real sockets and a real disk.
+type host struct {
+	name string
+	l    *link.Link
+	k    *Keeper
+	c    *Client
+	o    Options
+}
+
+func hosts(t testing.TB, voters []string, all ...string) map[string]*host {
+	where := map[string]string{}
+	m := map[string]*host{}
+	dir := t.TempDir()
+	for _, name := range all {
+		l, err := link.Listen(link.Options{
+			Cluster: "c", Self: name, Address: "127.0.0.1:0", Log: slog.New(slog.DiscardHandler), Stream: func(c net.Conn) { c.Close() },
+			Datagram: func(byte, []byte, net.Addr) {}, Resolve: func(n string) (string, bool) { a, ok := where[n]; return a, ok },
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		where[name] = l.Addr().String()
+		at := Group(filepath.Join(dir, name), 0)
+		m[name] = &host{name: name, l: l, c: NewClient(l, name, voters, 0), o: Options{
+			Cluster: "c", Name: name, Voters: voters, Dir: at, FS: disk.Dir(at), Way: l, Election: 200 * time.Millisecond,
+			Lease: Lease{time.Second, 0.02}, Guards: Guards{true, true}, Log: slog.New(slog.DiscardHandler),
+		}}
+		t.Cleanup(l.Close)
+	}
+	return m
+}
+
+func (h *host) begin(t testing.TB) {
+	t.Helper()
+	var err error
+	if h.k, err = NewKeeper(h.o); err != nil {
+		t.Fatal(err)
+	}
+	h.k.Begin()
+}
+
+func soon(t testing.TB, what string, is func() bool) {
+	t.Helper()
+	for range 500 {
+		if is() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("not soon: " + what)
+}
+
+func in(t testing.TB, d time.Duration) context.Context {
+	ctx, stop := context.WithTimeout(context.Background(), d)
+	t.Cleanup(stop)
+	return ctx
+}
+
+// Three keepers and a member that is none: sessions, duties and their tokens; a keeper lost and back; one that is wiped is
+// refused under its old name until it is put in its own place; an old copy is refused as well.
+func TestKeepers(t *testing.T) {
+	voters := []string{"a", "b", "c"}
+	m := hosts(t, voters, "a", "b", "c", "x")
+	for _, n := range voters {
+		m[n].begin(t)
+	}
+	for _, h := range m {
+		h.l.Serve()
+	}
+	x := m["x"].c
+	if _, err := x.Open(in(t, 5*time.Second), 7, 1); err != nil {
+		t.Fatal(err)
+	}
+	if known, err := m["a"].c.Open(in(t, 2*time.Second), 1, 9); err != nil || known != 1 {
+		t.Fatal(known, err)
+	}
+	first, err := x.Do(in(t, time.Second), Command{Kind: Take, Duty: "list"})
+	if err != nil || first.Code != OK {
+		t.Fatal(first, err)
+	}
+	if a, err := m["a"].c.Do(in(t, time.Second), Command{Kind: Take, Duty: "list"}); err != nil || a.Code != ErrOwned || a.Owner != "x" {
+		t.Errorf("taken twice: %+v, %v", a, err)
+	}
+	if ok, err := x.Renew(in(t, time.Second), map[string]uint64{"list": first.Token, "other": 1}); err != nil || len(ok) != 1 {
+		t.Errorf("renewed %v, %v", ok, err)
+	}
+	// Nobody renews it any more: it is free after the lease, and the next token is higher.
+	var next Answer
+	soon(t, "the tenure ends", func() bool {
+		next, err = m["a"].c.Do(in(t, time.Second), Command{Kind: Take, Duty: "list"})
+		return err == nil && next.Code == OK
+	})
+	if next.Token <= first.Token {
+		t.Errorf("token %d after %d", next.Token, first.Token)
+	}
+	if a, _ := x.Do(in(t, time.Second), Command{Kind: Drop, Duty: "list", Token: first.Token}); a.Code != ErrFence {
+		t.Errorf("an old token lets go: %+v", a)
+	}
+	// A newer run of x; the older gets nothing through.
+	newer := NewClient(m["x"].l, "x", voters, 0)
+	if _, err := newer.Open(in(t, time.Second), 8, 2); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := x.Do(in(t, time.Second), Command{Kind: Take, Duty: "more"}); err != ErrMemberOver {
+		t.Errorf("an old run: %v", err)
+	}
+
+	// One keeper is lost with its disk and started under its old name: it must not vote.
+	copyOf := filepath.Join(t.TempDir(), "old")
+	m["b"].k.Close()
+	os.CopyFS(copyOf, os.DirFS(m["b"].o.Dir))
+	m["b"].begin(t)
+	soon(t, "b is back", func() bool { s, _ := m["b"].k.Stand(); return s.Role != "" })
+	time.Sleep(1200 * time.Millisecond) // the others hear of this run
+	m["b"].k.Close()
+	os.RemoveAll(m["b"].o.Dir)
+	os.CopyFS(m["b"].o.Dir, os.DirFS(copyOf))
+	m["b"].begin(t)
+	soon(t, "the old copy is refused", func() bool { _, why := m["b"].k.Stand(); return strings.Contains(why, "old copy") })
+	m["b"].k.Close()
+	os.RemoveAll(m["b"].o.Dir)
+	m["b"].begin(t)
+	soon(t, "the wiped one is refused", func() bool { _, why := m["b"].k.Stand(); return strings.Contains(why, "another disk") })
+	if a, err := newer.Do(in(t, 2*time.Second), Command{Kind: Take, Duty: "more"}); err != nil || a.Code != OK {
+		t.Errorf("with two keepers: %+v, %v", a, err)
+	}
+	if _, err := newer.Order(in(t, 3*time.Second), Order{What: "replace", Name: "b"}); err != nil {
+		t.Fatal(err)
+	}
+	soon(t, "b votes again in a seat of its own", func() bool {
+		s, why := m["b"].k.Stand()
+		if why != "" || len(s.Seats) != 3 || s.Changing {
+			return false
+		}
+		for _, x := range s.Seats {
+			if x.Name == "b" && (x.ID != 4 || x.Learner) {
+				return false
+			}
+		}
+		return true
+	})
+	// With b's vote the group bears the loss of another.
+	m["c"].k.Close()
+	if a, err := newer.Do(in(t, 4*time.Second), Command{Kind: Take, Duty: "third"}); err != nil || a.Code != OK {
+		t.Errorf("with b's vote: %+v, %v", a, err)
+	}
+	m["b"].k.Close()
+	if _, err := newer.Do(in(t, 500*time.Millisecond), Command{Kind: Take, Duty: "fourth"}); err == nil {
+		t.Error("one keeper of three agrees on something")
+	}
+	// All again.
+	m["a"].k.Close()
+	for _, n := range voters {
+		m[n].begin(t)
+	}
+	soon(t, "the state is there after all were down", func() bool {
+		a, err := newer.Read(in(t, time.Second), false)
+		return err == nil && len(a.Duties) >= 3
+	})
+	for _, n := range voters {
+		m[n].k.Close()
+	}
+}
+
+func ExampleLease() {
+	l := Lease{3 * time.Second, 0.02}
+	fmt.Println(l.Owner(), l.Keeper())
+	// Output: 2.94s 3.06s
+}
--- a/internal/cluster/link/caller.go
+++ b/internal/cluster/link/caller.go
@@ -50,7 +50,7 @@
 	Method   uint16
 	Body     []byte
 	Deadline int64
-	Done     func(body []byte, err error) // called once
+	Done     func(body []byte, err error) // called once; nil for what wants no answer
 }
 
 // NewCaller makes one whose chance comes from a seed.
@@ -111,7 +111,13 @@
 		delete(c.out, o.ID)
 		c.bytes -= len(o.Body)
 	}
-	o.Done(body, err)
+	o.finish(body, err)
+}
+
+func (o *Out) finish(body []byte, err error) {
+	if o.Done != nil {
+		o.Done(body, err)
+	}
 }
 
 // Frames gives what is to be written now, within what the other has not yet answered.
@@ -127,7 +133,11 @@
 		c.waiting = c.waiting[1:]
 		left := (o.Deadline-now)/int64(time.Millisecond) - spare
 		if left <= 0 {
-			o.Done(nil, ErrNeverSent)
+			o.finish(nil, ErrNeverSent)
+			continue
+		}
+		if o.Done == nil {
+			write(&Frame{Type: post, Method: o.Method, ID: o.ID, Left: uint32(min(left, 1<<31)), Body: o.Body})
 			continue
 		}
 		if len(c.out) == 0 {
@@ -172,7 +182,7 @@
 	clear(c.waiting[len(kept):])
 	c.waiting = kept
 	for _, o := range late {
-		o.Done(nil, ErrNeverSent)
+		o.finish(nil, ErrNeverSent)
 	}
 	// Danger: forgetting a call whose time is over would free its place while a silent member still has it to do; the
 	// connection goes with silence, and its places with it.
--- a/internal/cluster/link/frame.go
+++ b/internal/cluster/link/frame.go
@@ -110,6 +110,7 @@
 	answer
 	refusal // with its reason as body: it was not begun
 	fault   // with its reason: it was begun
+	post    // a call that wants no answer
 )
 
 // Frame is one call or answer on a connection.
--- a/internal/cluster/link/link.go
+++ b/internal/cluster/link/link.go
@@ -292,10 +292,15 @@
 	}
 	here := make(chan struct{}, MostOut)
 	l.read(c, func(f *Frame) {
+		h := l.handlers[f.Method]
+		if f.Type == post && h != nil { // in the order in which they came; their handlers don't wait
+			l.Counts.Served.Add(1)
+			h(ctx, from, f.Body)
+			return
+		}
 		if f.Type != request {
 			return
 		}
-		h := l.handlers[f.Method]
 		no := func(why string) {
 			l.Counts.Busy.Add(1)
 			say(&Frame{Type: refusal, ID: f.ID, Body: []byte(why)})
@@ -494,6 +499,24 @@
 	return o.body, o.err
 }
 
+// Post sends what wants no answer. What finds no room is lost, as is what the connection breaks under.
+func (l *Link) Post(name string, method uint16, body []byte, within time.Duration) error {
+	p := l.peer(name)
+	if p == nil {
+		return ErrNeverSent
+	}
+	p.mu.Lock()
+	now := l.now()
+	err := p.caller.Call(now, method, body, now+int64(within), nil)
+	p.mu.Unlock()
+	if err != nil {
+		l.Counts.Full.Add(1)
+		return err
+	}
+	p.wake()
+	return nil
+}
+
 // Forget ends what is held for a member that is gone.
 func (l *Link) Forget(name string) {
 	l.mu.Lock()
--- a/internal/cluster/member/gossip.go
+++ b/internal/cluster/member/gossip.go
@@ -22,6 +22,7 @@
 	"ottershift/internal/cluster/config"
 	"ottershift/internal/cluster/disk"
 	"ottershift/internal/cluster/link"
+	"ottershift/internal/cluster/pack"
 )
 
 // Methods of calls between members.
@@ -146,7 +147,7 @@
 			defer g.o.Link.Forget(link.At(a))
 			body, err := g.o.Link.Call(ctx, link.At(a), methodMarks, []byte(g.o.Settings.Self))
 			var m wireMark
-			if err != nil || unpack(body, &m) != nil {
+			if err != nil || pack.Unpack(body, &m) != nil {
 				return
 			}
 			if id, ok := ParseID(m.ID); ok {
@@ -271,7 +272,7 @@
 	id := g.self.ID
 	g.mu.Unlock()
 	w := wireStatusOf(id, s)
-	raw := pack(&w)
+	raw := pack.Pack(&w)
 	g.words.QueueBroadcast(word{id.String(), raw})
 	if atOnce { // gossip may take its time; this is sent to each as well
 		g.mu.Lock()
@@ -441,9 +442,9 @@
 	}
 	m, known := g.core.marks[string(body)]
 	if !known {
-		return pack(&wireMark{}), nil
+		return pack.Pack(&wireMark{}), nil
 	}
-	return pack(&wireMark{m.String(), m.Ended}), nil
+	return pack.Pack(&wireMark{m.String(), m.Ended}), nil
 }
 
 // Packet takes a datagram of gossip; Stream a connection; Notice the word that this run is over.
@@ -477,7 +478,7 @@
 
 func (g *Gossip) Notice(payload []byte) {
 	var n wireNotice
-	if unpack(payload, &n) != nil {
+	if pack.Unpack(payload, &n) != nil {
 		return
 	}
 	old, ok1 := ParseID(n.Old)
@@ -533,7 +534,7 @@
 	g := (*Gossip)(w)
 	ended := g.core.marks[newer.Name].Ended
 	g.do(func() {
-		g.o.Link.Send(link.Notice, old.Name, address, pack(&wireNotice{old.String(), newer.String(), ended}))
+		g.o.Link.Send(link.Notice, old.Name, address, pack.Pack(&wireNotice{old.String(), newer.String(), ended}))
 	})
 }
 
@@ -633,7 +634,7 @@
 
 func (d *delegate) NotifyMsg(raw []byte) {
 	var w wireStatus
-	if unpack(raw, &w) != nil {
+	if pack.Unpack(raw, &w) != nil {
 		return
 	}
 	id, s, ok := w.open()
@@ -669,12 +670,12 @@
 			s.Statuses = append(s.Statuses, wireStatusOf(m.ID, m.Status))
 		}
 	}
-	return pack(&s)
+	return pack.Pack(&s)
 }
 
 func (d *delegate) MergeRemoteState(raw []byte, _ bool) {
 	var s wireState
-	if unpack(raw, &s) != nil {
+	if pack.Unpack(raw, &s) != nil {
 		return
 	}
 	var marks []Mark
--- a/internal/cluster/member/wire.go
+++ b/internal/cluster/member/wire.go
@@ -1,14 +1,8 @@
 package member
 
-import (
-	"bytes"
-	"errors"
+import "ottershift/internal/cluster/pack"
 
-	"github.com/hashicorp/go-msgpack/v2/codec"
-)
-
-// What goes over links, as msgpack maps with short keys: a key that a build doesn't know is passed over, one that isn't
-// there is empty, so members of two builds understand each other.
+// What goes over links.
 
 type wireRecord struct {
 	Name    string `codec:"n"`
@@ -51,42 +45,13 @@
 	Ended bool   `codec:"e,omitempty"`
 }
 
-var handle = &codec.MsgpackHandle{WriteExt: true, BasicHandle: codec.BasicHandle{
-	DecodeOptions: codec.DecodeOptions{MaxInitLen: 1024}, // danger: a length is no reason to make room
-}}
-
-const mostMessage = 1 << 20
-
-func pack(v any) []byte {
-	var b bytes.Buffer
-	if err := codec.NewEncoder(&b, handle).Encode(v); err != nil {
-		panic(err) // of types that are all ours
-	}
-	return b.Bytes()
-}
-
-var errLong = errors.New("longer than is believed")
-
-// unpack never panics, whatever comes.
-func unpack(raw []byte, v any) (err error) {
-	if len(raw) > mostMessage {
-		return errLong
-	}
-	defer func() {
-		if r := recover(); r != nil {
-			err = errors.New("spoilt")
-		}
-	}()
-	return codec.NewDecoderBytes(raw, handle).Decode(v)
-}
-
 func (r *Record) pack() []byte {
-	return pack(&wireRecord{r.Name, r.Epoch, r.Run, r.Zone, r.Address, r.Ops, r.Build, r.Low, r.High})
+	return pack.Pack(&wireRecord{r.Name, r.Epoch, r.Run, r.Zone, r.Address, r.Ops, r.Build, r.Low, r.High})
 }
 
 func unpackRecord(raw []byte) (r Record, err error) {
 	var w wireRecord
-	if err = unpack(raw, &w); err != nil {
+	if err = pack.Unpack(raw, &w); err != nil {
 		return r, err
 	}
 	return Record{ID{w.Name, w.Epoch, w.Run}, w.Zone, w.Address, w.Ops, w.Build, w.Low, w.High}, nil
--- a/internal/fleet/read.go
+++ b/internal/fleet/read.go
@@ -309,6 +309,14 @@
 		if late, err := time.ParseDuration(r.get("late")); err == nil {
 			e.number = late.Seconds()
 		}
+	case "cluster":
+		switch e.kind = "cluster_" + step; step {
+		case "member":
+			e.kind, e.why = "member_"+r.get("state"), r.get("member")
+		case "over", "refused":
+		default:
+			return
+		}
 	case "losses", "tally":
 		n.figures(r, *tallied)
 		if r.event == "tally" {
--- a/internal/lab/run/cluster.go
+++ b/internal/lab/run/cluster.go
@@ -262,6 +262,13 @@
 		s.broke(err)
 		return
 	}
+	out := record.Outage{Balancer: b.index, From: s.now()}
+	defer func() {
+		out.To = s.now()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.outages = append(s.outages, out)
+	}()
 	b.command.Process.Signal(syscall.SIGSTOP)
 	s.stopped(b.process)
 	s.act("%s is stopped, and another run of it is started elsewhere", spec.Name(b.index))
