Owners, sessions and shared lists wired in; owners and cluster commands

Need: work on behalf of the fleet with one owner at a time, proved on two duties that the fleet has: asking for a pool's list, and ending the sessions of members that are gone.

--- /dev/null
+++ b/internal/cluster/agreed.go
@@ -0,0 +1,348 @@
+package cluster
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"ottershift/internal/cluster/disk"
+	"ottershift/internal/cluster/keep"
+	"ottershift/internal/cluster/link"
+	"ottershift/internal/cluster/member"
+	"ottershift/internal/cluster/owner"
+	"ottershift/internal/cluster/pack"
+	"ottershift/internal/cluster/shared"
+	"ottershift/internal/lists"
+)
+
+// Methods of calls between members.
+const (
+	methodWord  uint16 = 20 // of a shared list's owner
+	methodWhole uint16 = 21
+)
+
+const (
+	asks      = 2 * time.Second        // for a command
+	sessions  = 100 * time.Millisecond // between two looks at whether this run's session stands
+	confirms  = time.Second            // between two confirmed looks at it
+	closes    = 250 * time.Millisecond // between two looks for sessions to end
+	wordTakes = 300 * time.Millisecond
+)
+
+// agreed is this process's part in what is agreed: a keeper where it is a voter, its session, and the duties it may own.
+type agreed struct {
+	c      *Cluster
+	keeper *keep.Keeper // nil where it is none
+	client *keep.Client
+	owners *owner.Owners
+	ctx    context.Context
+	end    context.CancelFunc
+	all    sync.WaitGroup
+	kick   chan struct{}
+
+	mu      sync.Mutex
+	lists   map[string]*shared.List // by pool
+	leaving bool
+	closing uint64 // token under which this member ends sessions, 0 if it doesn't
+	ended   int64  // sessions it has ended
+	held    map[string]owner.Held
+}
+
+// openAgreed takes part; before the link serves.
+func openAgreed(c *Cluster) (*agreed, error) {
+	s := c.o.Settings
+	a := &agreed{c: c, lists: map[string]*shared.List{}, held: map[string]owner.Held{}, kick: make(chan struct{}, 1)}
+	a.ctx, a.end = context.WithCancel(context.Background())
+	fenced, once := true, true
+	if l := c.o.Lab; l != nil {
+		fenced, once = !l.without("fence"), !l.without("once")
+	}
+	if slices.Contains(s.Voters, s.Self) {
+		dir := keep.Group(s.Directory, 0)
+		var err error
+		a.keeper, err = keep.NewKeeper(keep.Options{
+			Cluster: s.Name, Name: s.Self, Voters: s.Voters, Dir: dir, FS: c.directory(dir), Way: local{c.link, s.Self}, Election: s.Election,
+			Lease: keep.Lease{For: s.Lease, Drift: s.Drift}, Guards: keep.Guards{Fence: fenced, Once: once}, Log: c.o.Log,
+		})
+		if err != nil {
+			return nil, fmt.Errorf("cluster: keeper: %w", err)
+		}
+	}
+	a.client = keep.NewClient(local{c.link, s.Self}, s.Self, s.Voters, 0)
+	c.link.Handle(methodWord, a.word)
+	c.link.Handle(methodWhole, a.whole)
+	return a, nil
+}
+
+// begin runs it, once the link serves and the member is there.
+func (a *agreed) begin() {
+	s := a.c.o.Settings
+	if a.keeper != nil {
+		a.keeper.Begin()
+	}
+	fenced := a.c.o.Lab == nil || !a.c.o.Lab.without("fence")
+	lease := keep.Lease{For: s.Lease, Drift: s.Drift}.Owner()
+	a.owners = owner.Begin(owner.Options{
+		Self: s.Self, Zone: s.Zone, Terms: owner.TermsOf(lease), Seed: a.c.o.Seed, Keepers: keepers{a}, Members: a.members, Fenced: fenced, Log: a.c.o.Log,
+	})
+	a.owners.Do(keep.Sessions, (*closer)(a))
+	a.all.Go(a.session)
+	a.all.Go(a.close)
+}
+
+func (a *agreed) stop() {
+	a.owners.Close() // duties are handed over before the session ends
+	ctx, end := context.WithTimeout(a.ctx, asks/4)
+	if epoch, ok := a.client.Session(); ok {
+		a.client.Do(ctx, keep.Command{Kind: keep.End, Other: a.c.o.Settings.Self, Number: epoch})
+	}
+	end()
+	a.end()
+	a.all.Wait()
+	if a.keeper != nil {
+		a.keeper.Close()
+	}
+}
+
+// local calls this process's own handlers without the link.
+type local struct {
+	*link.Link
+	self string
+}
+
+func (l local) Call(ctx context.Context, name string, method uint16, body []byte) ([]byte, error) {
+	if name == l.self {
+		return l.Link.Here(ctx, method, body)
+	}
+	return l.Link.Call(ctx, name, method, body)
+}
+
+// session keeps this run known to the keepers, by the epoch that it has among members.
+func (a *agreed) session() {
+	looked := time.Now()
+	for {
+		self := a.c.gossip.Self()
+		epoch, ok := a.client.Session()
+		if over := a.c.gossip.Over(); !over && (!ok || epoch != self.Epoch) {
+			ctx, end := context.WithTimeout(a.ctx, asks)
+			known, err := a.client.Open(ctx, self.Epoch, self.Run)
+			end()
+			switch {
+			case err == nil:
+				a.c.o.Log.Info("cluster", "step", "session", "epoch", known)
+			case errors.Is(err, keep.ErrMemberOver) && known == self.Epoch:
+				// It was ended, as of a member that is gone: this process goes on as another run. What the old one held is not its own.
+				a.c.gossip.Renew(known)
+			case errors.Is(err, keep.ErrMemberOver):
+				a.c.gossip.Told(member.ID{Name: self.Name, Epoch: known, Run: 1<<64 - 1}, true)
+			}
+		} else if ok && time.Since(looked) > confirms {
+			looked = time.Now()
+			ctx, end := context.WithTimeout(a.ctx, asks)
+			if got, err := a.client.Read(ctx, false); err == nil {
+				for _, s := range got.Sessions {
+					if s.Member == self.Name && (s.Epoch > epoch || s.Epoch == epoch && !s.Open) {
+						a.client.Lost()
+					}
+				}
+			}
+			end()
+		}
+		select {
+		case <-time.After(sessions):
+		case <-a.ctx.Done():
+			return
+		}
+	}
+}
+
+// members are who else may own duties: alive, not leaving.
+func (a *agreed) members() (all []owner.Member, willing bool) {
+	for _, m := range a.c.gossip.Alive() {
+		if !m.Leaving {
+			all = append(all, owner.Member{Name: m.Name, Zone: m.Zone})
+		}
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return all, !a.leaving && !a.c.gossip.Over()
+}
+
+// keepers is the client as the owners use it.
+type keepers struct{ a *agreed }
+
+func (k keepers) Session() (uint64, bool) { return k.a.client.Session() }
+
+func (k keepers) Held(ctx context.Context) (map[string]owner.Held, error) {
+	got, err := k.a.client.Read(ctx, false)
+	if err != nil {
+		return nil, err
+	}
+	all := map[string]owner.Held{}
+	for _, d := range got.Duties {
+		all[d.Name] = owner.Held{Token: d.Token, Owner: d.Owner, Epoch: d.Epoch}
+	}
+	k.a.mu.Lock()
+	defer k.a.mu.Unlock()
+	k.a.held = all
+	return all, nil
+}
+
+func (k keepers) Take(ctx context.Context, duty string) (uint64, bool, error) {
+	x, err := k.a.client.Do(ctx, keep.Command{Kind: keep.Take, Duty: duty})
+	return x.Token, x.Code == keep.OK, err
+}
+
+func (k keepers) Give(ctx context.Context, duty string, token uint64, to string) error {
+	kind := keep.Drop
+	if to != "" {
+		kind = keep.Give
+	}
+	_, err := k.a.client.Do(ctx, keep.Command{Kind: kind, Duty: duty, Token: token, Other: to})
+	return err
+}
+
+func (k keepers) Renew(ctx context.Context, tokens map[string]uint64) (map[string]uint64, error) {
+	return k.a.client.Renew(ctx, tokens)
+}
+
+// closer is the duty of ending the sessions of members that are gone.
+type closer agreed
+
+func (c *closer) Begin(t owner.Tenure) { (*agreed)(c).closes(t.Token) }
+func (c *closer) End(owner.Tenure)     { (*agreed)(c).closes(0) }
+
+func (a *agreed) closes(token uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.closing = token
+}
+
+// close ends sessions under its token while it owns that. Hearsay says who is gone; that ends a session, and no rule rests on
+// its being right: a member that lives takes another.
+func (a *agreed) close() {
+	for {
+		select {
+		case <-time.After(closes):
+		case <-a.ctx.Done():
+			return
+		}
+		a.mu.Lock()
+		token := a.closing
+		a.mu.Unlock()
+		if token == 0 {
+			continue
+		}
+		ctx, end := context.WithTimeout(a.ctx, asks)
+		got, err := a.client.Read(ctx, false)
+		for _, s := range got.Sessions {
+			if err != nil || !s.Open || s.Member == a.c.o.Settings.Self || !a.c.gossip.Gone(s.Member, s.Epoch, a.c.o.Settings.Lease) {
+				continue
+			}
+			if now, may := a.owners.May(keep.Sessions); !may || now != token {
+				break
+			}
+			x, err := a.client.Do(ctx, keep.Command{Kind: keep.End, Other: s.Member, Number: s.Epoch, Token: token})
+			if err == nil && x.Code == keep.OK {
+				a.c.o.Log.Info("cluster", "step", "ended", "member", s.Member, "epoch", s.Epoch, "token", token)
+				a.mu.Lock()
+				a.ended++
+				a.mu.Unlock()
+			}
+		}
+		end()
+	}
+}
+
+// List is a pool's list by way of one member that asks for all; own makes the source that asks discovery.
+func (c *Cluster) List(pool string, sink lists.Sink, own func(lists.Sink) lists.Source) lists.Source {
+	if c.agreed == nil {
+		return own(sink)
+	}
+	a := c.agreed
+	fenced := c.o.Lab == nil || !c.o.Lab.without("fence")
+	l := shared.New(pool, sink, own, way{a}, a.owners, fenced, c.o.Log)
+	return source{a, pool, l}
+}
+
+// source is known to the cluster while it runs.
+type source struct {
+	a    *agreed
+	pool string
+	l    *shared.List
+}
+
+func (s source) Run(ctx context.Context) {
+	s.a.mu.Lock()
+	s.a.lists[s.pool] = s.l
+	s.a.mu.Unlock()
+	defer func() {
+		s.a.mu.Lock()
+		defer s.a.mu.Unlock()
+		if s.a.lists[s.pool] == s.l {
+			delete(s.a.lists, s.pool)
+		}
+	}()
+	s.l.Run(ctx)
+}
+
+// way is how words of a list go.
+type way struct{ a *agreed }
+
+func (w way) Post(name string, raw []byte) {
+	w.a.c.link.Post(name, methodWord, raw, wordTakes)
+}
+
+func (w way) Whole(ctx context.Context, name, pool string) ([]byte, error) {
+	return w.a.c.link.Call(ctx, name, methodWhole, []byte(pool))
+}
+
+func (w way) Offering(pool string) (others []string) {
+	for _, m := range w.a.c.gossip.Offering(pool, 0) {
+		if m.Name != w.a.c.o.Settings.Self {
+			others = append(others, m.Name)
+		}
+	}
+	return others
+}
+
+func (w way) Owner(duty string) string {
+	w.a.mu.Lock()
+	defer w.a.mu.Unlock()
+	return w.a.held[duty].Owner
+}
+
+func (a *agreed) listOf(pool string) *shared.List {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.lists[pool]
+}
+
+func (a *agreed) word(_ context.Context, from string, body []byte) ([]byte, error) {
+	var w shared.Word
+	if err := pack.Unpack(body, &w); err != nil {
+		return nil, err
+	}
+	if l := a.listOf(w.Pool); l != nil {
+		l.Heard(from, &w)
+	}
+	return nil, nil
+}
+
+func (a *agreed) whole(_ context.Context, _ string, body []byte) ([]byte, error) {
+	if l := a.listOf(string(body)); l != nil {
+		return l.Whole(), nil
+	}
+	return nil, errors.New("no such list here")
+}
+
+// directory is a member's directory, with the lab's faults where it has put them.
+func (c *Cluster) directory(path string) disk.FS {
+	if c.o.Lab != nil && c.o.Lab.Disk != "" {
+		return disk.Faulty{Dir: disk.Dir(path), Says: c.o.Lab.Disk}
+	}
+	return disk.Dir(path)
+}
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -35,6 +35,7 @@
 	o      Options
 	link   *link.Link
 	gossip *member.Gossip
+	agreed *agreed // nil without voters
 
 	end chan struct{}
 	all sync.WaitGroup
@@ -62,9 +63,7 @@
 	var fs disk.FS
 	guards := member.Guards{Refutation: true, Epochs: true}
 	if o.Settings.Directory != "" {
-		if fs = disk.Dir(o.Settings.Directory); o.Lab != nil && o.Lab.Disk != "" {
-			fs = disk.Faulty{Dir: disk.Dir(o.Settings.Directory), Says: o.Lab.Disk}
-		}
+		fs = c.directory(o.Settings.Directory)
 	}
 	if o.Lab != nil {
 		guards.Refutation, guards.Epochs = !o.Lab.without("refutation"), !o.Lab.without("epochs")
@@ -81,11 +80,20 @@
 		c.link.Close()
 		return nil, fmt.Errorf("cluster: %w", err)
 	}
+	if len(o.Settings.Voters) > 0 {
+		if c.agreed, err = openAgreed(c); err != nil {
+			c.link.Close()
+			return nil, err
+		}
+	}
 	c.link.Serve()
 	if err := c.gossip.Begin(); err != nil {
 		c.link.Close()
 		return nil, fmt.Errorf("cluster: %w", err)
 	}
+	if c.agreed != nil {
+		c.agreed.begin()
+	}
 	return c, nil
 }
 
@@ -99,7 +107,14 @@
 }
 
 // Leaving tells the others whether this process takes no new clients, by intent.
-func (c *Cluster) Leaving(yes bool) { c.gossip.Leaving(yes) }
+func (c *Cluster) Leaving(yes bool) {
+	if a := c.agreed; a != nil {
+		a.mu.Lock()
+		a.leaving = yes
+		a.mu.Unlock()
+	}
+	c.gossip.Leaving(yes)
+}
 
 // Tell has the others told at once how this process is.
 func (c *Cluster) Tell() { c.gossip.Tell() }
@@ -108,6 +123,9 @@
 func (c *Cluster) Close() {
 	close(c.end)
 	c.all.Wait()
+	if c.agreed != nil {
+		c.agreed.stop()
+	}
 	c.gossip.Leave()
 	c.link.Close()
 }
--- a/internal/cluster/config/config.go
+++ b/internal/cluster/config/config.go
@@ -19,12 +19,20 @@
 	Through   map[string]string // members' names to the addresses at which they are reached
 	Probe     time.Duration     // between two looks at other members
 	Rejoin    time.Duration     // between two tries to reach who is held dead
+	Election  time.Duration     // without a leader's word, until a keeper asks whether it may lead
+	Lease     time.Duration     // that an owner may act for after it asked
+	Drift     float64           // that two machines' clocks may differ by in their speed
+	Groups    int               // of keepers, each with a leader of its own
 }
 
 // Defaults of what isn't said.
 const (
 	Probe  = 500 * time.Millisecond
 	Rejoin = 2 * time.Second
+
+	Election = time.Second
+	Lease    = 3 * time.Second
+	Drift    = 0.02
 )
 
 // What the membership library is told, in units of Probe where it is a time. The bounds below are made of these.
@@ -80,8 +88,30 @@
 	return time.Duration(ExchangeEach*times) * s.Probe
 }
 
+// NoOwner is the bound on the time without an owner after one is lost while a majority of keepers is reached: an election, whose
+// leader gives every owner a whole lease anew, until then and for as long as a keeper counts it; a look at it by the others, and
+// a step for each of those who are asked first and don't answer; and the time to agree on it.
+func (s *Settings) NoOwner(n int) time.Duration {
+	lease := time.Duration(float64(s.Lease) * (1 + s.Drift))
+	return 2*s.Election + lease + s.Lease/4 + time.Duration(n)*s.Lease/10 + s.Election
+}
+
+// Closed is the bound on the time until the session of a member that died is ended by an owner.
+func (s *Settings) Closed(n int) time.Duration { return s.Death(n) + s.NoOwner(n) }
+
 // Bounds are the formulas with their values, as check prints them.
 func (s *Settings) Bounds(n int) []string {
+	all := s.members(n)
+	if len(s.Voters) > 0 {
+		all = append(all,
+			fmt.Sprintf("a duty is without an owner for %s at most while a majority of keepers is reached: 3 x election + lease x (1 + drift + 1/4 + n/10)", s.NoOwner(n).Round(time.Millisecond)),
+			fmt.Sprintf("the session of a member that died is ended within %s: the bound of a death and that of an owner", s.Closed(n).Round(time.Millisecond)),
+			fmt.Sprintf("%d of %d keepers may be lost", (len(s.Voters)-1)/2, len(s.Voters)))
+	}
+	return all
+}
+
+func (s *Settings) members(n int) []string {
 	return []string{
 		fmt.Sprintf("a death is known to all within %s: (min(2(n-1), %d) + 1) x %d x probe_every + %d x %d x max(1, log10 n) x probe_every + spread, with n = %d",
 			s.Death(n).Round(time.Millisecond), unlikely, Slower, Suspected, Suspicion, n),
--- a/internal/cluster/keep/client.go
+++ b/internal/cluster/keep/client.go
@@ -75,6 +75,13 @@
 	return c.epoch, c.open && !c.over
 }
 
+// Lost notes that the session has been ended by others.
+func (c *Client) Lost() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.over = true
+}
+
 // Do has a command agreed on under the open session.
 func (c *Client) Do(ctx context.Context, x Command) (Answer, error) {
 	c.mu.Lock()
--- a/internal/cluster/keep/former.go
+++ b/internal/cluster/keep/former.go
@@ -120,6 +120,10 @@
 			return r, false
 		}
 		r.Seat = of
+	} else if len(f.Own.Seats) > 0 {
+		f.seen[h.Name+" "] = sighting{h.Disk, h.Runs, h.Nonce, true}
+		r.Why = fmt.Sprintf("%s has no seat in the group; \"ottershift cluster replace %s\" makes it a keeper", h.Name, h.Name)
+		return r, false
 	}
 	if was.older(h.Disk, h.Runs, h.Nonce) {
 		r.Why = fmt.Sprintf("%s has run %d times by what is known here, and this start calls itself run %d: its directory is an old copy; \"ottershift cluster replace %s\" makes it a keeper",
--- a/internal/cluster/keep/state.go
+++ b/internal/cluster/keep/state.go
@@ -206,7 +206,8 @@
 	case Open:
 		return s.open(index, c)
 	case End:
-		if d := s.Duties[Sessions]; s.guards.Fence && (d == nil || d.Token != c.Token || d.Owner != c.Member) {
+		own := c.Other == c.Member && c.Number == c.Epoch // one's own end needs nobody's leave
+		if d := s.Duties[Sessions]; s.guards.Fence && !own && (d == nil || d.Token != c.Token || d.Owner != c.Member) {
 			return s.fenced(d)
 		}
 		m := s.Sessions[c.Other]
--- a/internal/cluster/link/link.go
+++ b/internal/cluster/link/link.go
@@ -517,6 +517,15 @@
 	return nil
 }
 
+// Here has one of this member's own handlers answer, without the wire.
+func (l *Link) Here(ctx context.Context, method uint16, body []byte) ([]byte, error) {
+	h := l.handlers[method]
+	if h == nil {
+		return nil, ErrRefused
+	}
+	return h(ctx, l.o.Self, body)
+}
+
 // Forget ends what is held for a member that is gone.
 func (l *Link) Forget(name string) {
 	l.mu.Lock()
--- a/internal/cluster/member/gossip.go
+++ b/internal/cluster/member/gossip.go
@@ -420,6 +420,55 @@
 	return all
 }
 
+// Alive are the other living members.
+func (g *Gossip) Alive() (all []Member) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, m := range g.core.View() {
+		if m.State == Alive {
+			all = append(all, m)
+		}
+	}
+	return all
+}
+
+// Gone reports whether a member's run is gone, by what is held here: it left, a newer one came, or it has been held dead for
+// some time. One that isn't known at all is gone once that time has passed since this member began.
+func (g *Gossip) Gone(name string, epoch uint64, dead time.Duration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	for _, m := range g.core.named(name) {
+		if m.Epoch == epoch {
+			return m.State == Left || m.State == Over || m.State == Dead && now-m.Since > int64(dead)
+		}
+	}
+	return now > int64(2*dead) && now > int64(g.o.Settings.Death(g.core.Alive()))
+}
+
+// Over reports whether this run is over.
+func (g *Gossip) Over() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.core.Over()
+}
+
+// Renew has this process go on as another run, of an epoch beyond one that is known.
+func (g *Gossip) Renew(beyond uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.self.Epoch <= beyond {
+		(*writer)(g).Renew(beyond)
+	}
+}
+
+// Told takes agreed word of a newer run of this name.
+func (g *Gossip) Told(newer ID, ended bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.core.Told(g.now(), g.self.ID, newer, ended)
+}
+
 // Divert takes over settings that change in service: where to join, and through what.
 func (g *Gossip) Divert(s *config.Settings) {
 	g.mu.Lock()
@@ -558,9 +607,12 @@
 	g := (*Gossip)(w)
 	g.do(func() {
 		g.mu.Lock()
-		list := g.list
+		list, stale := g.list, g.self.Epoch > beyond
 		g.renewed = true
 		g.mu.Unlock()
+		if stale { // asked for twice
+			return
+		}
 		g.o.Log.Info("cluster", "step", "renewed", "epoch", beyond+1, "why", "others remember a later run of this name")
 		list.Shutdown()
 		if err := g.begin(beyond + 1); err != nil {
--- /dev/null
+++ b/internal/cluster/staff.go
@@ -0,0 +1,91 @@
+package cluster
+
+import (
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"ottershift/internal/cluster/keep"
+	"ottershift/internal/cluster/owner"
+)
+
+const ordered = 8 * time.Second // for an order of staff's
+
+// Owners is what a member tells of duties.
+type Owners struct {
+	Name    string        `json:"name"`
+	Session uint64        `json:"session,omitempty"` // epoch known to the keepers, 0 for none
+	Duties  []owner.Stand `json:"duties"`
+	Refused int64         `json:"refused"` // acts of old owners that were refused here
+	Ended   int64         `json:"ended"`   // sessions that this member has ended
+}
+
+// Keeper is how one keeper stands.
+type Keeper struct {
+	Name string `json:"name"`
+	keep.Status
+	Fault string `json:"fault,omitempty"`
+}
+
+func (c *Cluster) owners() Owners {
+	a := c.agreed
+	o := Owners{Name: c.o.Settings.Self}
+	o.Session, _ = a.client.Session()
+	o.Duties, o.Refused = a.owners.Stands()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	o.Ended = a.ended
+	return o
+}
+
+// Staff does what staff asks: owners, status, replace NAME, transfer NAME, snapshot.
+func (c *Cluster) Staff(to io.Writer, words []string) error {
+	a := c.agreed
+	if a == nil {
+		return errors.New("this cluster has no keepers: its [cluster] names no voters")
+	}
+	ctx, end := context.WithTimeout(a.ctx, ordered)
+	defer end()
+	say := json.NewEncoder(to)
+	call, name := strings.ToLower(words[0]), ""
+	if len(words) > 1 {
+		name = words[1]
+	}
+	switch call {
+	case "owners":
+		return say.Encode(c.owners())
+	case "status":
+		for _, v := range c.o.Settings.Voters {
+			once, stop := context.WithTimeout(ctx, time.Second)
+			s, err := a.client.Status(once, v)
+			stop()
+			k := Keeper{Name: v, Status: s}
+			if err != nil {
+				k.Fault = err.Error()
+			}
+			if err := say.Encode(k); err != nil {
+				return err
+			}
+		}
+		return nil
+	case "replace", "transfer":
+		if name == "" {
+			return fmt.Errorf("%s whom? write the keeper's name behind it", call)
+		}
+		_, err := a.client.Order(ctx, keep.Order{What: call, Name: name})
+		return err
+	case "snapshot":
+		raw, err := a.client.Order(ctx, keep.Order{What: call})
+		if err != nil {
+			return err
+		}
+		_, err = fmt.Fprintln(to, base64.StdEncoding.EncodeToString(raw))
+		return err
+	}
+	return fmt.Errorf("no call %q; there are owners, status, replace NAME, transfer NAME, snapshot", words[0])
+}
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -18,10 +18,12 @@
 const (
 	// Most is how many connections are held at once; descriptors for them are set aside.
 	Most       = 16
-	longest    = 64              // bytes of a call
-	silent     = 5 * time.Second // until a caller without a call is let go
-	answered   = time.Second     // until an answer that nobody reads is
-	mostAnswer = 64 << 20        // bytes that staff's side takes: the views of some hundred members
+	longest    = 64               // bytes of a call
+	named      = 128              // and of one that names a member
+	silent     = 5 * time.Second  // until a caller without a call is let go
+	agreed     = 10 * time.Second // until what needs a majority of keepers is
+	answered   = time.Second      // until an answer that nobody reads is
+	mostAnswer = 64 << 20         // bytes that staff's side takes: the views of some hundred members
 )
 
 // Balancer is what can be asked.
@@ -31,6 +33,7 @@
 	Leave() error
 	Join() error
 	Members(to io.Writer, all bool) error // of its cluster; an error if it is in none
+	Cluster(to io.Writer, words []string) error
 }
 
 // Server answers at one address.
@@ -102,16 +105,27 @@
 		s.callers.Remove(place) // no fault if it has made room
 	}()
 	c.SetReadDeadline(time.Now().Add(silent))
-	in := bufio.NewReaderSize(c, longest)
+	in := bufio.NewReaderSize(c, named)
 	line, err := in.ReadSlice('\n')
 	if err != nil && (err != io.EOF || len(line) == 0) && err != bufio.ErrBufferFull {
 		return // Danger: half a line that is cut by silence is no call
 	}
 	c.SetWriteDeadline(time.Now().Add(answered))
-	if err == bufio.ErrBufferFull {
+	words := strings.Fields(string(line))
+	staff := len(words) > 1 && strings.EqualFold(words[0], "cluster")
+	if err == bufio.ErrBufferFull || len(line) > longest && !staff {
 		fmt.Fprintf(c, "FAILURE a call has %d bytes at most\n", longest)
 		return
 	}
+	if staff {
+		c.SetWriteDeadline(time.Now().Add(agreed))
+		if err := s.of.Cluster(c, words[1:]); err != nil {
+			say(c, err)
+		} else {
+			io.WriteString(c, "EOT\n")
+		}
+		return
+	}
 	switch call := strings.ToUpper(string(bytes.TrimSpace(line))); call {
 	case "HEALTH":
 		say(c, s.of.Health())
@@ -130,9 +144,9 @@
 			io.WriteString(c, "EOT\n")
 		}
 	case "":
-		io.WriteString(c, "FAILURE an empty line; the calls are HEALTH, DUMP, LEAVE, JOIN, MEMBERS\n")
+		io.WriteString(c, "FAILURE an empty line; the calls are HEALTH, DUMP, LEAVE, JOIN, MEMBERS, CLUSTER\n")
 	default:
-		fmt.Fprintf(c, "FAILURE no call %q; the calls are HEALTH, DUMP, LEAVE, JOIN, MEMBERS\n", call)
+		fmt.Fprintf(c, "FAILURE no call %q; the calls are HEALTH, DUMP, LEAVE, JOIN, MEMBERS, CLUSTER\n", call)
 	}
 }
 
--- a/internal/plan/cluster.go
+++ b/internal/plan/cluster.go
@@ -23,6 +23,8 @@
 		Address: t.Address("address", "TCP and UDP of the fleet's own traffic, such as \"127.0.0.1:7101\""), Directory: t.Text("directory", ""),
 		Join: t.Texts("join"), Voters: t.Texts("voters"), Zone: t.Text("zone", ""), Through: t.Map("through"),
 		Probe: t.Time("probe_every", config.Probe, 20*time.Millisecond), Rejoin: t.Time("rejoin_every", config.Rejoin, 100*time.Millisecond),
+		Election: t.Time("election", config.Election, 100*time.Millisecond), Lease: t.Time("lease", config.Lease, 300*time.Millisecond),
+		Drift: t.Number("drift", config.Drift, 0, 0.2), Groups: 1,
 	}
 	r.p.Cluster = s
 	path := func(key string) string { return settings.Join(t.Path, key) }
@@ -83,6 +85,9 @@
 			r.Remark(at, "no voter is called so: it counts once a member of that name is there")
 		}
 	}
+	if s.Lease < 2*s.Election {
+		r.Remark(path("lease"), "%s is under two elections of %s: owners lose their duties whenever the keepers' leader changes", s.Lease, s.Election)
+	}
 	if len(s.Join) == 0 && len(s.Voters) != 1 {
 		r.Remark(path("join"), "there is none: this member waits for others to join it")
 	}
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -67,6 +67,7 @@
 	File      string
 	Every     time.Duration // between two looks at File
 	Discovery string
+	Shared    bool             // one member of the cluster asks for all
 	Known     discovery.Report // from before
 }
 
--- a/internal/plan/pools.go
+++ b/internal/plan/pools.go
@@ -327,6 +327,15 @@
 	p.List.Discovery = t.Address("discovery", "")
 	p.Book.Terms.AskForList = t.One("discovery_mode", "push", "push", "ask") == "ask" && p.List.Discovery != ""
 	p.List.Known.Index = discovery.Unknown
+	if p.List.Shared = t.Flag("share_list", false); p.List.Shared {
+		path := settings.Join(t.Path, "share_list")
+		switch {
+		case r.p.Cluster == nil || len(r.p.Cluster.Voters) == 0:
+			r.Fault(path, "one member asks for all under a token, which keepers give: there is no [cluster] with voters")
+		case p.List.Discovery == "" || p.Book.Terms.AskForList:
+			r.Fault(path, "only a list that discovery pushes can be shared; write discovery, and no discovery_mode = \"ask\"")
+		}
+	}
 }
 
 // routes reads the route table.
--- a/internal/process/cluster.go
+++ b/internal/process/cluster.go
@@ -205,6 +205,15 @@
 	return f.Members(to, all)
 }
 
+// Cluster implements ops.Balancer.
+func (s *Process) Cluster(to io.Writer, words []string) error {
+	f := s.inFleet()
+	if f == nil {
+		return errors.New("this process is in no cluster: its configuration has no [cluster]")
+	}
+	return f.Staff(to, words)
+}
+
 // inFleet is this process's part in its cluster, nil if it has none, or not yet.
 func (s *Process) inFleet() *fleet {
 	s.mu.Lock()
@@ -228,4 +237,6 @@
 	later("cluster.voters", !slices.Equal(a.Voters, b.Voters))
 	later("cluster.probe_every", a.Probe != b.Probe)
 	later("cluster.rejoin_every", a.Rejoin != b.Rejoin)
+	later("cluster.election", a.Election != b.Election)
+	later("cluster.lease", a.Lease != b.Lease || a.Drift != b.Drift)
 }
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -501,6 +501,12 @@
 		if again {
 			index = discovery.Unknown // Danger: versions of one source mean nothing to another
 		}
+		if l.Shared && s.fleet != nil {
+			from = s.fleet.List(n.Name, n, func(to lists.Sink) lists.Source {
+				return discovery.New(to, n.Log(), l.Discovery, false, discovery.Unknown, n.Book().DialTimeout)
+			})
+			break
+		}
 		n.watch = discovery.New(n, n.Log(), l.Discovery, n.Book().Terms.AskForList, index, n.Book().DialTimeout)
 		from = n.watch
 	case l.File != "":
@@ -532,5 +538,5 @@
 }
 
 func same(a, b plan.List) bool {
-	return a.File == b.File && a.Every == b.Every && a.Discovery == b.Discovery && slices.Equal(a.Fixed, b.Fixed)
+	return a.File == b.File && a.Every == b.Every && a.Discovery == b.Discovery && a.Shared == b.Shared && slices.Equal(a.Fixed, b.Fixed)
 }
