--- a/internal/cluster/agreed.go
+++ b/internal/cluster/agreed.go
@@ -86,7 +86,7 @@
 	fenced := a.c.o.Lab == nil || !a.c.o.Lab.without("fence")
 	lease := keep.Lease{For: s.Lease, Drift: s.Drift}.Owner()
 	a.owners = owner.Begin(owner.Options{
-		Self: s.Self, Zone: s.Zone, Terms: owner.TermsOf(lease), Seed: a.c.o.Seed, Keepers: keepers{a}, Members: a.members, Fenced: fenced, Log: a.c.o.Log,
+		Self: s.Self, Terms: owner.TermsOf(lease), Seed: a.c.o.Seed, Keepers: keepers{a}, Members: a.members, Fenced: fenced, Log: a.c.o.Log,
 	})
 	a.owners.Do(keep.Sessions, (*closer)(a))
 	a.all.Go(a.session)
@@ -163,7 +163,7 @@
 func (a *agreed) members() (all []owner.Member, willing bool) {
 	for _, m := range a.c.gossip.Alive() {
 		if !m.Leaving {
-			all = append(all, owner.Member{Name: m.Name, Zone: m.Zone})
+			all = append(all, owner.Member{Name: m.Name})
 		}
 	}
 	a.mu.Lock()
--- a/internal/cluster/keep/core.go
+++ b/internal/cluster/keep/core.go
@@ -224,6 +224,9 @@
 	if d == nil || d.Token != token || d.Owner != member || d.Epoch != epoch {
 		return c.State.fenced(d)
 	}
+	if m := c.State.Sessions[member]; m == nil || !m.Open || m.Epoch != epoch {
+		return Answer{Code: ErrOver}
+	}
 	if t := c.renewed[duty]; t.token != token || t.at < asked {
 		c.renewed[duty] = tenure{token, asked}
 	}
--- a/internal/cluster/keep/state.go
+++ b/internal/cluster/keep/state.go
@@ -215,7 +215,7 @@
 			return Answer{Code: ErrNone}
 		}
 		m.Open, m.Index, m.Answers = false, index, map[uint64][]byte{}
-		s.over(index, m.Member, m.Epoch)
+		s.over(index, m.Member, m.Epoch, own)
 		return Answer{Code: OK}
 	case Take:
 		d := s.Duties[c.Duty]
@@ -272,16 +272,17 @@
 		return Answer{Code: ErrOver, Epoch: m.Epoch}
 	}
 	if m != nil && m.Open {
-		s.over(index, m.Member, m.Epoch)
+		s.over(index, m.Member, m.Epoch, false)
 	}
 	s.Sessions[c.Member] = &Session{Member: c.Member, Epoch: c.Epoch, Run: c.Run, Open: true, Index: index, Low: 1, Answers: map[uint64][]byte{}}
 	return Answer{Code: OK, Epoch: c.Epoch}
 }
 
-// over lets go of what a run held.
-func (s *State) over(index uint64, member string, epoch uint64) {
+// over lets go of what a run held. Danger: one that was ended by others may act on a duty until its lease is over; nobody else
+// has it before. It can't renew it any more.
+func (s *State) over(index uint64, member string, epoch uint64, own bool) {
 	for _, name := range slices.Sorted(maps.Keys(s.Duties)) {
-		if d := s.Duties[name]; d.Owner == member && d.Epoch == epoch {
+		if d := s.Duties[name]; own && d.Owner == member && d.Epoch == epoch {
 			d.Owner, d.Epoch, d.Index = "", 0, index
 		}
 	}
--- a/internal/cluster/keep/store.go
+++ b/internal/cluster/keep/store.go
@@ -27,9 +27,10 @@
 	hardFile     = "hard"     // term and vote
 	snapshotFile = "snapshot" // the state at an entry
 	segmentsFile = "segments" // which files the log consists of
-	segmentSize  = 16 << 20
 )
 
+var segmentSize = 16 << 20 // bytes of a file of the log; less in tests
+
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
 // ErrTorn is a record whose sum is wrong.
@@ -48,12 +49,17 @@
 }
 
 // Log is a store on a disk: the write-ahead log of github.com/hashicorp/raft-wal, one sync for all that is saved at once, and
-// a sum on every record beside the library's own.
+// a sum on every record beside the library's own. Records have numbers of their own, and one of an entry takes the place of all
+// before it from that entry on. Danger: the library (0.4.0) can cut off the end of its log, but then can't be opened again
+// ("sealed segment has no index block"); so nothing is ever cut off there.
 type Log struct {
 	fs     disk.FS
 	wal    *wal.WAL
 	hard   *raftpb.HardState
-	broken error // what failed once is believed no more
+	next   uint64            // number of the next record
+	at     map[uint64]uint64 // records of the entries that count, by entry
+	last   uint64            // entry
+	broken error             // what failed once is believed no more
 }
 
 // OpenLog opens a directory and reads all that it holds; every record is checked. vfs is nil for the real one.
@@ -64,7 +70,7 @@
 		}
 		vfs = walfs.New()
 	}
-	l := &Log{fs: fs}
+	l := &Log{fs: fs, next: 1, at: map[uint64]uint64{}}
 	var err error
 	l.wal, err = wal.Open(dir, wal.WithLogger(hclog.NewNullLogger()), wal.WithSegmentSize(segmentSize), wal.WithMetaStore(segments{fs}),
 		wal.WithSegmentFiler(segment.NewFiler(dir, vfs)))
@@ -115,42 +121,61 @@
 	if err != nil {
 		return nil, err
 	}
-	if last != 0 && first > from+1 {
-		return nil, fmt.Errorf("the log begins at entry %d, the snapshot holds up to %d: entries between are missing", first, from)
-	}
-	// Danger: a crash between a leader's snapshot and the end of the log that it replaced leaves entries of another branch.
-	if last != 0 && first <= from && !l.continues(d.Snapshot, last) {
-		if err := l.wal.DeleteRange(first, last); err != nil {
-			return nil, err
+	var all []*raftpb.Entry
+	for n := first; last != 0 && n <= last; n++ {
+		e, err := l.record(n)
+		if err != nil {
+			return nil, fmt.Errorf("record %d: %w", n, err)
 		}
+		if k := len(all); k > 0 && e.GetIndex() <= all[k-1].GetIndex() { // another leader's
+			at := e.GetIndex() - min(e.GetIndex(), all[0].GetIndex())
+			all = all[:at:at]
+		} else if k > 0 && e.GetIndex() != all[k-1].GetIndex()+1 {
+			all = nil // behind a leader's snapshot that took the place of all before
+		}
+		all = append(all, e)
+		l.note(e.GetIndex(), n)
+	}
+	l.next = max(last, first) + 1
+	if len(all) == 0 {
 		return d, nil
 	}
-	for i := max(first, from+1); last != 0 && i <= last; i++ {
-		var rec hraft.Log
-		if err := l.wal.GetLog(i, &rec); err != nil {
-			return nil, fmt.Errorf("entry %d: %w", i, err)
+	if begin := all[0].GetIndex(); begin > from+1 {
+		return nil, fmt.Errorf("the log begins at entry %d, the snapshot holds up to %d: entries between are missing", begin, from)
+	} else if begin <= from {
+		// Danger: a crash between a leader's snapshot and the end of the log that it replaced leaves entries of another branch.
+		if from-begin >= uint64(len(all)) || all[from-begin].GetTerm() != d.Snapshot.GetMetadata().GetTerm() {
+			clear(l.at)
+			return d, nil
 		}
-		raw, err := unsealed(rec.Data)
-		if err != nil {
-			return nil, fmt.Errorf("entry %d: %w", i, err)
-		}
-		e := &raftpb.Entry{}
-		if err := proto.Unmarshal(raw, e); err != nil || e.GetIndex() != i {
-			return nil, fmt.Errorf("entry %d: %w", i, ErrTorn)
-		}
-		d.Entries = append(d.Entries, e)
+		all = all[from-begin+1:]
 	}
+	d.Entries = all
 	return d, nil
 }
 
-// continues reports whether the log holds the entry that a snapshot ends with, so that what follows it belongs there.
-func (l *Log) continues(snap *raftpb.Snapshot, last uint64) bool {
-	at := snap.GetMetadata().GetIndex()
-	if last < at {
-		return false
-	}
+func (l *Log) record(n uint64) (*raftpb.Entry, error) {
 	var rec hraft.Log
-	return l.wal.GetLog(at, &rec) == nil && rec.Term == snap.GetMetadata().GetTerm()
+	if err := l.wal.GetLog(n, &rec); err != nil {
+		return nil, err
+	}
+	raw, err := unsealed(rec.Data)
+	if err != nil {
+		return nil, err
+	}
+	e := &raftpb.Entry{}
+	if err := proto.Unmarshal(raw, e); err != nil || e.GetIndex() == 0 {
+		return nil, ErrTorn
+	}
+	return e, nil
+}
+
+// note says that a record is the one of an entry from now on; those of later entries count no more.
+func (l *Log) note(entry, record uint64) {
+	for i := entry + 1; i <= l.last; i++ {
+		delete(l.at, i)
+	}
+	l.at[entry], l.last = record, entry
 }
 
 // Save implements Store.
@@ -180,28 +205,22 @@
 	if len(entries) == 0 {
 		return nil
 	}
-	last, err := l.wal.LastIndex()
-	if err != nil {
-		return err
-	}
-	if at := entries[0].GetIndex(); last != 0 && at <= last { // what another leader had and was not agreed on
-		first, err := l.wal.FirstIndex()
-		if err != nil {
-			return err
-		}
-		if err := l.wal.DeleteRange(max(at, first), last); err != nil {
-			return err
-		}
-	}
 	batch := make([]*hraft.Log, len(entries))
 	for i, e := range entries {
 		raw, err := proto.Marshal(e)
 		if err != nil {
 			return err
 		}
-		batch[i] = &hraft.Log{Index: e.GetIndex(), Term: e.GetTerm(), Data: sealed(raw)}
+		batch[i] = &hraft.Log{Index: l.next + uint64(i), Term: e.GetTerm(), Data: sealed(raw)}
+	}
+	if err := l.wal.StoreLogs(batch); err != nil {
+		return err
 	}
-	return l.wal.StoreLogs(batch)
+	for _, e := range entries {
+		l.note(e.GetIndex(), l.next)
+		l.next++
+	}
+	return nil
 }
 
 // SaveSnapshot implements Store. Danger: entries go only once the snapshot is there whole.
@@ -222,20 +241,28 @@
 	return err
 }
 
-// forget lets entries go up to one, or all of them where a leader's snapshot takes their place.
+// forget lets entries go up to one, or all of them where a leader's snapshot takes their place: all records before the first
+// that still counts.
 func (l *Log) forget(keep uint64, all bool) error {
 	first, err := l.wal.FirstIndex()
 	if err != nil {
 		return err
 	}
-	last, err := l.wal.LastIndex()
-	if err != nil || last == 0 || first > keep && !all {
-		return err
+	until := l.next
+	for entry, record := range l.at {
+		if all || entry <= keep {
+			delete(l.at, entry)
+		} else {
+			until = min(until, record)
+		}
 	}
 	if all {
-		keep = last
+		l.last = 0
+	}
+	if first == 0 || until <= first {
+		return nil
 	}
-	return l.wal.DeleteRange(first, min(keep, last))
+	return l.wal.DeleteRange(first, until-1)
 }
 
 // Close ends it.
--- a/internal/cluster/owner/core.go
+++ b/internal/cluster/owner/core.go
@@ -29,7 +29,6 @@
 // Member is another that may own duties.
 type Member struct {
 	Name string
-	Zone string
 	Load float64 // part of what it can do, as it says
 }
 
@@ -77,7 +76,6 @@
 // Core is one member's view of duties.
 type Core struct {
 	self    string
-	zone    string
 	epoch   uint64
 	t       Terms
 	d       Does
@@ -92,8 +90,8 @@
 }
 
 // NewCore makes one for a run of a member.
-func NewCore(self, zone string, t Terms, seed uint64, d Does) *Core {
-	return &Core{self: self, zone: zone, t: t, d: d, chance: rand.New(rand.NewPCG(seed, 0x44)), duties: map[string]*duty{}, Fenced: true}
+func NewCore(self string, t Terms, seed uint64, d Does) *Core {
+	return &Core{self: self, t: t, d: d, chance: rand.New(rand.NewPCG(seed, 0x44)), duties: map[string]*duty{}, Fenced: true}
 }
 
 // Want adds a duty that this member would do.
@@ -250,7 +248,7 @@
 			continue
 		}
 		wait := int64(c.rank(name)) * int64(c.t.Step)
-		if now-x.free >= wait && now-x.asked >= int64(c.t.Renew) {
+		if now-x.free >= wait && (x.asked == 0 || now-x.asked >= int64(c.t.Renew)) {
 			x.asked = now
 			c.d.Take(name)
 		}
@@ -262,37 +260,53 @@
 // draw alike.
 func (c *Core) rank(name string) (n int) {
 	own := c.counts()
-	mine := c.place(name, c.self, own[c.self], c.zone, c.load(c.self))
+	mine := c.place(name, c.self, own[c.self], c.load(c.self))
 	for _, m := range c.members {
-		if m.Name != c.self && less(c.place(name, m.Name, own[m.Name], m.Zone, m.Load), mine) {
+		if m.Name != c.self && less(c.place(name, m.Name, own[m.Name], m.Load), mine) {
 			n++
 		}
 	}
 	return n
 }
 
-// place orders members for a duty: who owns fewer first, then who is less loaded by far, then by chance that is the same
-// at all of them.
+// place orders members for a duty: who owns more than an even part comes last, then who is loaded, then by chance that is
+// the same at all of them. Danger: by counts alone whoever looks first would take all.
 type place struct {
-	owned int
-	busy  int
-	draw  uint64
+	over, busy int
+	draw       uint64
 }
 
 func less(a, b place) bool {
-	return cmp.Or(cmp.Compare(a.owned, b.owned), cmp.Compare(a.busy, b.busy), cmp.Compare(a.draw, b.draw)) < 0
+	return cmp.Or(cmp.Compare(a.over, b.over), cmp.Compare(a.busy, b.busy), cmp.Compare(a.draw, b.draw)) < 0
 }
 
-func (c *Core) place(duty, name string, owned int, _ string, load float64) place {
+const loaded = 0.8 // part of what a member can do, from which it comes after others
+
+func (c *Core) place(duty, name string, owned int, load float64) place {
 	h := fnv.New64a()
 	io.WriteString(h, duty)
 	io.WriteString(h, "\x00")
 	io.WriteString(h, name)
-	busy := 0
-	if load > 0.8 {
-		busy = 1
+	p := place{draw: mix(h.Sum64()), over: max(0, owned-c.even()*5/4-1)} // chance alone deals some more than others
+	if load > loaded {
+		p.busy = 1
 	}
-	return place{owned, busy, h.Sum64()}
+	return p
+}
+
+// mix spreads what differs in the last letters alone over all bits.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+// even is an even part of all duties.
+func (c *Core) even() int {
+	n := len(c.members)
+	return (len(c.names) + max(n, 1) - 1) / max(n, 1)
 }
 
 func (c *Core) load(name string) float64 {
@@ -323,7 +337,7 @@
 		if m.Name == c.self {
 			continue
 		}
-		if p := c.place(name, m.Name, own[m.Name], m.Zone, m.Load); who == "" || less(p, best) {
+		if p := c.place(name, m.Name, own[m.Name], m.Load); who == "" || less(p, best) {
 			best, who = p, m.Name
 		}
 	}
@@ -332,7 +346,7 @@
 
 // balance gives one duty away where another owns two fewer or less, now and then: so they spread, and don't swing.
 func (c *Core) balance(now int64, owned int) {
-	if owned < 2 || now-c.given < int64(c.t.Balance) {
+	if owned <= c.even() || now-c.given < int64(c.t.Balance) {
 		return
 	}
 	own := c.counts()
--- a/internal/cluster/owner/owners.go
+++ b/internal/cluster/owner/owners.go
@@ -31,13 +31,13 @@
 
 // Options say how a member takes part in duties.
 type Options struct {
-	Self, Zone string
-	Terms      Terms
-	Seed       uint64
-	Keepers    Keepers
-	Members    func() (all []Member, willing bool)
-	Fenced     bool
-	Log        *slog.Logger
+	Self    string
+	Terms   Terms
+	Seed    uint64
+	Keepers Keepers
+	Members func() (all []Member, willing bool)
+	Fenced  bool
+	Log     *slog.Logger
 }
 
 // Owners runs the core of one member.
@@ -62,7 +62,7 @@
 func Begin(o Options) *Owners {
 	w := &Owners{o: o, start: time.Now(), work: map[string]Work{}, kick: make(chan struct{}, 1)}
 	w.ctx, w.end = context.WithCancel(context.Background())
-	w.core = NewCore(o.Self, o.Zone, o.Terms, o.Seed, (*does)(w))
+	w.core = NewCore(o.Self, o.Terms, o.Seed, (*does)(w))
 	w.core.Fenced, w.Fence.Open = o.Fenced, !o.Fenced
 	w.all.Go(w.run)
 	return w
--- a/internal/cluster/shared/core.go
+++ b/internal/cluster/shared/core.go
@@ -125,6 +125,9 @@
 		c.Older++
 		return nil, false, false
 	}
+	if w.Token > c.token { // danger: an owner that was replaced and hasn't noticed would pass on its own under the newer token
+		c.owner = false
+	}
 	if w.Token > c.token || !fenced && w.Token != c.token {
 		c.token, c.version, c.missing = w.Token, 0, true
 		c.steady = now
--- a/internal/lab/judge/judge.go
+++ b/internal/lab/judge/judge.go
@@ -153,7 +153,7 @@
 		}
 		for _, a := range arrived[t.ID] {
 			if a.At > end+margin {
-				j.breach(1, "%s was sent to %s %.0f ms after its answer", t.ID, j.e.Upstreams[a.Upstream].Name, float64(a.At-end)/float64(ms))
+				j.breach(1, "%s was sent to %s at %s, %.0f ms after its answer by balancer %d", t.ID, j.e.Upstreams[a.Upstream].Name, at(a.At), float64(a.At-end)/float64(ms), t.Balancer+1)
 			}
 		}
 	}
