--- a/internal/cluster/keep/keeper_test.go
+++ b/internal/cluster/keep/keeper_test.go
@@ -7,7 +7,10 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -184,3 +187,62 @@
 	fmt.Println(l.Owner(), l.Keeper())
 	// Output: 2.94s 3.06s
 }
+
+// BenchmarkCommands: commands a second and their time at 1, 3 and 5 keepers, by so many that ask at once, beside the bare sync
+// of that disk. Run with -benchtime 2s.
+func BenchmarkCommands(b *testing.B) {
+	b.Run("sync", func(b *testing.B) {
+		f, err := os.Create(filepath.Join(b.TempDir(), "f"))
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer f.Close()
+		for b.Loop() {
+			f.Write(make([]byte, 200))
+			f.Sync()
+		}
+	})
+	for _, n := range []int{1, 3, 5} {
+		for _, asking := range []int{1, 64} {
+			b.Run(fmt.Sprintf("keepers=%d/asking=%d", n, asking), func(b *testing.B) {
+				voters := []string{"a", "b", "c", "d", "e"}[:n]
+				m := hosts(b, voters, append([]string{"x"}, voters...)...)
+				for _, v := range voters {
+					m[v].begin(b)
+				}
+				for _, h := range m {
+					h.l.Serve()
+				}
+				c := m["x"].c
+				if _, err := c.Open(in(b, 10*time.Second), 1, 1); err != nil {
+					b.Fatal(err)
+				}
+				took := make([]time.Duration, b.N)
+				var next atomic.Int64
+				var all sync.WaitGroup
+				b.ResetTimer()
+				for range asking {
+					all.Go(func() {
+						for i := next.Add(1) - 1; i < int64(b.N); i = next.Add(1) - 1 {
+							start := time.Now()
+							if _, err := c.Do(in(b, 5*time.Second), Command{Kind: Take, Duty: "d"}); err != nil {
+								b.Error(err)
+								return
+							}
+							took[i] = time.Since(start)
+						}
+					})
+				}
+				all.Wait()
+				b.StopTimer()
+				slices.Sort(took)
+				b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "commands/s")
+				b.ReportMetric(float64(took[len(took)/2].Microseconds()), "p50-us")
+				b.ReportMetric(float64(took[len(took)*99/100].Microseconds()), "p99-us")
+				for _, v := range voters {
+					m[v].k.Close()
+				}
+			})
+		}
+	}
+}
