--- a/cmd/ottershift/cluster.go
+++ b/cmd/ottershift/cluster.go
@@ -96,7 +96,7 @@
 				return err
 			}
 			out := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', 0)
-			fmt.Fprintln(out, "KEEPER\tROLE\tLEADER\tTERM\tCOMMIT\tAPPLIED\tSNAPSHOT\tAGE\tSEATS\tFAULT")
+			fmt.Fprintln(out, "KEEPER\tGROUP\tROLE\tLEADER\tTERM\tCOMMIT\tAPPLIED\tSNAPSHOT\tAGE\tSEATS\tFAULT")
 			well := 0
 			for _, line := range lines {
 				var k cluster.Keeper
@@ -114,7 +114,7 @@
 				if k.Fault == "" {
 					well++
 				}
-				fmt.Fprintf(out, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%dms\t%s\t%s\n", k.Name, dash(k.Role), dash(k.Leader), k.Term, k.Commit, k.Applied, k.Snapshot, k.Age,
+				fmt.Fprintf(out, "%s\t%d\t%s\t%s\t%d\t%d\t%d\t%d\t%dms\t%s\t%s\n", k.Name, k.Group, dash(k.Role), dash(k.Leader), k.Term, k.Commit, k.Applied, k.Snapshot, k.Age,
 					dash(strings.Join(seats, " ")), k.Fault)
 				for _, lost := range k.Lost {
 					fmt.Fprintf(out, "\t%s\n", lost)
--- a/internal/cluster/agreed.go
+++ b/internal/cluster/agreed.go
@@ -34,14 +34,15 @@
 
 // agreed is this process's part in what is agreed: a keeper where it is a voter, its session, and the duties it may own.
 type agreed struct {
-	c      *Cluster
-	keeper *keep.Keeper // nil where it is none
-	client *keep.Client
-	owners *owner.Owners
-	ctx    context.Context
-	end    context.CancelFunc
-	all    sync.WaitGroup
-	kick   chan struct{}
+	c       *Cluster
+	keepers []*keep.Keeper // of each group; none where it is no keeper
+	clients []*keep.Client // of each group
+	client  *keep.Client   // of the first, which holds sessions and duties
+	owners  *owner.Owners
+	ctx     context.Context
+	end     context.CancelFunc
+	all     sync.WaitGroup
+	kick    chan struct{}
 
 	mu      sync.Mutex
 	lists   map[string]*shared.List // by pool
@@ -60,18 +61,21 @@
 	if l := c.o.Lab; l != nil {
 		fenced, once = !l.without("fence"), !l.without("once")
 	}
-	if slices.Contains(s.Voters, s.Self) {
-		dir := keep.Group(s.Directory, 0)
-		var err error
-		a.keeper, err = keep.NewKeeper(keep.Options{
-			Cluster: s.Name, Name: s.Self, Voters: s.Voters, Dir: dir, FS: c.directory(dir), Way: local{c.link, s.Self}, Election: s.Election,
-			Lease: keep.Lease{For: s.Lease, Drift: s.Drift}, Guards: keep.Guards{Fence: fenced, Once: once}, Log: c.o.Log,
-		})
-		if err != nil {
-			return nil, fmt.Errorf("cluster: keeper: %w", err)
+	for n := range s.Groups {
+		if slices.Contains(s.Voters, s.Self) {
+			dir := keep.Group(s.Directory, n)
+			k, err := keep.NewKeeper(keep.Options{
+				Cluster: s.Name, Name: s.Self, Voters: s.Voters, Group: n, Dir: dir, FS: c.directory(dir), Way: local{c.link, s.Self}, Election: s.Election,
+				Lease: keep.Lease{For: s.Lease, Drift: s.Drift}, Guards: keep.Guards{Fence: fenced, Once: once}, Log: c.o.Log,
+			})
+			if err != nil {
+				return nil, fmt.Errorf("cluster: keeper: %w", err)
+			}
+			a.keepers = append(a.keepers, k)
 		}
+		a.clients = append(a.clients, keep.NewClient(local{c.link, s.Self}, s.Self, s.Voters, n))
 	}
-	a.client = keep.NewClient(local{c.link, s.Self}, s.Self, s.Voters, 0)
+	a.client = a.clients[0]
 	c.link.Handle(methodWord, a.word)
 	c.link.Handle(methodWhole, a.whole)
 	return a, nil
@@ -80,8 +84,8 @@
 // begin runs it, once the link serves and the member is there.
 func (a *agreed) begin() {
 	s := a.c.o.Settings
-	if a.keeper != nil {
-		a.keeper.Begin()
+	for _, k := range a.keepers {
+		k.Begin()
 	}
 	fenced := a.c.o.Lab == nil || !a.c.o.Lab.without("fence")
 	lease := keep.Lease{For: s.Lease, Drift: s.Drift}.Owner()
@@ -102,8 +106,8 @@
 	end()
 	a.end()
 	a.all.Wait()
-	if a.keeper != nil {
-		a.keeper.Close()
+	for _, k := range a.keepers {
+		k.Close()
 	}
 }
 
--- a/internal/cluster/keep/client.go
+++ b/internal/cluster/keep/client.go
@@ -52,6 +52,8 @@
 	return &Client{way: way, self: self, voters: voters, group: group, out: map[uint64]bool{}}
 }
 
+func (c *Client) method(n uint16) uint16 { return n + perGroup*uint16(c.group) }
+
 // Open begins a session under an epoch. An epoch that is too low is told with the one that is known.
 func (c *Client) Open(ctx context.Context, epoch, run uint64) (known uint64, err error) {
 	a, err := c.send(ctx, &Command{Kind: Open, Member: c.self, Epoch: epoch, Run: run})
@@ -132,7 +134,7 @@
 			to = c.voters[n%len(c.voters)]
 		}
 		once, end := context.WithTimeout(ctx, tries)
-		raw, err := c.way.Call(once, to, method, body)
+		raw, err := c.way.Call(once, to, c.method(method), body)
 		end()
 		var r reply
 		if err == nil {
@@ -208,7 +210,7 @@
 
 // Status asks one keeper how it stands.
 func (c *Client) Status(ctx context.Context, name string) (s Status, err error) {
-	raw, err := c.way.Call(ctx, name, methodRead, pack.Pack(&Query{What: "status", Stale: true}))
+	raw, err := c.way.Call(ctx, name, c.method(methodRead), pack.Pack(&Query{What: "status", Stale: true}))
 	if err != nil {
 		return s, err
 	}
@@ -232,7 +234,7 @@
 			to = c.voters[n%len(c.voters)]
 		}
 		once, end := context.WithTimeout(ctx, 5*tries)
-		raw, err := c.way.Call(once, to, methodAdmin, pack.Pack(&o))
+		raw, err := c.way.Call(once, to, c.method(methodAdmin), pack.Pack(&o))
 		end()
 		var r reply
 		if err == nil {
--- a/internal/cluster/keep/keeper.go
+++ b/internal/cluster/keep/keeper.go
@@ -25,8 +25,10 @@
 	"ottershift/internal/cluster/pack"
 )
 
-// Methods of calls between members.
+// Methods of calls between members, each group's apart from the others'.
 const (
+	perGroup uint16 = 32 // numbers for each
+
 	methodHello   uint16 = 10
 	methodRaft    uint16 = 11
 	methodPropose uint16 = 12
@@ -150,7 +152,7 @@
 	for method, h := range map[uint16]link.Handler{
 		methodHello: k.hello, methodRaft: k.step, methodPropose: k.propose, methodRead: k.read, methodRenew: k.renew, methodAdmin: k.admin, methodChunk: k.chunk,
 	} {
-		o.Way.Handle(method, h)
+		o.Way.Handle(method+perGroup*uint16(o.Group), h)
 	}
 	return k, nil
 }
@@ -164,6 +166,8 @@
 	k.all.Wait()
 }
 
+func (k *Keeper) method(n uint16) uint16 { return n + perGroup*uint16(k.o.Group) }
+
 func (k *Keeper) now() int64 { return int64(time.Since(k.start)) }
 
 func (k *Keeper) others() (names []string) {
@@ -198,7 +202,7 @@
 	var all sync.WaitGroup
 	for _, name := range k.others() {
 		all.Go(func() {
-			raw, err := k.o.Way.Call(ctx, name, methodHello, h)
+			raw, err := k.o.Way.Call(ctx, name, k.method(methodHello), h)
 			var r Reply
 			if err != nil || pack.Unpack(raw, &r) != nil {
 				return
@@ -423,7 +427,7 @@
 		k.all.Go(func() { k.pieces(to, name, e) })
 		return
 	}
-	if k.o.Way.Post(name, methodRaft, pack.Pack(&e), k.o.Election) != nil {
+	if k.o.Way.Post(name, k.method(methodRaft), pack.Pack(&e), k.o.Election) != nil {
 		k.core.raft.ReportUnreachable(to)
 	}
 }
@@ -435,7 +439,7 @@
 	for e.At = 0; e.At < e.Total; e.At += chunk {
 		e.Raw = raw[e.At:min(e.At+chunk, e.Total)]
 		ctx, end := context.WithTimeout(k.ctx, chunkTakes)
-		_, err := k.o.Way.Call(ctx, name, methodChunk, pack.Pack(&e))
+		_, err := k.o.Way.Call(ctx, name, k.method(methodChunk), pack.Pack(&e))
 		end()
 		if err != nil {
 			status = raft.SnapshotFailure
--- a/internal/cluster/member/core_test.go
+++ b/internal/cluster/member/core_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"ottershift/internal/cluster/config"
+	"ottershift/internal/cluster/pack"
 )
 
 // process is one that may run in the world of a schedule.
@@ -395,3 +396,28 @@
 		}
 	}
 }
+
+// Members of two builds understand each other: what one doesn't know is passed over, what isn't there is empty, and nonsense
+// of any kind is refused without a panic.
+func TestWordsOfOtherBuilds(t *testing.T) {
+	later := pack.Pack(map[string]any{"n": "b1", "e": 7, "r": 9, "a": "127.0.0.1:1", "l": 1, "h": 3, "new": []string{"x"}, "more": map[string]int{"y": 1}})
+	r, err := unpackRecord(later)
+	if err != nil || r.Name != "b1" || r.Epoch != 7 || r.High != 3 || r.Zone != "" {
+		t.Errorf("a later build's record: %+v, %v", r, err)
+	}
+	var s wireStatus
+	if err := pack.Unpack(pack.Pack(map[string]any{"i": "b1/7.9", "c": 4, "later": 1.5}), &s); err != nil || s.Count != 4 || s.Offers != nil {
+		t.Errorf("a later build's status: %+v, %v", s, err)
+	}
+	chance := rand.New(rand.NewPCG(1, 1))
+	for range 20000 {
+		raw := append([]byte(nil), later...)
+		for range 1 + chance.IntN(4) {
+			raw[chance.IntN(len(raw))] = byte(chance.Uint32())
+		}
+		unpackRecord(raw[:chance.IntN(len(raw)+1)])
+	}
+	if c := NewCore(Record{ID: ID{"a", 1, 1}, Low: 1, High: 1}, schedule, Guards{true, true}, 1, 0, false, nil); c.Admit(0, Record{ID: ID{"b", 1, 1}, Low: 2, High: 3}) == nil {
+		t.Error("a build without a version in common is let in")
+	}
+}
--- a/internal/cluster/staff.go
+++ b/internal/cluster/staff.go
@@ -27,7 +27,8 @@
 
 // Keeper is how one keeper stands.
 type Keeper struct {
-	Name string `json:"name"`
+	Name  string `json:"name"`
+	Group int    `json:"group"`
 	keep.Status
 	Fault string `json:"fault,omitempty"`
 }
@@ -60,16 +61,18 @@
 	case "owners":
 		return say.Encode(c.owners())
 	case "status":
-		for _, v := range c.o.Settings.Voters {
-			once, stop := context.WithTimeout(ctx, time.Second)
-			s, err := a.client.Status(once, v)
-			stop()
-			k := Keeper{Name: v, Status: s}
-			if err != nil {
-				k.Fault = err.Error()
-			}
-			if err := say.Encode(k); err != nil {
-				return err
+		for n, client := range a.clients {
+			for _, v := range c.o.Settings.Voters {
+				once, stop := context.WithTimeout(ctx, time.Second)
+				s, err := client.Status(once, v)
+				stop()
+				k := Keeper{Name: v, Group: n, Status: s}
+				if err != nil {
+					k.Fault = err.Error()
+				}
+				if err := say.Encode(k); err != nil {
+					return err
+				}
 			}
 		}
 		return nil
@@ -77,8 +80,12 @@
 		if name == "" {
 			return fmt.Errorf("%s whom? write the keeper's name behind it", call)
 		}
-		_, err := a.client.Order(ctx, keep.Order{What: call, Name: name})
-		return err
+		for _, client := range a.clients { // in every group
+			if _, err := client.Order(ctx, keep.Order{What: call, Name: name}); err != nil {
+				return err
+			}
+		}
+		return nil
 	case "snapshot":
 		raw, err := a.client.Order(ctx, keep.Order{What: call})
 		if err != nil {
--- a/internal/lab/run/run.go
+++ b/internal/lab/run/run.go
@@ -431,6 +431,11 @@
 				ops.Call(s.seats[n].Ops, "JOIN", time.Second)
 			})
 		}
+	case f.Kind == "keeper-replace": // as staff would
+		for _, n := range f.Balancers {
+			text, _, err := ops.Call(s.seats[(n+1)%len(s.seats)].Ops, "CLUSTER replace "+spec.Name(n), 10*time.Second)
+			s.act("replace %s: %s %v", spec.Name(n), strings.TrimSpace(text), err)
+		}
 	case strings.HasPrefix(f.Kind, "disk-"):
 		for _, n := range f.Balancers {
 			all.Go(func() { s.directory(s.balancers[n], f.Kind, wait) })
--- a/internal/lab/spec/spec.go
+++ b/internal/lab/spec/spec.go
@@ -153,7 +153,7 @@
 	"hang", "fail", "slow", "cores", "die", "reset", "garbage", "half", "deaf", "drain", "deploy", "list-late", "list-lacks",
 	"list-down", "balancer-kill", "balancer-stop", "balancer-wipe", "balancer-old", "balancer-double", "balancer-leave",
 	"link-cut", "link-reset", "link-delay", "link-loss", "link-duplicate", "link-reorder", "link-stall", "link-trickle",
-	"disk-full", "disk-read-only", "disk-sync",
+	"disk-full", "disk-read-only", "disk-sync", "keeper-replace",
 }
 
 // Read takes an experiment, in its short form if asked for. All that is wrong with it comes at once.
@@ -529,7 +529,7 @@
 			}
 			if f.Link != nil {
 				g.Link = r.chosen(f.Link, chance)
-			} else if strings.HasPrefix(f.Kind, "balancer-") || strings.HasPrefix(f.Kind, "disk-") {
+			} else if strings.HasPrefix(f.Kind, "balancer-") || strings.HasPrefix(f.Kind, "disk-") || f.Kind == "keeper-replace" {
 				g.Balancers = r.balancers(u, balancers, share, chance.Perm(r.e.Balancers))
 			} else if !strings.HasPrefix(f.Kind, "list-") || f.Kind == "list-lacks" {
 				var all []int
--- a/internal/plan/cluster.go
+++ b/internal/plan/cluster.go
@@ -24,7 +24,7 @@
 		Join: t.Texts("join"), Voters: t.Texts("voters"), Zone: t.Text("zone", ""), Through: t.Map("through"),
 		Probe: t.Time("probe_every", config.Probe, 20*time.Millisecond), Rejoin: t.Time("rejoin_every", config.Rejoin, 100*time.Millisecond),
 		Election: t.Time("election", config.Election, 100*time.Millisecond), Lease: t.Time("lease", config.Lease, 300*time.Millisecond),
-		Drift: t.Number("drift", config.Drift, 0, 0.2), Groups: 1,
+		Drift: t.Number("drift", config.Drift, 0, 0.2), Groups: t.Whole("groups", 1, 1, 64),
 	}
 	r.p.Cluster = s
 	path := func(key string) string { return settings.Join(t.Path, key) }
--- a/internal/process/cluster.go
+++ b/internal/process/cluster.go
@@ -238,5 +238,6 @@
 	later("cluster.probe_every", a.Probe != b.Probe)
 	later("cluster.rejoin_every", a.Rejoin != b.Rejoin)
 	later("cluster.election", a.Election != b.Election)
+	later("cluster.groups", a.Groups != b.Groups)
 	later("cluster.lease", a.Lease != b.Lease || a.Drift != b.Drift)
 }
