Methods of calls may be answered anew while a link serves

Seen in the race detector: TestKeepers starts a keeper again on a link that serves (link.Handle beside serve). In service keepers begin before it serves.

--- a/internal/cluster/link/link.go
+++ b/internal/cluster/link/link.go
@@ -102,8 +102,18 @@
 	return l, nil
 }
 
-// Handle has calls of a method answered; before Serve.
-func (l *Link) Handle(method uint16, h Handler) { l.handlers[method] = h }
+// Handle has calls of a method answered from now on.
+func (l *Link) Handle(method uint16, h Handler) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.handlers[method] = h
+}
+
+func (l *Link) handler(method uint16) Handler {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.handlers[method]
+}
 
 // Serve begins to take what comes.
 func (l *Link) Serve() {
@@ -292,7 +302,7 @@
 	}
 	here := make(chan struct{}, MostOut)
 	l.read(c, func(f *Frame) {
-		h := l.handlers[f.Method]
+		h := l.handler(f.Method)
 		if f.Type == post && h != nil { // in the order in which they came; their handlers don't wait
 			l.Counts.Served.Add(1)
 			h(ctx, from, f.Body)
@@ -519,7 +529,7 @@
 
 // Here has one of this member's own handlers answer, without the wire.
 func (l *Link) Here(ctx context.Context, method uint16, body []byte) ([]byte, error) {
-	h := l.handlers[method]
+	h := l.handler(method)
 	if h == nil {
 		return nil, ErrRefused
 	}
