--- a/internal/lab/load/client.go
+++ b/internal/lab/load/client.go
@@ -76,11 +76,14 @@
 
 // Do sends a request and waits for its answer until some time. A kept connection that the balancer closed as the
 // request went out is no answer: the request goes out once more on a new one, as a client may between requests.
+//
+// Danger: where the balancer is gone then, nobody knows whether it had read the request. It counts as closed without an answer,
+// not as refused, which would be harmless to ask elsewhere.
 func (t *Target) Do(request []byte, until time.Time) (a Answer) {
-	for {
+	for first := true; ; first = false {
 		c, err := t.get(until)
 		if err != nil {
-			a.Refused = true
+			a.Refused = first
 			return a
 		}
 		again := false
