An owner that discovery tells nothing says nothing; recover, restore and slow members tested

Read again: the owner of a list whose own watch was broken went on saying that there is nothing new (shared.Core.Beat), so the others would have gone by a list that nobody kept.

--- a/internal/cluster/keep/keeper_test.go
+++ b/internal/cluster/keep/keeper_test.go
@@ -185,6 +185,92 @@
 	}
 }
 
+// The majority is lost with its disks: the one that is left goes on alone after recover, keeps what it held, gives no token twice,
+// and takes others in again. A snapshot is restored into a new directory, and only there.
+func TestRecoverAndRestore(t *testing.T) {
+	voters := []string{"a", "b", "c"}
+	m := hosts(t, voters, "a", "b", "c", "x")
+	for _, n := range voters {
+		m[n].begin(t)
+	}
+	for _, h := range m {
+		h.l.Serve()
+	}
+	x := m["x"].c
+	if _, err := x.Open(in(t, 5*time.Second), 1, 1); err != nil {
+		t.Fatal(err)
+	}
+	before, err := x.Do(in(t, time.Second), Command{Kind: Take, Duty: "list"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw, err := x.Order(in(t, time.Second), Order{What: "snapshot"})
+	if err != nil || len(raw) == 0 {
+		t.Fatal(err)
+	}
+	soon(t, "all have it", func() bool {
+		s, _ := m["a"].k.Stand()
+		return s.Applied >= before.Index
+	})
+	for _, n := range voters {
+		m[n].k.Close()
+	}
+	os.RemoveAll(m["b"].o.Dir)
+	os.RemoveAll(m["c"].o.Dir)
+	f, err := Look(m["a"].o.Dir, nil)
+	if err != nil || f.Name != "a" || f.Last < before.Index || len(f.Seats) != 3 || len(f.Loses()) == 0 {
+		t.Fatalf("%+v, %v", f, err)
+	}
+	if err := Recover(m["a"].o.Dir, f, "test"); err != nil {
+		t.Fatal(err)
+	}
+	for _, n := range voters {
+		m[n].begin(t)
+	}
+	y := NewClient(m["x"].l, "x", voters, 0)
+	if _, err := y.Open(in(t, 5*time.Second), 2, 2); err != nil {
+		t.Fatal(err)
+	}
+	after, err := y.Do(in(t, time.Second), Command{Kind: Take, Duty: "list"})
+	if err != nil || after.Code != OK || after.Token <= before.Token {
+		t.Errorf("after recover: %+v, %v", after, err)
+	}
+	for _, n := range []string{"b", "c"} {
+		soon(t, n+" is taken in", func() bool {
+			s, _ := m["a"].k.Stand()
+			if s.Changing {
+				return false
+			}
+			for _, seat := range s.Seats {
+				if seat.Name == n {
+					return true
+				}
+			}
+			y.Order(in(t, 300*time.Millisecond), Order{What: "replace", Name: n})
+			return false
+		})
+	}
+	if s, _ := m["a"].k.Stand(); len(s.Seats) != 3 || len(s.Lost) != 1 {
+		t.Errorf("it stands as %+v", s)
+	}
+	for _, n := range voters {
+		m[n].k.Close()
+	}
+	dir := filepath.Join(t.TempDir(), "new")
+	if err := Restore(dir, "a", raw, nil); err != nil {
+		t.Fatal(err)
+	}
+	if f, err := Look(dir, nil); err != nil || f.State.Duties["list"].Token <= before.Token || f.State.Sessions["x"] == nil {
+		t.Errorf("restored: %+v, %v", f, err)
+	}
+	if Restore(dir, "a", raw, nil) == nil {
+		t.Error("a snapshot was restored over a directory that is there")
+	}
+	if Restore(filepath.Join(dir, "worse"), "a", raw[:len(raw)/2], nil) == nil {
+		t.Error("half a snapshot was restored")
+	}
+}
+
 func ExampleLease() {
 	l := Lease{3 * time.Second, 0.02}
 	fmt.Println(l.Owner(), l.Keeper())
--- a/internal/cluster/member/virtual_test.go
+++ b/internal/cluster/member/virtual_test.go
@@ -248,6 +248,25 @@
 				}
 			}
 		}},
+		{"a member that is slow for half the suspicion time, and then for three times it", func(t *testing.T, w *web, all []*seat) {
+			slow := func(d time.Duration) { // as one that is stopped: nothing comes or goes
+				w.set(func() { w.cut = func(from, to string) bool { return from == address(2) || to == address(2) } })
+				time.Sleep(d)
+				w.set(func() { w.cut = func(_, _ string) bool { return false } })
+			}
+			suspicion := config.Suspicion * settings.Probe
+			for range 5 {
+				slow(suspicion / 2)
+				if h := all[0].holds(); len(h) != 5 {
+					t.Errorf("after half of it m0 holds %v", h)
+				}
+				time.Sleep(3 * time.Second)
+			}
+			slow(3 * suspicion)
+			if h := all[0].holds(); len(h) != 4 {
+				t.Errorf("after three times it m0 holds %v", h)
+			}
+		}},
 		{"flapping link", func(t *testing.T, w *web, all []*seat) {
 			start := time.Now()
 			w.set(func() {
--- a/internal/cluster/shared/core.go
+++ b/internal/cluster/shared/core.go
@@ -62,6 +62,7 @@
 	missing bool
 	list    map[string]Entry // whole, as the owner has it
 	whole   bool             // it has been told a whole list under this token
+	deaf    bool             // and discovery tells it nothing at present
 	Older   int64            // words that were dropped, of lower tokens and versions
 }
 
@@ -73,7 +74,7 @@
 // Owns says that this member asks for all from now on, under a token, or no longer.
 func (c *Core) Owns(now int64, token uint64, yes bool) {
 	if c.owner = yes; yes {
-		c.token, c.version, c.whole = max(c.token, token), 0, false
+		c.token, c.version, c.whole, c.deaf = max(c.token, token), 0, false, false
 		clear(c.list)
 		return
 	}
@@ -86,7 +87,7 @@
 	if !whole && !c.whole {
 		return w, false
 	}
-	if whole {
+	if c.deaf = false; whole {
 		clear(c.list)
 		c.whole = true
 	}
@@ -113,9 +114,13 @@
 	return w, c.owner && c.version > 0
 }
 
-// Beat is the word that there is nothing new; false before there is a list.
+// Untold says that discovery can't be had, or that following it has ended.
+func (c *Core) Untold() { c.deaf = true }
+
+// Beat is the word that there is nothing new; false before there is a list. Danger: an owner that is cut off from discovery
+// knows of nothing new because nobody tells it; the others have to ask for themselves.
 func (c *Core) Beat(pool string) (Word, bool) {
-	return Word{Pool: pool, Token: c.token, Version: c.version}, c.owner && c.version > 0
+	return Word{Pool: pool, Token: c.token, Version: c.version}, c.owner && c.version > 0 && !c.deaf
 }
 
 // Heard takes an owner's word that has passed the fence. It gives what the list is told; ask says that words are missing and
--- a/internal/cluster/shared/core_test.go
+++ b/internal/cluster/shared/core_test.go
@@ -234,3 +234,32 @@
 		t.Error("a missing fence is hardly ever found")
 	}
 }
+
+// An owner that discovery tells nothing says nothing either: the others ask for themselves, until it is told again.
+func TestDeafOwner(t *testing.T) {
+	w := &world{chance: rand.New(rand.NewPCG(1, 1)), truth: map[string]string{"u0": "serves"}, owner: -1, fenced: true}
+	for range 3 {
+		w.all = append(w.all, &follower{core: NewCore(Terms{int64(silence), int64(calm), int64(spread)}, 0.5, 0), list: map[string]string{}})
+	}
+	w.own(0)
+	run := func(d time.Duration) {
+		for end := w.now + int64(d); w.now < end; {
+			w.step(true)
+		}
+	}
+	run(time.Second)
+	if w.all[1].asks {
+		t.Error("it asks while the owner speaks")
+	}
+	w.all[0].core.Untold()
+	w.truth["u0"] = "drains" // the owner isn't told
+	run(time.Second)
+	if !w.all[1].asks || w.all[1].list["u0"] != "drains" || w.all[2].list["u0"] != "drains" {
+		t.Errorf("the owner is deaf, and another asks: %v, holds %v", w.all[1].asks, w.all[1].list)
+	}
+	w.told(0, w.entries("u0"), true)
+	run(5 * time.Second)
+	if w.all[1].asks || w.all[2].list["u0"] != "drains" {
+		t.Errorf("the owner is told again, and another asks: %v", w.all[1].asks)
+	}
+}
--- a/internal/cluster/shared/shared.go
+++ b/internal/cluster/shared/shared.go
@@ -174,7 +174,13 @@
 }
 
 // Unlisted and Follow implement lists.Sink.
-func (l *List) Unlisted()               { l.sink.Unlisted() }
+func (l *List) Unlisted() {
+	l.mu.Lock()
+	l.core.Untold()
+	l.mu.Unlock()
+	l.sink.Unlisted()
+}
+
 func (l *List) Follow() <-chan struct{} { return l.sink.Follow() }
 
 // pass sends a word to all who follow the pool. Danger: between the question and the sending the process may be held up; the
