--- a/internal/cluster/keep/core.go
+++ b/internal/cluster/keep/core.go
@@ -298,7 +298,7 @@
 		}
 	}
 	slices.SortFunc(cc.Changes, func(a, b *raftpb.ConfChangeSingle) int { return int(a.GetType()) - int(b.GetType()) })
-	cc.Context = pack.Pack(&Seat{ID: id, Name: x.Name, Disk: x.Disk, Runs: x.Runs})
+	cc.Context = pack.Pack(&Seat{ID: id, Name: x.Name, Disk: x.Disk})
 	c.propose(cc)
 }
 
--- a/internal/cluster/keep/former.go
+++ b/internal/cluster/keep/former.go
@@ -64,9 +64,7 @@
 func (f *Former) Agreed(seats map[uint64]*Seat) (changed bool) {
 	var all []Seat
 	for _, id := range slices.Sorted(maps.Keys(seats)) {
-		s := *seats[id]
-		s.Runs = 0
-		all = append(all, s)
+		all = append(all, *seats[id])
 	}
 	if slices.Equal(all, f.Own.Seats) {
 		return false
--- a/internal/cluster/keep/state.go
+++ b/internal/cluster/keep/state.go
@@ -18,7 +18,6 @@
 	Drop                   // its owner lets go
 	Give                   // its owner hands it to another
 	Expire                 // the leader ends a tenure that was not renewed
-	Boot                   // a keeper has started again
 	Custom                 // of another part
 )
 
@@ -86,7 +85,6 @@
 	ID      uint64 `codec:"i" json:"id"`
 	Name    string `codec:"n" json:"name"`
 	Disk    string `codec:"d" json:"disk"`
-	Runs    uint64 `codec:"r" json:"runs"`
 	Learner bool   `codec:"l,omitempty" json:"learner,omitempty"`
 }
 
@@ -244,16 +242,6 @@
 		}
 		d.Owner, d.Epoch, d.Index = "", 0, index
 		return Answer{Code: OK, Token: d.Token}
-	case Boot:
-		x := s.Seats[c.Number]
-		if x == nil || x.Disk != c.Other {
-			return Answer{Code: ErrNone}
-		}
-		if c.Run <= x.Runs {
-			return Answer{Code: ErrOver, Epoch: x.Runs}
-		}
-		x.Runs = c.Run
-		return Answer{Code: OK}
 	case Custom:
 		if p := s.parts[c.Part]; p != nil {
 			return p.Apply(index, c)
--- a/internal/cluster/owner/core.go
+++ b/internal/cluster/owner/core.go
@@ -4,11 +4,11 @@
 
 import (
 	"cmp"
-	"hash/fnv"
-	"io"
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Tenure is one owner's time with a duty. Whoever acts shows its token; whoever is acted on refuses a lower one than it
@@ -27,10 +27,7 @@
 }
 
 // Member is another that may own duties.
-type Member struct {
-	Name string
-	Load float64 // part of what it can do, as it says
-}
+type Member struct{ Name string }
 
 // Does are what the core wants done.
 type Does interface {
@@ -54,13 +51,6 @@
 	return Terms{Lease: lease, Renew: lease / 4, Step: lease / 10, Balance: 2 * lease}
 }
 
-// NoOwner is the bound on the time without an owner after one was lost: what is left of its lease as the keepers count it, with
-// the time until there is a leader, who gives every owner a whole lease anew; the time until others look; and the steps of
-// those who are asked first and don't answer.
-func NoOwner(keeper, election time.Duration, t Terms, members int) time.Duration {
-	return 2*election + keeper + t.Renew + time.Duration(members)*t.Step + election
-}
-
 type duty struct {
 	name   string
 	held   Held
@@ -260,47 +250,28 @@
 // draw alike.
 func (c *Core) rank(name string) (n int) {
 	own := c.counts()
-	mine := c.place(name, c.self, own[c.self], c.load(c.self))
+	mine := c.place(name, c.self, own[c.self])
 	for _, m := range c.members {
-		if m.Name != c.self && less(c.place(name, m.Name, own[m.Name], m.Load), mine) {
+		if m.Name != c.self && less(c.place(name, m.Name, own[m.Name]), mine) {
 			n++
 		}
 	}
 	return n
 }
 
-// place orders members for a duty: who owns more than an even part comes last, then who is loaded, then by chance that is
-// the same at all of them. Danger: by counts alone whoever looks first would take all.
+// place orders members for a duty: who owns more than an even part comes last, then by chance that is the same at all of them.
+// Danger: by counts alone whoever looks first would take all.
 type place struct {
-	over, busy int
-	draw       uint64
+	over int
+	draw uint64
 }
 
 func less(a, b place) bool {
-	return cmp.Or(cmp.Compare(a.over, b.over), cmp.Compare(a.busy, b.busy), cmp.Compare(a.draw, b.draw)) < 0
+	return cmp.Or(cmp.Compare(a.over, b.over), cmp.Compare(a.draw, b.draw)) < 0
 }
 
-const loaded = 0.8 // part of what a member can do, from which it comes after others
-
-func (c *Core) place(duty, name string, owned int, load float64) place {
-	h := fnv.New64a()
-	io.WriteString(h, duty)
-	io.WriteString(h, "\x00")
-	io.WriteString(h, name)
-	p := place{draw: mix(h.Sum64()), over: max(0, owned-c.even()*5/4-1)} // chance alone deals some more than others
-	if load > loaded {
-		p.busy = 1
-	}
-	return p
-}
-
-// mix spreads what differs in the last letters alone over all bits.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
+func (c *Core) place(duty, name string, owned int) place {
+	return place{draw: xxhash.Sum64String(duty + "\x00" + name), over: max(0, owned-c.even()*5/4-1)} // chance alone deals some more than others
 }
 
 // even is an even part of all duties.
@@ -309,15 +280,6 @@
 	return (len(c.names) + max(n, 1) - 1) / max(n, 1)
 }
 
-func (c *Core) load(name string) float64 {
-	for _, m := range c.members {
-		if m.Name == name {
-			return m.Load
-		}
-	}
-	return 0
-}
-
 // counts is how many duties each member owns.
 func (c *Core) counts() map[string]int {
 	n := map[string]int{}
@@ -337,7 +299,7 @@
 		if m.Name == c.self {
 			continue
 		}
-		if p := c.place(name, m.Name, own[m.Name], m.Load); who == "" || less(p, best) {
+		if p := c.place(name, m.Name, own[m.Name]); who == "" || less(p, best) {
 			best, who = p, m.Name
 		}
 	}
--- a/internal/lab/between/between.go
+++ b/internal/lab/between/between.go
@@ -5,7 +5,6 @@
 import (
 	"container/heap"
 	"errors"
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -508,6 +507,3 @@
 		}
 	}
 }
-
-// String names a direction.
-func (w *way) String() string { return fmt.Sprintf("b%d to b%d", w.from+1, w.to+1) }
--- a/internal/lab/spec/cluster.go
+++ b/internal/lab/spec/cluster.go
@@ -15,7 +15,6 @@
 type Cluster struct {
 	Zones    []string // of balancers, in turn
 	Voters   int      // the first so many are keepers
-	Directs  bool     // members reach one another without the lab's links; for measurements only
 	Settings *config.Settings
 
 	base map[string]any
