--- a/cmd/ottershift/check.go
+++ b/cmd/ottershift/check.go
@@ -34,6 +34,9 @@
 				for _, b := range s.Bounds(n) {
 					fmt.Fprintf(c.OutOrStdout(), "bound: %s\n", b)
 				}
+				for _, b := range p.Rates() {
+					fmt.Fprintf(c.OutOrStdout(), "bound: %s\n", b)
+				}
 			}
 			return nil
 		},
--- a/internal/cluster/agreed.go
+++ b/internal/cluster/agreed.go
@@ -67,6 +67,7 @@
 			k, err := keep.NewKeeper(keep.Options{
 				Cluster: s.Name, Name: s.Self, Voters: s.Voters, Group: n, Dir: dir, FS: c.directory(dir), Way: local{c.link, s.Self}, Election: s.Election,
 				Lease: keep.Lease{For: s.Lease, Drift: s.Drift}, Guards: keep.Guards{Fence: fenced, Once: once}, Log: c.o.Log,
+				Parts: c.parts(),
 			})
 			if err != nil {
 				return nil, fmt.Errorf("cluster: keeper: %w", err)
@@ -100,8 +101,10 @@
 func (a *agreed) stop() {
 	a.owners.Close() // duties are handed over before the session ends
 	ctx, end := context.WithTimeout(a.ctx, asks/4)
-	if epoch, ok := a.client.Session(); ok {
-		a.client.Do(ctx, keep.Command{Kind: keep.End, Other: a.c.o.Settings.Self, Number: epoch})
+	for _, client := range a.clients {
+		if epoch, ok := client.Session(); ok {
+			client.Do(ctx, keep.Command{Kind: keep.End, Other: a.c.o.Settings.Self, Number: epoch})
+		}
 	}
 	end()
 	a.end()
@@ -126,34 +129,10 @@
 
 // session keeps this run known to the keepers, by the epoch that it has among members.
 func (a *agreed) session() {
-	looked := time.Now()
+	looked := make([]time.Time, len(a.clients))
 	for {
-		self := a.c.gossip.Self()
-		epoch, ok := a.client.Session()
-		if over := a.c.gossip.Over(); !over && (!ok || epoch != self.Epoch) {
-			ctx, end := context.WithTimeout(a.ctx, asks)
-			known, err := a.client.Open(ctx, self.Epoch, self.Run)
-			end()
-			switch {
-			case err == nil:
-				a.c.o.Log.Info("cluster", "step", "session", "epoch", known)
-			case errors.Is(err, keep.ErrMemberOver) && known == self.Epoch:
-				// It was ended, as of a member that is gone: this process goes on as another run. What the old one held is not its own.
-				a.c.gossip.Renew(known)
-			case errors.Is(err, keep.ErrMemberOver):
-				a.c.gossip.Told(member.ID{Name: self.Name, Epoch: known, Run: 1<<64 - 1}, true)
-			}
-		} else if ok && time.Since(looked) > confirms {
-			looked = time.Now()
-			ctx, end := context.WithTimeout(a.ctx, asks)
-			if got, err := a.client.Read(ctx, false); err == nil {
-				for _, s := range got.Sessions {
-					if s.Member == self.Name && (s.Epoch > epoch || s.Epoch == epoch && !s.Open) {
-						a.client.Lost()
-					}
-				}
-			}
-			end()
+		for n, client := range a.clients {
+			a.look(n, client, &looked[n])
 		}
 		select {
 		case <-time.After(sessions):
@@ -163,6 +142,35 @@
 	}
 }
 
+// look opens a session in a group where there is none of this run, and now and then whether it stands.
+func (a *agreed) look(group int, client *keep.Client, looked *time.Time) {
+	self := a.c.gossip.Self()
+	epoch, ok := client.Session()
+	ctx, end := context.WithTimeout(a.ctx, asks)
+	defer end()
+	if over := a.c.gossip.Over(); !over && (!ok || epoch != self.Epoch) {
+		known, err := client.Open(ctx, self.Epoch, self.Run)
+		switch {
+		case err == nil:
+			a.c.o.Log.Info("cluster", "step", "session", "epoch", known, "group", group)
+		case errors.Is(err, keep.ErrMemberOver) && known == self.Epoch:
+			// It was ended, as of a member that is gone: this process goes on as another run. What the old one held is not its own.
+			a.c.gossip.Renew(known)
+		case errors.Is(err, keep.ErrMemberOver):
+			a.c.gossip.Told(member.ID{Name: self.Name, Epoch: known, Run: 1<<64 - 1}, true)
+		}
+	} else if ok && time.Since(*looked) > confirms {
+		*looked = time.Now()
+		if got, err := client.Read(ctx, false); err == nil {
+			for _, s := range got.Sessions {
+				if s.Member == self.Name && (s.Epoch > epoch || s.Epoch == epoch && !s.Open) {
+					client.Lost()
+				}
+			}
+		}
+	}
+}
+
 // members are who else may own duties: alive, not leaving.
 func (a *agreed) members() (all []owner.Member, willing bool) {
 	for _, m := range a.c.gossip.Alive() {
@@ -257,10 +265,33 @@
 				a.mu.Unlock()
 			}
 		}
+		if err == nil {
+			a.closeOthers(ctx, got.Sessions, token)
+		}
 		end()
 	}
 }
 
+// closeOthers ends in the other groups what has ended in the first, which holds the duty of it. They keep the highest token seen.
+func (a *agreed) closeOthers(ctx context.Context, first []keep.Session, token uint64) {
+	for _, client := range a.clients[1:] {
+		got, err := client.Read(ctx, false)
+		if err != nil {
+			continue
+		}
+		for _, s := range got.Sessions {
+			i := slices.IndexFunc(first, func(x keep.Session) bool { return x.Member == s.Member })
+			if !s.Open || i < 0 || first[i].Epoch < s.Epoch || first[i].Epoch == s.Epoch && first[i].Open {
+				continue
+			}
+			if now, may := a.owners.May(keep.Sessions); !may || now != token {
+				return
+			}
+			client.Do(ctx, keep.Command{Kind: keep.Close, Other: s.Member, Number: s.Epoch, Token: token})
+		}
+	}
+}
+
 // List is a pool's list by way of one member that asks for all; own makes the source that asks discovery.
 func (c *Cluster) List(pool string, sink lists.Sink, own func(lists.Sink) lists.Source) lists.Source {
 	if c.agreed == nil {
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -36,6 +36,7 @@
 	link   *link.Link
 	gossip *member.Gossip
 	agreed *agreed // nil without voters
+	claims *claims // nil without a ledger
 
 	end chan struct{}
 	all sync.WaitGroup
@@ -94,6 +95,10 @@
 	if c.agreed != nil {
 		c.agreed.begin()
 	}
+	if err := c.openClaims(); err != nil {
+		c.Close()
+		return nil, err
+	}
 	return c, nil
 }
 
@@ -104,6 +109,15 @@
 func (c *Cluster) Divert(s *config.Settings) {
 	c.link.Divert(s.Through)
 	c.gossip.Divert(s)
+	if x := c.claims; x != nil && s.Ledger != nil {
+		x.mu.Lock()
+		now := *s.Ledger
+		if was := x.told.Policy; was == "local" || now.Policy == "local" {
+			now.Policy = was // takes effect at the next start
+		}
+		x.told = &now
+		x.mu.Unlock()
+	}
 }
 
 // Leaving tells the others whether this process takes no new clients, by intent.
@@ -123,6 +137,9 @@
 func (c *Cluster) Close() {
 	close(c.end)
 	c.all.Wait()
+	if c.claims != nil {
+		c.claims.close()
+	}
 	if c.agreed != nil {
 		c.agreed.stop()
 	}
@@ -196,4 +213,7 @@
 	} {
 		fmt.Fprintf(to, "%s %d\n", f.name, f.v)
 	}
+	if c.claims != nil {
+		c.claims.figures(to)
+	}
 }
--- a/internal/cluster/config/config.go
+++ b/internal/cluster/config/config.go
@@ -23,8 +23,44 @@
 	Lease     time.Duration     // that an owner may act for after it asked
 	Drift     float64           // that two machines' clocks may differ by in their speed
 	Groups    int               // of keepers, each with a leader of its own
+	Ledger    *Ledger           // claims; nil for none
 }
 
+// Ledger is the [cluster.ledger] table.
+type Ledger struct {
+	Policy   string        // "majority", "local" (this machine's disk only) or "off"
+	Within   time.Duration // that a claim waits for the keepers
+	Lag      time.Duration // that an end waits for company
+	Keys     int           // remembered at most
+	OnceFor  time.Duration // that a once-only transaction is remembered for
+	Waits    bool          // a repeat waits for the first try's end; else it is deferred
+	SameBody bool          // a key stands for one body, another is refused
+}
+
+// Claims reports whether anything is claimed.
+func (l *Ledger) Claims() bool { return l != nil && l.Policy != "off" }
+
+// Kept is how long a claim is remembered: its window, after the last moment at which a push under it may have left, by a clock
+// that runs as much slower as clocks may.
+func (s *Settings) Kept(window, hardStop time.Duration) time.Duration {
+	return time.Duration(float64(window+hardStop) * (1 + s.Drift))
+}
+
+// Without is the bound on the time for which claims are deferred once the keepers' leader is lost and a majority of them is
+// reached: what is on its way fails, an election, and the next look at whether they are there.
+func (s *Settings) Without() time.Duration {
+	if s.Ledger == nil {
+		return 3 * s.Election
+	}
+	return 2*s.Ledger.Within + 3*s.Election + 100*time.Millisecond
+}
+
+// RecordBytes is the memory of one remembered key, and its place in a snapshot, as measured.
+const (
+	RecordBytes = 480
+	SavedBytes  = 190
+)
+
 // Defaults of what isn't said.
 const (
 	Probe  = 500 * time.Millisecond
@@ -108,9 +144,23 @@
 			fmt.Sprintf("the session of a member that died is ended within %s: the bound of a death and that of an owner", s.Closed(n).Round(time.Millisecond)),
 			fmt.Sprintf("%d of %d keepers may be lost", (len(s.Voters)-1)/2, len(s.Voters)))
 	}
+	if l := s.Ledger; l.Claims() {
+		all = append(all,
+			fmt.Sprintf("claims are deferred for %s at most after the keepers' leader is lost while a majority is reached: 2 x within + 3 x election + 100ms", s.Without()),
+			fmt.Sprintf("a claim that the keepers don't answer is deferred after %s: within; the next ones at once", l.Within),
+			fmt.Sprintf("an end is told within %s of its transaction's, or is unknown to others: lag + within", l.Lag+l.Within),
+			fmt.Sprintf("keys: %d, %d MB of memory and %d MB of a snapshot at each keeper: keys x %d and %d bytes", l.Keys, l.Keys*RecordBytes>>20, l.Keys*SavedBytes>>20,
+				RecordBytes, SavedBytes))
+	}
 	return all
 }
 
+// Rate is the bound on the claims a second of one kind that all balancers together may make for long, before what comes is
+// deferred: keys by the time that each is kept.
+func (s *Settings) Rate(window, hardStop time.Duration) float64 {
+	return float64(s.Ledger.Keys) / (s.Kept(window, hardStop) + time.Second).Seconds()
+}
+
 func (s *Settings) members(n int) []string {
 	return []string{
 		fmt.Sprintf("a death is known to all within %s: (min(2(n-1), %d) + 1) x %d x probe_every + %d x %d x max(1, log10 n) x probe_every + spread, with n = %d",
--- a/internal/cluster/keep/client.go
+++ b/internal/cluster/keep/client.go
@@ -187,6 +187,22 @@
 	return c.query(ctx, &Query{What: "part", Part: part, Body: body, Stale: stale})
 }
 
+// ReadPartAt asks a keeper for what its own copy holds, however old that is.
+func (c *Client) ReadPartAt(ctx context.Context, name string, part byte, body []byte) ([]byte, error) {
+	raw, err := c.way.Call(ctx, name, c.method(methodRead), pack.Pack(&Query{What: "part", Part: part, Body: body, Stale: true}))
+	if err != nil {
+		return nil, err
+	}
+	var r reply
+	if err := pack.Unpack(raw, &r); err != nil {
+		return nil, err
+	}
+	if r.Fault != "" {
+		return nil, errors.New(r.Fault)
+	}
+	return r.Body, nil
+}
+
 func (c *Client) query(ctx context.Context, q *Query) ([]byte, error) {
 	r, err := c.ask(ctx, methodRead, pack.Pack(q))
 	return r.Body, err
--- a/internal/cluster/keep/core.go
+++ b/internal/cluster/keep/core.go
@@ -89,7 +89,8 @@
 	changing bool
 	snapped  uint64 // index of the last snapshot
 	applied  uint64
-	seated   uint64 // entry of the last change of keepers
+	seated   uint64         // entry of the last change of keepers
+	told     map[byte]int64 // until when parts were told how time passes
 }
 
 // tenure is when a duty's owner was last known to be there, by the leader's clock.
@@ -113,7 +114,7 @@
 func NewCore(id, run uint64, d *Disk, s *State, l Lease, now int64) (*Core, error) {
 	c := &Core{
 		ID: id, State: s, mem: raft.NewMemoryStorage(), lease: l, numbers: run << 32, proposed: map[mark]*waiting{}, reads: map[string]*reading{},
-		renewed: map[string]tenure{}, heard: now,
+		renewed: map[string]tenure{}, heard: now, told: map[byte]int64{},
 	}
 	if d.Snapshot != nil {
 		if err := c.mem.ApplySnapshot(d.Snapshot); err != nil {
@@ -156,6 +157,25 @@
 func (c *Core) Tick(now int64) {
 	c.raft.Tick()
 	c.expire(now)
+	c.pass(now)
+}
+
+// pass tells parts how time passes, while this keeper leads and from when it did. Danger: time counted by two leaders would
+// run faster than it does, so each counts from the start of its lead; what nobody has counted is lost.
+func (c *Core) pass(now int64) {
+	if !c.leads {
+		return
+	}
+	for _, n := range slices.Sorted(maps.Keys(c.State.parts)) {
+		p, some := c.State.parts[n].(Clocked)
+		if !some {
+			continue
+		}
+		if body := p.Due(now - max(c.told[n], c.since)); body != nil {
+			c.told[n] = now
+			c.Propose(&Command{Kind: Custom, Part: n, Body: body}, func(Answer, error) {})
+		}
+	}
 }
 
 // Step takes another keeper's word. A removed keeper, or a stranger, is not listened to by whoever drives the core.
--- a/internal/cluster/keep/former.go
+++ b/internal/cluster/keep/former.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 )
 
 // Hello is what keepers tell one another before they vote, and again and again after.
@@ -14,6 +15,7 @@
 	Runs  uint64 `codec:"r"`           // starts of this disk, this one included
 	Nonce uint64 `codec:"o"`           // drawn at this start: an older copy counts its starts from where it was copied
 	Seats []Seat `codec:"s,omitempty"` // the group's first ones, once it has them
+	Parts string `codec:"p,omitempty"` // that its build knows
 }
 
 // Reply is what is said to it.
@@ -41,6 +43,7 @@
 	Runs  uint64 `codec:"r" json:"runs"`
 	Nonce uint64 `codec:"o" json:"nonce"`
 	New   bool   `codec:"n" json:"new"` // it had no group yet
+	Parts string `codec:"p,omitempty" json:"parts,omitempty"`
 }
 
 // older reports whether a start of a disk is not the newest that is known of it.
@@ -113,13 +116,13 @@
 		if of == nil {
 			r.Why = fmt.Sprintf("the group knows %s by another disk (%.8s, this is %.8s): its directory was lost or is another's; \"ottershift cluster replace %s\" makes it a keeper",
 				h.Name, newest.Disk, h.Disk, h.Name)
-			now := sighting{h.Disk, h.Runs, h.Nonce, true}
+			now := sighting{h.Disk, h.Runs, h.Nonce, true, h.Parts}
 			f.seen[h.Name+" "] = now // who asks to be let in
 			return r, false
 		}
 		r.Seat = of
 	} else if len(f.Own.Seats) > 0 {
-		f.seen[h.Name+" "] = sighting{h.Disk, h.Runs, h.Nonce, true}
+		f.seen[h.Name+" "] = sighting{h.Disk, h.Runs, h.Nonce, true, h.Parts}
 		r.Why = fmt.Sprintf("%s has no seat in the group; \"ottershift cluster replace %s\" makes it a keeper", h.Name, h.Name)
 		return r, false
 	}
@@ -128,11 +131,22 @@
 			h.Name, was.Runs, h.Runs, h.Name)
 		return r, false
 	}
-	now := sighting{h.Disk, h.Runs, h.Nonce, len(h.Seats) == 0}
+	now := sighting{h.Disk, h.Runs, h.Nonce, len(h.Seats) == 0, h.Parts}
 	f.seen[h.Name] = now
 	return r, now != was
 }
 
+// Knows reports whether all keepers run builds that know a part. Danger: one that doesn't would pass its entries over, and hold
+// another state once it knows them.
+func (f *Former) Knows(part byte) bool {
+	for _, name := range f.voters {
+		if parts := f.seen[name].Parts; name != f.Own.Name && strings.IndexByte(parts, part) < 0 {
+			return false
+		}
+	}
+	return strings.IndexByte(f.Own.Parts, part) >= 0
+}
+
 // Stranger is the disk of a name that asked to be let in, "" if none did.
 func (f *Former) Stranger(name string) string { return f.seen[name+" "].Disk }
 
@@ -159,7 +173,7 @@
 	}
 	f.ok[r.Name] = true
 	if was := f.seen[r.Name]; !was.older(r.Disk, r.Runs, r.Nonce) {
-		f.seen[r.Name] = sighting{r.Disk, r.Runs, r.Nonce, len(r.Seats) == 0}
+		f.seen[r.Name] = sighting{r.Disk, r.Runs, r.Nonce, len(r.Seats) == 0, r.Parts}
 	}
 	if r.Seat != nil && r.Seat.Disk == f.Own.Disk && (f.Seat == nil || f.Seat.ID != r.Seat.ID) {
 		own := *r.Seat
@@ -188,7 +202,7 @@
 	}
 	var seats []Seat
 	for i, name := range f.voters {
-		s := sighting{f.Own.Disk, f.Own.Runs, f.Own.Nonce, true}
+		s := sighting{f.Own.Disk, f.Own.Runs, f.Own.Nonce, true, f.Own.Parts}
 		if name != f.Own.Name {
 			if s = f.seen[name]; !f.ok[name] || !s.New {
 				return false
--- a/internal/cluster/keep/keeper.go
+++ b/internal/cluster/keep/keeper.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"os"
 	"slices"
 	"strings"
@@ -146,6 +147,7 @@
 		}
 	}
 	k.former = NewFormer(o.Group, o.Name, k.disk, k.runs, k.nonce, seat.Seat, seat.Seats, o.Voters, seen)
+	k.former.Own.Parts = string(slices.Sorted(maps.Keys(o.Parts)))
 	for method, h := range map[uint16]link.Handler{
 		methodHello: k.hello, methodRaft: k.step, methodPropose: k.propose, methodRead: k.read, methodRenew: k.renew, methodAdmin: k.admin, methodChunk: k.chunk,
 	} {
@@ -572,6 +574,10 @@
 		return nil, err
 	}
 	return k.outcome(ctx, func(core *Core, done func(reply)) {
+		if c.Kind == Custom && !k.former.Knows(c.Part) {
+			done(k.fault(fmt.Errorf("not all keepers run a build that knows part %d", c.Part)))
+			return
+		}
 		core.Propose(c, func(a Answer, err error) {
 			if err != nil {
 				done(k.fault(err))
--- a/internal/cluster/keep/state.go
+++ b/internal/cluster/keep/state.go
@@ -19,6 +19,7 @@
 	Give                   // its owner hands it to another
 	Expire                 // the leader ends a tenure that was not renewed
 	Custom                 // of another part
+	Close                  // the owner of Sessions ends a member's run in a group that holds no owners
 )
 
 // Sessions is the duty whose owner ends the runs of members that are gone.
@@ -97,6 +98,12 @@
 	Load(raw []byte) error
 }
 
+// Clocked is a part that is told how time passes: by its leader's monotonic clock, agreed on, and so never faster than time
+// does. Due is what is to be agreed on once so many nanoseconds have passed that nobody told of; nil for nothing yet.
+type Clocked interface {
+	Due(passed int64) []byte
+}
+
 // State is what is agreed.
 type State struct {
 	Index     uint64              `codec:"i"`
@@ -174,6 +181,11 @@
 	}
 	m := s.Sessions[c.Member]
 	if m == nil || m.Epoch != c.Epoch || !m.Open {
+		if !s.guards.Fence && c.Kind == Custom { // danger: a run that was ended, and whose claims were given up, goes on
+			a = s.do(index, c)
+			a.Index = index
+			return c, a
+		}
 		return c, Answer{Code: ErrOver, Index: index}
 	}
 	if before := m.Answers[c.Seq]; before != nil && s.guards.Once {
@@ -208,13 +220,18 @@
 		if d := s.Duties[Sessions]; s.guards.Fence && !own && (d == nil || d.Token != c.Token || d.Owner != c.Member) {
 			return s.fenced(d)
 		}
-		m := s.Sessions[c.Other]
-		if m == nil || m.Epoch != c.Number || !m.Open {
-			return Answer{Code: ErrNone}
+		return s.finish(index, c.Other, c.Number, own)
+	case Close:
+		d := s.Duties[Sessions]
+		if d == nil {
+			d = &Duty{Name: Sessions}
+			s.Duties[Sessions] = d
+		}
+		if d.Owner != "" || s.guards.Fence && c.Token < d.Token {
+			return s.fenced(d)
 		}
-		m.Open, m.Index, m.Answers = false, index, map[uint64][]byte{}
-		s.over(index, m.Member, m.Epoch, own)
-		return Answer{Code: OK}
+		d.Token = max(d.Token, c.Token) // the highest that was seen
+		return s.finish(index, c.Other, c.Number, false)
 	case Take:
 		d := s.Duties[c.Duty]
 		if d == nil {
@@ -266,6 +283,17 @@
 	return Answer{Code: OK, Epoch: c.Epoch}
 }
 
+// finish ends a run that is open.
+func (s *State) finish(index uint64, member string, epoch uint64, own bool) Answer {
+	m := s.Sessions[member]
+	if m == nil || m.Epoch != epoch || !m.Open {
+		return Answer{Code: ErrNone}
+	}
+	m.Open, m.Index, m.Answers = false, index, map[uint64][]byte{}
+	s.over(index, member, epoch, own)
+	return Answer{Code: OK}
+}
+
 // over lets go of what a run held. Danger: one that was ended by others may act on a duty until its lease is over; nobody else
 // has it before. It can't renew it any more.
 func (s *State) over(index uint64, member string, epoch uint64, own bool) {
--- a/internal/cluster/staff.go
+++ b/internal/cluster/staff.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"ottershift/internal/cluster/keep"
+	"ottershift/internal/cluster/ledger"
 	"ottershift/internal/cluster/owner"
 )
 
@@ -33,6 +34,48 @@
 	Fault string `json:"fault,omitempty"`
 }
 
+// staffLedger tells of the ledger: find JSON, verify, stand.
+func (c *Cluster) staffLedger(to io.Writer, words []string) error {
+	x := c.claims
+	if x == nil || len(words) == 0 {
+		return errors.New("this process keeps no ledger: its configuration has no [cluster.ledger]")
+	}
+	ctx, end := context.WithTimeout(x.ctx, ordered)
+	defer end()
+	say := json.NewEncoder(to)
+	switch strings.ToLower(words[0]) {
+	case "find":
+		var f struct {
+			ledger.Query
+			Most int
+		}
+		if len(words) < 2 || json.Unmarshal([]byte(strings.Join(words[1:], " ")), &f) != nil {
+			return errors.New("find what? write a query as JSON behind it")
+		}
+		f.What = "find"
+		for group := range x.groups {
+			if _, err := x.find(ctx, "", group, f.Query, f.Most, func(e ledger.Entry) error { return say.Encode(e) }); err != nil {
+				return err
+			}
+		}
+		return nil
+	case "verify":
+		return x.verify(ctx, func(v Verified) error { return say.Encode(v) })
+	case "stand":
+		for group := range x.groups {
+			p, err := x.ask(ctx, "", group, &ledger.Query{What: "stand"})
+			if err != nil {
+				return err
+			}
+			if err := say.Encode(map[string]any{"group": group, "keys": p.Keys, "open": p.Open, "results": p.Results}); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	return fmt.Errorf("no call %q of the ledger; there are find QUERY, verify, stand", words[0])
+}
+
 func (c *Cluster) owners() Owners {
 	a := c.agreed
 	o := Owners{Name: c.o.Settings.Self}
@@ -47,6 +90,9 @@
 // Staff does what staff asks: owners, status, replace NAME, transfer NAME, snapshot.
 func (c *Cluster) Staff(to io.Writer, words []string) error {
 	a := c.agreed
+	if strings.EqualFold(words[0], "ledger") {
+		return c.staffLedger(to, words[1:])
+	}
 	if a == nil {
 		return errors.New("this cluster has no keepers: its [cluster] names no voters")
 	}
@@ -94,5 +140,5 @@
 		_, err = fmt.Fprintln(to, base64.StdEncoding.EncodeToString(raw))
 		return err
 	}
-	return fmt.Errorf("no call %q; there are owners, status, replace NAME, transfer NAME, snapshot", words[0])
+	return fmt.Errorf("no call %q; there are owners, status, replace NAME, transfer NAME, snapshot, ledger", words[0])
 }
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -40,6 +40,8 @@
 	Number  int
 	Place   roster.Place
 	Until   time.Time
+	Zone    string // of its upstream, as is the cell
+	Cell    int
 
 	end   context.CancelCauseFunc
 	timer *time.Timer // which ends it at its time
@@ -74,9 +76,19 @@
 	Customer int
 	Left     time.Duration
 	Again    bool
-	Unwhole  bool // its last byte has yet to come, and what goes out of it can't be sent a second time
+	Unwhole  bool   // its last byte has yet to come, and what goes out of it can't be sent a second time
+	Waits    bool   // its pushes leave once Left says so
+	Bound    *Bound // where another try of it may have run, nil for nowhere
 }
 
+// Bound is a group of upstreams, as lists name it.
+type Bound struct {
+	Zone string
+	Cell int
+}
+
+const never = 1 << 62 // no clock gets there
+
 // Module decides: a Balancer, or what the lab sets in its place to compare it with.
 type Module interface {
 	roster.Module
@@ -236,6 +248,12 @@
 		d.tally.Arrived++
 		d.counts.Open.Add(1)
 		c.class = d.class(a)
+		if a.Waits {
+			c.t.Leaves = never
+		}
+		if a.Bound != nil {
+			c.t.Bound = &logic.Bound{Zone: d.roster.Zone(a.Bound.Zone), Cell: a.Bound.Cell}
+		}
 		// How much work it is by itself nobody tells, so no contract time is stretched by that.
 		d.b.Arrive(&c.t, a.Tariff, a.Customer, 0, int64(a.Left), a.Again, now)
 		if d.closed {
@@ -333,6 +351,33 @@
 	})
 }
 
+// Left says that a push of a transaction that waits has left.
+func (d *Desk) Left(c *Case, p *Push) {
+	d.tell(func(now int64) {
+		p.sent = now
+		if b, can := d.b.(interface {
+			Left(t *logic.Transaction, n int, now int64)
+		}); can {
+			b.Left(&c.t, p.Number, now)
+		}
+	})
+}
+
+// Recall takes back a transaction that has no answer, as if it had not come; nothing of it may be out, or leave any more.
+// It may come again.
+func (d *Desk) Recall(c *Case) (recalled bool) {
+	d.tell(func(int64) {
+		if recalled = !c.over; recalled {
+			c.over = true
+			d.tally.Arrived--
+			d.counts.Open.Add(-1)
+			delete(d.open, c)
+			d.b.Vanish(&c.t)
+		}
+	})
+	return recalled
+}
+
 // Turn counts a transaction that was deferred before the module knew of it.
 func (d *Desk) Turn(a Arrival) {
 	d.mu.Lock()
@@ -342,6 +387,14 @@
 	d.class(a).End(Deferred)
 }
 
+// Turned counts a transaction that was answered otherwise before the module knew of it.
+func (d *Desk) Turned(a Arrival, as figures.Ending) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.tally.Arrived++
+	d.class(a).End(as)
+}
+
 // Retune puts other terms in force, for what comes from now on; what is open keeps its own.
 func (d *Desk) Retune(book *terms.Book) (err error) {
 	ok := d.tell(func(now int64) {
@@ -493,6 +546,7 @@
 		Number: len(c.sent), Place: w.roster.Place(upstream), sent: w.now(),
 		Until: w.epoch.Add(time.Duration(until - w.epoch.UnixNano())),
 	}
+	p.Zone, p.Cell = w.roster.Group(upstream)
 	if t.Unwhole {
 		p.Until = time.Now().Add(mostUnwhole) // Whole sets it
 	}
--- a/internal/httpwire/gate.go
+++ b/internal/httpwire/gate.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync"
 	"syscall"
+	"time"
 )
 
 // gate is what all pushes of a transaction go out through, until its answer closes it or its client has gone.
@@ -15,6 +16,7 @@
 	client *net.TCPConn
 	mu     sync.Mutex
 	closed bool
+	ends   time.Time // nothing goes out from then on; zero for never
 }
 
 var errClosed = errors.New("the transaction is over")
@@ -24,7 +26,7 @@
 func (g *gate) pass(c net.Conn, b []byte) (int, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.closed = g.closed || left(g.client); g.closed {
+	if g.closed = g.closed || left(g.client) || !g.ends.IsZero() && time.Now().After(g.ends); g.closed {
 		return 0, errClosed
 	}
 	return c.Write(b)
@@ -54,6 +56,13 @@
 	return unread, ended || err != nil
 }
 
+// until closes it at a time. Danger: a process that was stopped writes before its timers fire.
+func (g *gate) until(ends time.Time) {
+	g.mu.Lock()
+	g.ends = ends
+	g.mu.Unlock()
+}
+
 func (g *gate) close() {
 	g.mu.Lock()
 	g.closed = true
--- a/internal/httpwire/push.go
+++ b/internal/httpwire/push.go
@@ -28,8 +28,16 @@
 func (once) Close() error { return nil }
 
 // push carries one push to its outcome.
-func (p *shard) push(c *desk.Case, o *desk.Push, q *transaction, out *gate, hand *inHand, into *reply) {
+func (p *shard) push(c *desk.Case, o *desk.Push, q *transaction, out *gate, hand *inHand, into *reply, guard *guard) {
 	result, flowed := logic.Broken, false // it may have run, unless it is known better
+	if !guard.leave(c, o) {
+		p.desk.Outcome(c, o, logic.Unsent)
+		return
+	}
+	if guard != nil {
+		out.until(o.Until)
+	}
+	defer func() { guard.ended(result) }()
 	defer func() {
 		if what := recover(); what != nil {
 			p.log.Error("panic", "where", "push", "fault", what, "stack", string(debug.Stack()))
--- a/internal/httpwire/serve.go
+++ b/internal/httpwire/serve.go
@@ -29,6 +29,7 @@
 	module   desk.Make
 	cores    int
 	board    atomic.Pointer[Board]
+	claims   atomic.Pointer[Claims] // nil where nothing is claimed
 	presence Presence
 	accepts  atomic.Bool  // a listener is served
 	flows    atomic.Int64 // answers that go on without the module
@@ -155,8 +156,24 @@
 		f.turn(w, p, q)
 		return
 	}
-	c = p.desk.Arrive(q.arrival())
 	defer q.rest.stop()
+	guard := f.guard(p, q)
+	defer guard.end()
+	for again := true; again; { // more than once only where a claim was refused
+		if !guard.open(r.Context(), f, w, q) {
+			out.close()
+			return
+		}
+		c = p.desk.Arrive(guard.arrival(q))
+		again = f.attend(w, r, p, q, c, out, hand, guard)
+	}
+}
+
+// attend is a transaction's life from its arrival at the desk to its answer; again says that it was taken back instead.
+func (f *Front) attend(
+	w http.ResponseWriter, r *http.Request, p *shard, q *transaction, c *desk.Case, out *gate, hand *inHand, guard *guard,
+) (again bool) {
+	client := clientOf(r.Context())
 	defer p.strike(c)
 	replies := map[int]*reply{} // by push
 	defer func() {
@@ -170,13 +187,15 @@
 		select {
 		case push := <-c.Pushes:
 			replies[push.Number] = &reply{}
-			go p.push(c, push, q, out, hand, replies[push.Number])
+			go p.push(c, push, q, out, hand, replies[push.Number], guard)
+		case <-guard.recalled():
+			return true
 		case err := <-q.rest.ended():
 			if err != nil { // its client sent no more
 				p.desk.Vanish(c)
 				out.close()
 				f.reject(w, bad("the body is cut, late or malformed"))
-				return
+				return false
 			}
 			f.sockets.awaits(client, false)
 			p.desk.Whole(c, q.left)
@@ -186,14 +205,14 @@
 				w.Header()["Connection"] = []string{"close"}
 			}
 			f.write(w, a, replies, r.Method)
-			return
+			return false
 		case <-r.Context().Done():
 			p.desk.Vanish(c)
 			out.close()
 			// Danger: a handler that ends without a word answers 200, and a client that has only stopped sending
 			// would take that for settled.
 			f.say(w, http.StatusBadGateway, "gone")
-			return
+			return false
 		}
 	}
 }
--- a/internal/lab/emulate/upstream.go
+++ b/internal/lab/emulate/upstream.go
@@ -265,7 +265,7 @@
 
 // meets draws which fault meets what comes now, "" for none.
 func (u *Upstream) meets() string {
-	for _, kind := range []string{"hang", "reset", "garbage", "half", "fail"} {
+	for _, kind := range []string{"hang", "reset", "garbage", "half", "fail", "full"} {
 		if share := u.trouble[kind]; share > 0 && (share >= 1 || u.chance.Float64() < share) {
 			return kind
 		}
@@ -306,11 +306,15 @@
 	place := len(u.arrived)
 	kind := u.meets()
 	var first, mine *effect
-	if kind == "" && tariff.Repeat == logic.Tagged {
+	if kind == "" && tariff.Repeat == logic.Tagged { // what is turned away leaves no mark
 		first, mine = u.fleet.tag(u, tariff, r.Header.Get("Idempotency-Key"), now)
 	}
 	j := &work.Job{Mark: v, Work: tariff.Work(u.fleet.e.Seed, root, u.Upstream.Name, place)}
+	if kind == "full" {
+		kind, a.Turned = "", true
+	}
 	switch {
+	case a.Turned:
 	case kind != "":
 		a.Ran = kind != "fail"
 	case first != nil:
--- a/internal/lab/judge/cluster.go
+++ b/internal/lab/judge/cluster.go
@@ -19,6 +19,7 @@
 	{"views", (*fleet).views},
 	{"deaths", (*fleet).deaths},
 	{"owners", (*fleet).owners},
+	{"ledger", (*fleet).ledger},
 }
 
 // slack is what the lab itself takes to see a change: two samples and the answer.
--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -105,9 +105,13 @@
 	k := l.e.Clients[c.Clients]
 	f := l.e.Tariffs[k.Tariff]
 	key := ""
-	if f.Repeat == logic.Tagged {
+	if f.Repeat == logic.Tagged || k.Keyed {
 		key = fmt.Sprintf("%016x", c.Root)
 	}
+	if k.After > 0 {
+		l.insist(ctx, c, k, key)
+		return
+	}
 	for try := 0; ctx.Err() == nil; try++ {
 		left := time.Duration(c.Due + k.Patience - l.now())
 		if left <= 0 {
@@ -119,7 +123,7 @@
 		again := a.Status == 503 || a.Status == 429 || a.Refused
 		// What failed may have run: only what may run again is asked for once more.
 		harmless := f.Repeat == logic.Repeatable || f.Repeat == logic.Tagged && f.Group == logic.Everywhere
-		again = again || harmless && (a.Closed || a.Status >= 500)
+		again = again || harmless && (a.Closed || a.Status >= 500) || k.Repeats && a.Status != 200
 		if !again || try >= k.Retries {
 			return
 		}
@@ -136,6 +140,64 @@
 	}
 }
 
+// insist is one piece of work of a client that doesn't wait for its first try to end: without an answer for some time it sends
+// its key to another balancer as well, and takes the first answer that settles it.
+func (l *Load) insist(ctx context.Context, c spec.Call, k *spec.Clients, key string) {
+	answers := make(chan Answer, k.Retries+1)
+	out, tries := 0, 0
+	send := func() {
+		left := time.Duration(c.Due + k.Patience - l.now())
+		if left <= 0 || tries > k.Retries {
+			return
+		}
+		again := tries > 0 && k.Marks
+		out++
+		tries++
+		go func() {
+			a, t := l.try(c.Clients, k.Pool, k.Tariff, k.Customer, key, c.Root, left, again, k.Body)
+			t.Due = c.Due
+			l.note(t)
+			answers <- a
+		}()
+	}
+	send()
+	next := time.NewTimer(time.Duration(k.After))
+	defer next.Stop()
+	settled := false
+	for out > 0 {
+		select {
+		case a := <-answers:
+			out--
+			if settled = settled || a.Status == 200; settled {
+				continue // what is out comes to its end
+			}
+			pause := time.Duration(k.Pause)
+			if k.Heeds && a.Advice > 0 {
+				pause = a.Advice
+			}
+			if out == 0 && tries <= k.Retries {
+				select {
+				case <-time.After(pause/2 + rand.N(pause+1)):
+				case <-ctx.Done():
+					return
+				}
+				send()
+				next.Reset(time.Duration(k.After))
+			}
+		case <-next.C:
+			if !settled {
+				send()
+				next.Reset(time.Duration(k.After))
+			}
+		case <-ctx.Done():
+			for ; out > 0; out-- {
+				<-answers
+			}
+			return
+		}
+	}
+}
+
 // Call is a transaction from an upstream to the next tier.
 func (l *Load) Call(ctx context.Context, from *spec.Group, root uint64, left time.Duration) bool {
 	k, key := len(l.e.Clients), ""
--- a/internal/lab/record/record.go
+++ b/internal/lab/record/record.go
@@ -67,7 +67,16 @@
 	Acts      []Act
 	Claims    []Claim
 	Asks      []Ask
-	Refused   int64 // acts of old owners, by what members count
+	Refused   int64   // acts of old owners, by what members count
+	Written   []Entry // what the ledger holds at the end
+	Read      int64   // when that was read; 0 if it couldn't be
+	Kept      bool    // members keep a ledger
+}
+
+// Entry is a line of the ledger.
+type Entry struct {
+	Tariff, Label, State string
+	May                  bool
 }
 
 // Claim is a process's word that it may act on a duty at some time, under a token.
--- a/internal/lab/run/cluster.go
+++ b/internal/lab/run/cluster.go
@@ -1,6 +1,7 @@
 package run
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -17,6 +18,7 @@
 	"time"
 
 	"ottershift/internal/cluster"
+	"ottershift/internal/cluster/ledger"
 	"ottershift/internal/cluster/member"
 	"ottershift/internal/cluster/shared"
 	"ottershift/internal/lab/between"
@@ -109,7 +111,7 @@
 		}
 	}
 	lab := cluster.Lab{Process: os.Getpid(), Disk: t.disk}
-	if guard, some := strings.CutPrefix(s.o.Variant, "without-"); some {
+	if guard, some := strings.CutPrefix(s.o.Variant, "without-"); some && guard != "ledger" {
 		lab.Without = []string{guard}
 	}
 	raw, err := json.Marshal(lab)
@@ -124,7 +126,50 @@
 	if t == nil {
 		return nil
 	}
-	return s.e.Clustered(n, t.Seat)
+	more := s.e.Clustered(n, t.Seat)
+	c := more["cluster"].(map[string]any)
+	switch s.o.Variant {
+	case "without-ledger":
+		delete(c, "ledger")
+	case "one-copy": // kept by one machine alone
+		c["voters"] = []string{spec.Name(0)}
+	}
+	return more
+}
+
+// keeps reports whether the members keep a ledger.
+func (s *stage) keeps() bool {
+	return s.clustered() && s.e.Cluster.Settings.Ledger.Claims() && s.o.Variant != "without-ledger"
+}
+
+const (
+	ledgerWithin = 8 * time.Second // for the ledger to be read once all is over
+	oneRead      = 3 * time.Second
+)
+
+// ledger reads what is written down at the end, from whichever member can tell.
+func (s *stage) ledger(ctx context.Context) (all []record.Entry, read int64) {
+	if !s.keeps() {
+		return nil, 0
+	}
+	for n, end := 0, time.Now().Add(ledgerWithin); time.Now().Before(end) && ctx.Err() == nil; n++ {
+		at := s.now()
+		text, ok, err := ops.Call(s.seats[n%len(s.seats)].Ops, "CLUSTER ledger find {}", oneRead)
+		if err != nil || !ok {
+			time.Sleep(50 * time.Millisecond)
+			continue
+		}
+		all = nil
+		in := json.NewDecoder(strings.NewReader(text))
+		for {
+			var e ledger.Entry
+			if in.Decode(&e) != nil {
+				return all, at
+			}
+			all = append(all, record.Entry{Tariff: e.Tariff, Label: e.Label, State: e.State, May: e.Mays})
+		}
+	}
+	return nil, 0
 }
 
 func (s *stage) seatOf(n int) *seat {
--- a/internal/lab/run/run.go
+++ b/internal/lab/run/run.go
@@ -41,7 +41,7 @@
 
 // arguments start a balancer of a variant.
 func arguments(variant, config string) []string {
-	if variant == "design" || variant == "no-copies" || variant == "no-cluster" || strings.HasPrefix(variant, "without-") {
+	if variant == "design" || variant == "no-copies" || variant == "no-cluster" || variant == "one-copy" || strings.HasPrefix(variant, "without-") {
 		return []string{"serve", "--config", config}
 	}
 	return []string{"lab", "balancer", "--policy", variant, "--config", config}
@@ -184,6 +184,7 @@
 		}
 	}
 	time.Sleep(100 * time.Millisecond) // what goes out after an answer is seen as well
+	written, read := s.ledger(ctx)
 	broken := ""
 	if cause := context.Cause(ctx); cause != nil {
 		broken = cause.Error()
@@ -196,7 +197,7 @@
 	s.mu.Lock()
 	r := &record.Run{
 		Told: s.lists.Told(), Outages: s.outages, Broken: broken, Processes: s.processes, Views: s.views, Links: s.troubles, Acts: s.acts,
-		Claims: s.claims, Asks: s.lists.Asks(),
+		Claims: s.claims, Asks: s.lists.Asks(), Written: written, Read: read, Kept: s.keeps(),
 	}
 	for _, n := range s.refused {
 		r.Refused += n
@@ -356,7 +357,7 @@
 		share = 1
 	}
 	switch f.Kind {
-	case "hang", "fail", "reset", "garbage", "half", "deaf":
+	case "hang", "fail", "full", "reset", "garbage", "half", "deaf":
 		some(func(u *emulate.Upstream) { u.Trouble(f.Kind, share) })
 		s.wait(ctx, end)
 		some(func(u *emulate.Upstream) { u.Trouble(f.Kind, 0) })
--- a/internal/lab/spec/spec.go
+++ b/internal/lab/spec/spec.go
@@ -97,6 +97,9 @@
 	Heeds    bool  // advice
 	Marks    bool  // its retries
 	Kept     bool  // connections
+	Keyed    bool  // writes an Idempotency-Key though its tariff isn't tagged
+	Repeats  bool  // asks again by its key whatever became of the try before
+	After    int64 // without an answer for so long it asks another balancer as well; 0 for never
 	Body     int   // bytes
 }
 
@@ -140,17 +143,18 @@
 const Owner = -1
 
 // Variants that there are; "without-GUARD" is the design without one of its guards.
-var Variants = []string{"design", "no-copies", "random", "round-robin", "least-in-flight", "two-choices", "no-cluster", "without-refutation", "without-epochs", "without-fence", "without-once"}
+var Variants = []string{"design", "no-copies", "random", "round-robin", "least-in-flight", "two-choices", "no-cluster", "without-refutation", "without-epochs", "without-fence", "without-once", "without-ledger", "one-copy"}
 
 // Figures that a verdict may name.
 var Figures = []string{
 	"service", "settled", "deferred", "failed", "lost", "attempts", "p50", "p99", "p999", "breaches", "rule1", "rule2",
 	"rule3", "rule4", "recover", "worst", "cluster", "death_seen", "death_bound", "views_back", "views_bound", "no_owner", "no_owner_bound", "asks", "watches", "refused",
+	"twice", "once_twice", "denied", "unheard", "outside", "repeats", "claims_back", "claims_bound",
 }
 
 // Kinds of fault.
 var kinds = []string{
-	"hang", "fail", "slow", "cores", "die", "reset", "garbage", "half", "deaf", "drain", "deploy", "list-late", "list-lacks",
+	"hang", "fail", "full", "slow", "cores", "die", "reset", "garbage", "half", "deaf", "drain", "deploy", "list-late", "list-lacks",
 	"list-down", "balancer-kill", "balancer-stop", "balancer-wipe", "balancer-old", "balancer-double", "balancer-leave",
 	"link-cut", "link-reset", "link-delay", "link-loss", "link-duplicate", "link-reorder", "link-stall", "link-trickle",
 	"disk-full", "disk-read-only", "disk-sync", "keeper-replace",
@@ -479,6 +483,10 @@
 			Patience: int64(u.Time("patience", 0, 0)), Retries: u.Whole("retries", 0, 0, 100),
 			Pause: int64(u.Time("pause", 100*time.Millisecond, 0)), Heeds: u.Flag("heeds_advice", true), Marks: u.Flag("marks_retries", true),
 			Kept: u.One("connections", "kept", "kept", "new") == "kept", Body: int(u.Size("body", 0, 0)),
+			Keyed: u.Flag("keyed", false), Repeats: u.Flag("repeats", false), After: int64(u.Time("again_after", 0, 0)),
+		}
+		if c.After > 0 && !c.Repeats {
+			r.Fault(settings.Join(u.Path, "again_after"), "asks a second time while the first is out, which is for clients that say repeats = true")
 		}
 		if c.Customer != "" && !slices.Contains(r.e.Customers, c.Customer) {
 			r.Fault(settings.Join(u.Path, "customer"), "%q is no customer", c.Customer)
--- a/internal/plan/cluster.go
+++ b/internal/plan/cluster.go
@@ -85,6 +85,7 @@
 			r.Remark(at, "no voter is called so: it counts once a member of that name is there")
 		}
 	}
+	r.ledger(t, s)
 	if s.Lease < 2*s.Election {
 		r.Remark(path("lease"), "%s is under two elections of %s: owners lose their duties whenever the keepers' leader changes", s.Lease, s.Election)
 	}
@@ -94,6 +95,36 @@
 	t.End()
 }
 
+// ledger reads [cluster.ledger].
+func (r *reader) ledger(t *settings.Table, s *config.Settings) {
+	u := t.Table("ledger")
+	if !t.Has("ledger") {
+		return
+	}
+	l := &config.Ledger{
+		Policy: u.One("policy", "majority", "majority", "local", "off"), Within: u.Time("within", 500*time.Millisecond, 10*time.Millisecond),
+		Lag: u.Time("lag", 20*time.Millisecond, 0), Keys: u.Whole("keys", 200_000, 100, 1_000_000),
+		OnceFor: u.Time("once_only_for", 10*time.Minute, time.Second), Waits: u.One("repeats", "wait", "wait", "defer") == "wait",
+		SameBody: u.Flag("same_body", false),
+	}
+	s.Ledger = l
+	switch l.Policy {
+	case "majority":
+		if len(s.Voters) == 0 {
+			r.Fault(u.Path, "claims are kept by keepers, and [cluster] names no voters; write voters = [\"%s\"] for a single machine", s.Self)
+		}
+		if len(s.Voters) == 1 && s.Voters[0] != s.Self {
+			r.Remark(u.Path, "there is one keeper: with its disk all claims are lost")
+		}
+	case "local":
+		if s.Directory == "" {
+			r.Fault(settings.Join(t.Path, "directory"), "is missing: policy = \"local\" keeps claims there")
+		}
+		r.Remark(settings.Join(u.Path, "policy"), "claims stay on this machine's disk: no other balancer knows them, and they are lost with it")
+	}
+	u.End()
+}
+
 // ours says what is wrong with an address to listen at: others must reach it, and it must be this machine's.
 func ours(address string) string {
 	if wrong := settings.Reachable(address); wrong != "" {
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -3,6 +3,8 @@
 package plan
 
 import (
+	"fmt"
+	"slices"
 	"time"
 
 	"ottershift/internal/cluster/config"
@@ -10,6 +12,7 @@
 	"ottershift/internal/roster"
 	"ottershift/internal/routes"
 	"ottershift/internal/terms"
+	"ottershift/logic"
 )
 
 // Plan is all that a process is told.
@@ -100,3 +103,27 @@
 		l.Refusals = refusals
 	}
 }
+
+// Rates are the bounds on what the ledger remembers, a line for each tariff that it is for.
+func (p *Plan) Rates() (lines []string) {
+	s := p.Cluster
+	if s == nil || !s.Ledger.Claims() {
+		return nil
+	}
+	for _, pool := range p.Pools {
+		for n, f := range pool.Book.Terms.Tariffs {
+			if f.Repeat == logic.Repeatable {
+				continue
+			}
+			window := time.Duration(f.Remembered)
+			if f.Repeat == logic.OnceOnly {
+				window = max(window, s.Ledger.OnceFor)
+			}
+			stop := time.Duration(f.HardStop)
+			lines = append(lines, fmt.Sprintf("pool %s, tariff %s: a key is remembered for %s, so %.0f a second for long if it were alone: keys / ((window + hard_stop) x (1 + drift) + 1s)",
+				pool.Name, pool.Book.Name(n), s.Kept(window, stop), s.Rate(window, stop)))
+		}
+	}
+	slices.Sort(lines)
+	return lines
+}
--- a/internal/process/cluster.go
+++ b/internal/process/cluster.go
@@ -253,5 +253,12 @@
 	later("cluster.rejoin_every", a.Rejoin != b.Rejoin)
 	later("cluster.election", a.Election != b.Election)
 	later("cluster.groups", a.Groups != b.Groups)
+	later("cluster.ledger", (a.Ledger == nil) != (b.Ledger == nil))
+	if a.Ledger != nil && b.Ledger != nil {
+		later("cluster.ledger.policy", a.Ledger.Policy != b.Ledger.Policy && (a.Ledger.Policy == "local" || b.Ledger.Policy == "local"))
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.claiming()
 	later("cluster.lease", a.Lease != b.Lease || a.Drift != b.Drift)
 }
--- /dev/null
+++ b/internal/process/ledger.go
@@ -0,0 +1,100 @@
+package process
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"time"
+
+	"ottershift/internal/cluster/config"
+	"ottershift/internal/cluster/ledger"
+	"ottershift/internal/desk"
+	"ottershift/internal/httpwire"
+	"ottershift/logic"
+)
+
+// claiming has what must not run twice claimed, as the settings in force say.
+func (s *Process) claiming() {
+	if s.fleet == nil {
+		return
+	}
+	if l := s.fleet.Ledger(); l != nil {
+		s.front.Claim(&claims{l, s.fleet.Settings()})
+	} else {
+		s.front.Claim(nil)
+	}
+}
+
+// claims put the front's words into the ledger's.
+type claims struct {
+	l *ledger.Ledger
+	s *config.Settings
+}
+
+// Begin implements httpwire.Claims.
+func (x *claims) Begin(q httpwire.Claimed) httpwire.Claim {
+	f := q.Kind
+	a := ledger.Ask{
+		Pool: q.Pool, Customer: q.Customer, Tariff: q.Tariff, Tag: q.Tag, ID: q.ID, Once: f.Repeat == logic.OnceOnly, Contract: time.Duration(f.ContractTime),
+		Body: q.Body, Again: q.Again, Binds: f.Repeat == logic.Tagged && f.Group != logic.Everywhere,
+	}
+	window := time.Duration(f.Remembered)
+	if a.Once {
+		window = max(window, x.s.Ledger.OnceFor)
+	}
+	a.Keep = x.s.Kept(window, time.Duration(f.HardStop))
+	return &held{x.l.Begin(a, q.Left), f}
+}
+
+// held is one transaction's claim.
+type held struct {
+	*ledger.Claim
+	f *logic.Tariff
+}
+
+// Open implements httpwire.Claim, as do the methods below.
+func (h *held) Open(ctx context.Context) (*desk.Bound, httpwire.Fate) {
+	w := h.Claim.Open(ctx)
+	switch w.Fate {
+	case ledger.Go:
+		if w.Bound {
+			return h.bound(w.Group), httpwire.Goes
+		}
+		return nil, httpwire.Goes
+	case ledger.Forfeit:
+		return nil, httpwire.Forfeits
+	case ledger.Refuse:
+		return nil, httpwire.Refuses
+	}
+	return nil, httpwire.Defers
+}
+
+// group names the upstreams that know a transaction's repeats, "" where that binds nothing.
+func (h *held) group(zone string, cell int) string {
+	switch {
+	case h.f.Repeat != logic.Tagged || h.f.Group == logic.Everywhere:
+		return ""
+	case h.f.Group == logic.SameZone:
+		return zone
+	}
+	return zone + "/" + strconv.Itoa(cell)
+}
+
+func (h *held) bound(group string) *desk.Bound {
+	if h.f.Group == logic.SameZone {
+		return &desk.Bound{Zone: group}
+	}
+	i := max(0, strings.LastIndexByte(group, '/'))
+	cell, _ := strconv.Atoi(group[min(i+1, len(group)):])
+	return &desk.Bound{Zone: group[:i], Cell: cell}
+}
+
+func (h *held) Take(ctx context.Context, zone string, cell int, moves bool) error {
+	return h.Claim.Take(ctx, h.group(zone, cell), moves)
+}
+
+func (h *held) End(how httpwire.End) {
+	h.Claim.End(map[httpwire.End]byte{
+		httpwire.NeverRan: ledger.EndNever, httpwire.Answered: ledger.EndAnswered, httpwire.MayHaveRun: ledger.EndUnknown,
+	}[how])
+}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -434,6 +434,7 @@
 		}
 	}
 	s.pools, s.listeners, s.plan = pools, wanted, p
+	s.claiming()
 	if s.fleet != nil {
 		s.fleet.changed()
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -184,6 +184,11 @@
 // Place is where the upstream behind an index is reached.
 func (r *Roster[Name]) Place(i int) Place { return r.place[i] }
 
+// Group is the zone and cell of the upstream behind an index, as the list names them.
+func (r *Roster[Name]) Group(i int) (zone string, cell int) {
+	return r.entry[i].Zone, r.entry[i].Up.Cell
+}
+
 // join gives an upstream an index; an index used before is taken from the one that had it.
 func (r *Roster[Name]) join(name Name) int {
 	i := r.b.Join()
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -53,6 +53,16 @@
 	}
 }
 
+// Name is a tariff's by its number.
+func (b *Book) Name(tariff int) string {
+	for name, n := range b.Tariffs {
+		if n == tariff {
+			return name
+		}
+	}
+	return ""
+}
+
 // Part is the book of one of several modules that share a balancer's work, as if each were a balancer. Danger: the module
 // keeps state in tariffs and customers, so each has its own.
 func (b *Book) Part(n, of int) *Book {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -118,9 +118,8 @@
 		u.Weight = b.unloaded(i, u)
 	}
 	b.moved = b.moved || !b.ready[i] || u.Weight != b.weight[i] || u.Zone != b.zone[i] || u.Number != b.number[i]
-	b.number[i] = u.Number
 	// A later start than the one listed may have been guessed from a return after refused connections.
-	b.ready[i], b.weight[i], b.zone[i], b.cell[i] = true, u.Weight, u.Zone, u.Cell
+	b.ready[i], b.weight[i], b.zone[i], b.cell[i], b.number[i] = true, u.Weight, u.Zone, u.Cell, u.Number
 	b.born[i] = max(b.born[i], u.Born)
 }
 
@@ -166,8 +165,7 @@
 	t.Under = cmp.Or(t.Under, b.terms)
 	f := t.Under.Tariffs[tariff]
 	b.came++
-	t.tariff, t.arrived, t.slot, t.anchor, t.again = f, now, -1, -1, again
-	t.stop = now + left
+	t.tariff, t.arrived, t.stop, t.slot, t.anchor, t.again = f, now, now+left, -1, -1, again
 	t.contract = min(now+f.ContractTime+int64(f.Stretch*float64(work)), t.stop)
 	t.load = 1 / float64(max(t.contract-now, 1))
 	if !again {
@@ -187,7 +185,7 @@
 	t.Unwhole, t.contract = false, now+min(left, t.contract-t.arrived)
 	t.arrived, t.stop = now, now+left
 	if t.out > 0 {
-		t.pushes[0].sent = now
+		t.pushes[0].sent = max(now, t.pushes[0].sent)
 		b.hold(t)
 	}
 	b.touch(t)
@@ -426,7 +424,7 @@
 
 func (b *Balancer) push(t *Transaction, i int, copied bool) {
 	b.hold(t)
-	p := Push{upstream: i, zone: b.zone[i], cell: b.cell[i], sent: b.now, out: true, copy: copied}
+	p := Push{upstream: i, at: Bound{b.zone[i], b.cell[i]}, sent: max(b.now, t.Leaves), out: true, copy: copied}
 	t.pushes = append(t.pushes, p)
 	t.out++
 	b.flying[i]++
@@ -465,11 +463,14 @@
 
 // within reports whether an upstream drops repeats of what has been sent already.
 func (b *Balancer) within(t *Transaction, i int) bool {
-	if t.anchor < 0 || t.tariff.Repeat != Tagged || t.tariff.Group == Everywhere {
+	bound := t.Bound
+	if t.anchor >= 0 {
+		bound = &t.pushes[t.anchor].at
+	}
+	if bound == nil || t.tariff.Repeat != Tagged || t.tariff.Group == Everywhere {
 		return true
 	}
-	bound := &t.pushes[t.anchor]
-	return b.zone[i] == bound.zone && (t.tariff.Group == SameZone || b.cell[i] == bound.cell)
+	return b.zone[i] == bound.Zone && (t.tariff.Group == SameZone || b.cell[i] == bound.Cell)
 }
 
 // next takes the next upstream by smooth weighted round robin, skipping those well above the mean.
@@ -485,8 +486,7 @@
 			}
 		}
 	}
-	best, spare := -1, -1
-	sum, least, most := 0.0, math.Inf(1), math.Inf(-1)
+	best, spare, sum, least, most := -1, -1, 0.0, math.Inf(1), math.Inf(-1)
 	for _, i := range b.own {
 		if b.aside[i] != 0 || t.tried(i) || !b.within(t, i) {
 			continue
--- a/logic/types.go
+++ b/logic/types.go
@@ -147,8 +147,7 @@
 // Push is one sending of a transaction to an upstream.
 type Push struct {
 	upstream int
-	zone     int // of the upstream when it was sent: its index may have a new owner since
-	cell     int
+	at       Bound // of the upstream when it was sent: its index may have a new owner since
 	sent     int64
 	result   Result
 	out      bool // no result yet
@@ -157,12 +156,17 @@
 	overdue  bool // late: evidence already counted
 }
 
+// Bound is where repeats of a tagged transaction are known, and so where they have to stay.
+type Bound struct{ Zone, Cell int }
+
 // Transaction is one piece of work for a client, owed exactly one final answer.
 type Transaction struct {
 	Mark    any    // the caller's own, never read here
 	Under   *Terms // those that it comes under; nil for those in force
 	Single  bool   // what goes out of it can't be sent a second time
 	Unwhole bool   // its last byte has yet to come, and its time to begin
+	Bound   *Bound // where another try of it may have run, at whatever balancer; nil for nowhere
+	Leaves  int64  // no push of it has left before this, or before Left tells so
 
 	tariff   *Tariff
 	customer *Customer
@@ -291,6 +295,13 @@
 // Known reports whether an index still belongs to a listed upstream.
 func (b *Balancer) Known(i int) bool { return b.known[i] }
 
+// Left says that a push has left; it had to wait for leave from elsewhere. Danger: counted from the order, that wait would be
+// held against the upstream.
+func (b *Balancer) Left(t *Transaction, n int, now int64) {
+	t.pushes[n].sent = now
+	b.touch(t)
+}
+
 // Cluster is how many upstreams are listed, and how many of them get nothing new now.
 func (b *Balancer) Cluster() (listed, avoided int) {
 	for i, known := range b.known {
--- a/logic/watch.go
+++ b/logic/watch.go
@@ -9,7 +9,7 @@
 	}
 	b.flying[p.upstream]--
 	b.flying[i]++
-	p.upstream, p.zone, p.cell = i, b.zone[i], b.cell[i]
+	p.upstream, p.at = i, Bound{b.zone[i], b.cell[i]}
 	b.news()
 }
 
