--- a/cmd/ottershift/ledger.go
+++ b/cmd/ottershift/ledger.go
@@ -78,7 +78,7 @@
 func (f *ledgerFrom) show(to io.Writer, q ledger.Query) (n int, err error) {
 	say, out := json.NewEncoder(to), tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
 	if !f.raw {
-		fmt.Fprintln(out, "KEY\tSTATE\tPOOL\tCUSTOMER\tTARIFF\tGROUP\tBALANCER\tREMEMBERED\tLEFT\tID\tAS WRITTEN")
+		fmt.Fprintln(out, "KEY\tSTATE\tPOOL\tCUSTOMER\tTARIFF\tGROUP\tSENT TO\tBALANCER\tREMEMBERED\tLEFT\tID\tAS WRITTEN")
 	}
 	err = f.find(q, func(e ledger.Entry) error {
 		n++
@@ -92,7 +92,7 @@
 		ms := func(n int64) string {
 			return (time.Duration(n) * time.Millisecond).Round(100 * time.Millisecond).String()
 		}
-		fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", e.Key, e.State, e.Pool, dash(e.Customer), e.Tariff, dash(e.Group), by, ms(e.For), ms(e.Left),
+		fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", e.Key, e.State, e.Pool, dash(e.Customer), e.Tariff, dash(e.Group), dash(e.Upstream), by, ms(e.For), ms(e.Left),
 			dash(e.ID), dash(e.Label))
 		return nil
 	})
@@ -156,6 +156,7 @@
 	f.StringVar(&q.Customer, "customer", "", "of this customer")
 	f.StringVar(&q.Tariff, "tariff", "", "of this tariff")
 	f.StringVar(&q.Group, "group", "", "bound to these upstreams: ZONE/CELL, or ZONE")
+	f.StringVar(&q.Upstream, "upstream", "", "sent to this upstream first; pushes after it went to the same group")
 	f.StringVar(&q.Member, "balancer", "", "in the hands of this balancer")
 	f.StringVar(&q.State, "state", "", "open, answered or unknown")
 	f.StringVar(&q.ID, "id", "", "with this X-Txn, of which the first 32 bytes count")
--- a/internal/cluster/config/config.go
+++ b/internal/cluster/config/config.go
@@ -57,8 +57,8 @@
 
 // RecordBytes is the memory of one remembered key, and its place in a snapshot, as measured.
 const (
-	RecordBytes = 320
-	SavedBytes  = 128
+	RecordBytes = 352
+	SavedBytes  = 144
 	SavedTakes  = 1500 * time.Nanosecond // to put one into a snapshot, for which a keeper answers nobody
 )
 
--- a/internal/cluster/ledger/book.go
+++ b/internal/cluster/ledger/book.go
@@ -57,6 +57,7 @@
 	Key      []byte `codec:"k"`
 	Number   uint64 `codec:"n"`
 	Group    string `codec:"g,omitempty"` // that the next push goes to, "" where that binds nothing
+	To       string `codec:"u,omitempty"` // upstream of that push; those after it go to the same group
 	Moves    bool   `codec:"m,omitempty"` // no push of it has run, so it may go to another group
 	Once     bool   `codec:"o,omitempty"`
 	Pool     string `codec:"p,omitempty"`
@@ -114,7 +115,7 @@
 	holder                       holder
 	since, until, keep           int64 // by the ledger's own time
 	body                         uint64
-	id, label                    string
+	id, label, to                string
 }
 
 // Guards are what variants leave out.
@@ -273,7 +274,7 @@
 	var d xxhash.Digest
 	d.Reset()
 	d.Write(r.key[:])
-	for _, text := range []string{b.names[r.pool], b.names[r.customer], b.names[r.tariff], b.names[r.group], b.names[r.holder.member], r.id, r.label} {
+	for _, text := range []string{b.names[r.pool], b.names[r.customer], b.names[r.tariff], b.names[r.group], b.names[r.holder.member], r.id, r.label, r.to} {
 		d.WriteString(text)
 		d.Write([]byte{0})
 	}
@@ -302,7 +303,7 @@
 		}
 		b.held[by] = r.key
 		first := r.empty()
-		r.holder, r.group, r.keep, r.id = by, b.name(o.Group), max(o.Keep, 1, r.keep), o.ID
+		r.holder, r.group, r.keep, r.id, r.to = by, b.name(o.Group), max(o.Keep, 1, r.keep), o.ID, o.To
 		if first {
 			r.pool, r.customer, r.tariff, r.once, r.body, r.label = b.name(o.Pool), b.name(o.Customer), b.name(o.Tariff), o.Once, o.Body, o.Label
 		}
@@ -420,7 +421,7 @@
 	Epoch, Number          uint64
 	Since, Until, Keep     int64
 	Body                   uint64
-	ID, Label              string
+	ID, Label, To          string
 }
 
 // Save implements keep.Part.
@@ -432,7 +433,7 @@
 			s.Records = append(s.Records, line{
 				Key: r.key[:], Pool: r.pool, Customer: r.customer, Tariff: r.tariff, Group: r.group, Flags: bits(r.once, r.may, r.answered, r.counted),
 				Member: r.holder.member, Epoch: r.holder.epoch, Number: r.holder.number, Since: r.since, Until: r.until, Keep: r.keep, Body: r.body,
-				ID: r.id, Label: r.label,
+				ID: r.id, Label: r.label, To: r.to,
 			})
 		}
 	}
@@ -472,7 +473,7 @@
 			*r = record{
 				key: Key(l.Key), pool: l.Pool, customer: l.Customer, tariff: l.Tariff, group: l.Group, holder: holder{l.Member, l.Epoch, l.Number},
 				once: l.Flags&1 != 0, may: l.Flags&2 != 0, answered: l.Flags&4 != 0, counted: l.Flags&8 != 0,
-				since: l.Since, until: l.Until, keep: max(l.Keep, 1), body: l.Body, id: l.ID, label: l.Label,
+				since: l.Since, until: l.Until, keep: max(l.Keep, 1), body: l.Body, id: l.ID, label: l.Label, to: l.To,
 			}
 		})
 		r := &b.slots[n]
--- a/internal/cluster/ledger/ledger.go
+++ b/internal/cluster/ledger/ledger.go
@@ -298,9 +298,9 @@
 	}
 }
 
-// Take claims the transaction for a group, before a push leaves for it; moves says that no push of it has run. The push may
+// Take claims the transaction for a group, before a push leaves for one of its upstreams; moves says that no push of it has run. The push may
 // leave only if there is no error. Granted once it holds for all pushes to that group, as long as this run does.
-func (c *Claim) Take(ctx context.Context, to string, moves bool) error {
+func (c *Claim) Take(ctx context.Context, to, upstream string, moves bool) error {
 	c.mu.Lock()
 	has, at, number := c.epoch, c.group, c.number
 	c.mu.Unlock()
@@ -321,7 +321,7 @@
 	var res Res
 	var fault error
 	a := &Asked{Op: Op{
-		What: claim, Key: c.key[:], Number: number, Group: to, Moves: moves, Once: c.ask.Once, Pool: c.ask.Pool, Customer: c.ask.Customer,
+		What: claim, Key: c.key[:], Number: number, Group: to, To: upstream, Moves: moves, Once: c.ask.Once, Pool: c.ask.Pool, Customer: c.ask.Customer,
 		Tariff: c.ask.Tariff, Keep: int64(c.ask.Keep), ID: Clip(c.ask.ID), Body: c.ask.Body, Label: Clip(c.ask.Tag),
 	}, Done: func(r Res, e error) { res, fault = r, e; close(got) }}
 	c.l.Counts.Claims.Add(1)
--- a/internal/cluster/ledger/query.go
+++ b/internal/cluster/ledger/query.go
@@ -19,6 +19,7 @@
 	Customer string `codec:"c,omitempty" json:"customer,omitempty"`
 	Tariff   string `codec:"t,omitempty" json:"tariff,omitempty"`
 	Group    string `codec:"g,omitempty" json:"group,omitempty"`
+	Upstream string `codec:"u,omitempty" json:"upstream,omitempty"`
 	Member   string `codec:"m,omitempty" json:"member,omitempty"`
 	State    string `codec:"s,omitempty" json:"state,omitempty"`
 	Label    string `codec:"l,omitempty" json:"label,omitempty"`
@@ -42,7 +43,8 @@
 	Customer string `codec:"c,omitempty" json:"customer,omitempty"`
 	Tariff   string `codec:"t" json:"tariff"`
 	Once     bool   `codec:"o,omitempty" json:"once_only,omitempty"`
-	Group    string `codec:"g,omitempty" json:"group,omitempty"` // of upstreams that it is bound to
+	Group    string `codec:"g,omitempty" json:"group,omitempty"`    // of upstreams that it is bound to
+	Upstream string `codec:"u,omitempty" json:"upstream,omitempty"` // that it was sent to first
 	Member   string `codec:"m,omitempty" json:"member,omitempty"`
 	Epoch    uint64 `codec:"e,omitempty" json:"epoch,omitempty"`
 	Number   uint64 `codec:"n,omitempty" json:"number,omitempty"`
@@ -116,7 +118,7 @@
 	e := b.entry(r)
 	age := e.For * int64(time.Millisecond)
 	return (q.ID == "" || q.ID == e.ID) && (q.Pool == "" || q.Pool == e.Pool) && (q.Customer == "" || q.Customer == e.Customer) &&
-		(q.Tariff == "" || q.Tariff == e.Tariff) && (q.Group == "" || q.Group == e.Group) && (q.Member == "" || q.Member == e.Member) &&
+		(q.Tariff == "" || q.Tariff == e.Tariff) && (q.Group == "" || q.Group == e.Group) && (q.Upstream == "" || q.Upstream == e.Upstream) && (q.Member == "" || q.Member == e.Member) &&
 		(q.State == "" || q.State == e.State) && (q.Label == "" || strings.HasPrefix(e.Label, q.Label)) &&
 		(q.Younger == 0 || age < q.Younger) && (q.Older == 0 || age >= q.Older)
 }
@@ -124,7 +126,7 @@
 func (b *Book) entry(r *record) Entry {
 	e := Entry{
 		Key: r.key.String(), Pool: b.names[r.pool], Customer: b.names[r.customer], Tariff: b.names[r.tariff], Once: r.once, Group: b.names[r.group],
-		Mays: r.may, Body: r.body, ID: r.id, Label: r.label,
+		Mays: r.may, Body: r.body, ID: r.id, Label: r.label, Upstream: r.to,
 	}
 	const ms = int64(time.Millisecond)
 	if r.since != 0 {
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -40,7 +40,8 @@
 	Number  int
 	Place   roster.Place
 	Until   time.Time
-	Zone    string // of its upstream, as is the cell
+	Name    string // of its upstream, as are zone and cell
+	Zone    string
 	Cell    int
 
 	end   context.CancelCauseFunc
@@ -546,6 +547,7 @@
 		Number: len(c.sent), Place: w.roster.Place(upstream), sent: w.now(),
 		Until: w.epoch.Add(time.Duration(until - w.epoch.UnixNano())),
 	}
+	p.Name = w.roster.Name(upstream)
 	p.Zone, p.Cell = w.roster.Group(upstream)
 	if t.Unwhole {
 		p.Until = time.Now().Add(mostUnwhole) // Whole sets it
--- a/internal/httpwire/claims.go
+++ b/internal/httpwire/claims.go
@@ -32,8 +32,8 @@
 	// Open says what it may do before it is taken, or taken again after Take refused. It may wait. fate is "" for go, to its
 	// group if that is not nil.
 	Open(ctx context.Context) (bound *desk.Bound, fate Fate)
-	// Take claims it for the group of a push, which may leave only if there is no error; moves says that no push of it ran.
-	Take(ctx context.Context, zone string, cell int, moves bool) error
+	// Take claims it for the group of a push's upstream, which may leave only if there is no error; moves says that no push of it ran.
+	Take(ctx context.Context, to *desk.Push, moves bool) error
 	End(how End)
 }
 
@@ -158,7 +158,7 @@
 	if over || o.Context.Err() != nil || !time.Now().Before(o.Until) {
 		return false
 	}
-	err := g.claim.Take(o.Context, o.Zone, o.Cell, moves)
+	err := g.claim.Take(o.Context, o, moves)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if err == nil && o.Context.Err() == nil && !g.over {
--- a/internal/process/ledger.go
+++ b/internal/process/ledger.go
@@ -89,8 +89,8 @@
 	return &desk.Bound{Zone: group[:i], Cell: cell}
 }
 
-func (h *held) Take(ctx context.Context, zone string, cell int, moves bool) error {
-	return h.Claim.Take(ctx, h.group(zone, cell), moves)
+func (h *held) Take(ctx context.Context, to *desk.Push, moves bool) error {
+	return h.Claim.Take(ctx, h.group(to.Zone, to.Cell), ledger.Clip(to.Name), moves)
 }
 
 func (h *held) End(how httpwire.End) {
