--- a/cmd/ottershift/ledger.go
+++ b/cmd/ottershift/ledger.go
@@ -49,26 +49,13 @@
 	if err != nil || len(dirs) == 0 {
 		return errors.Join(err, fmt.Errorf("%s is no keeper's directory: it holds no group", f.directory))
 	}
-	n := 0
 	for _, dir := range dirs {
 		book := ledger.NewBook(ledger.Guards{Fence: true})
 		if _, err := keep.Look(dir, map[byte]keep.Part{ledger.Part: book}); err != nil {
 			return fmt.Errorf("%s: %w", dir, err)
 		}
-		page := q
-		for more := true; more; {
-			p := book.Ask(&page)
-			for _, e := range p.Entries {
-				if n++; q.Most > 0 && n > q.Most {
-					return nil
-				}
-				if err := take(e); err != nil {
-					return err
-				}
-				k, _ := ledger.ParseKey(e.Key)
-				page.Key = k[:]
-			}
-			more = p.More && page.What == "find"
+		if err := ledger.Each(q, func(q *ledger.Query) (ledger.Page, error) { return book.Ask(q), nil }, take); err != nil {
+			return err
 		}
 	}
 	return nil
--- a/internal/cluster/claims.go
+++ b/internal/cluster/claims.go
@@ -158,27 +158,9 @@
 	return p, err
 }
 
-// find writes what fits, page by page.
-func (x *claims) find(ctx context.Context, at string, group int, q ledger.Query, most int, take func(ledger.Entry) error) (n int, err error) {
-	for {
-		p, err := x.ask(ctx, at, group, &q)
-		if err != nil {
-			return n, err
-		}
-		for _, e := range p.Entries {
-			if n++; most > 0 && n > most {
-				return n, nil
-			}
-			if err := take(e); err != nil {
-				return n, err
-			}
-			k, _ := ledger.ParseKey(e.Key)
-			q.Key = k[:]
-		}
-		if !p.More {
-			return n, nil
-		}
-	}
+// find tells what fits, of one group.
+func (x *claims) find(ctx context.Context, at string, group int, q ledger.Query, take func(ledger.Entry) error) error {
+	return ledger.Each(q, func(q *ledger.Query) (ledger.Page, error) { return x.ask(ctx, at, group, q) }, take)
 }
 
 // verify holds the keepers' copies of each group against one another: their sums after the same entry, and where these differ
@@ -225,7 +207,7 @@
 					continue
 				}
 				copies[at] = []ledger.Entry{}
-				x.find(ctx, at, group, ledger.Query{What: "find"}, 0, func(e ledger.Entry) error { copies[at] = append(copies[at], e); return nil })
+				x.find(ctx, at, group, ledger.Query{What: "find"}, func(e ledger.Entry) error { copies[at] = append(copies[at], e); return nil })
 			}
 			v.Differ = ledger.Differ(copies)
 		}
--- a/internal/cluster/ledger/book.go
+++ b/internal/cluster/ledger/book.go
@@ -10,6 +10,7 @@
 	"encoding/hex"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -124,7 +125,8 @@
 // Book is the ledger of one group of keepers: the same at each of them.
 type Book struct {
 	guards Guards
-	now    int64 // the ledger's own time: never faster than any real one
+	copy   uint64 // which one this is, by chance; no part of what is agreed
+	now    int64  // the ledger's own time: never faster than any real one
 	slots  []record
 	free   []uint32
 	at     map[Key]uint32
@@ -151,7 +153,7 @@
 
 // NewBook makes an empty one.
 func NewBook(g Guards) *Book {
-	b := &Book{guards: g}
+	b := &Book{guards: g, copy: rand.Uint64()}
 	b.clear()
 	return b
 }
@@ -448,8 +450,8 @@
 func (b *Book) Load(raw []byte) error {
 	counts := b.counts
 	b.clear()
-	b.counts = counts
-	if len(raw) == 0 { // of a build that knew no ledger
+	b.counts, b.copy = counts, rand.Uint64() // records stand elsewhere now
+	if len(raw) == 0 {                       // of a build that knew no ledger
 		return nil
 	}
 	var s saved
--- a/internal/cluster/ledger/query.go
+++ b/internal/cluster/ledger/query.go
@@ -1,7 +1,6 @@
 package ledger
 
 import (
-	"cmp"
 	"encoding/hex"
 	"slices"
 	"strings"
@@ -13,7 +12,7 @@
 // Query asks a book.
 type Query struct {
 	What     string `codec:"w" json:"what,omitempty"`          // "look": one key; "find": by the words below; "marks": sums; "stand"
-	Key      []byte `codec:"k,omitempty" json:"key,omitempty"` // of "look"; of "find" the one to begin behind
+	Key      []byte `codec:"k,omitempty" json:"key,omitempty"` // of "look"
 	ID       string `codec:"i,omitempty" json:"id,omitempty"`
 	Pool     string `codec:"p,omitempty" json:"pool,omitempty"`
 	Customer string `codec:"c,omitempty" json:"customer,omitempty"`
@@ -26,6 +25,8 @@
 	Younger  int64  `codec:"y,omitempty" json:"younger,omitempty"` // remembered for less than this, nanoseconds
 	Older    int64  `codec:"o,omitempty" json:"older,omitempty"`
 	Most     int    `codec:"n,omitempty" json:"most,omitempty"`
+	From     int    `codec:"f,omitempty" json:"-"` // of "find": where the page before ended
+	Of       uint64 `codec:"e,omitempty" json:"-"` // and in whose copy; that is another's after a change of leader
 }
 
 // States of a record, as they are shown.
@@ -59,7 +60,8 @@
 // Page is what a query tells.
 type Page struct {
 	Entries []Entry          `codec:"e,omitempty"`
-	More    bool             `codec:"m,omitempty"`
+	Next    int              `codec:"m,omitempty"` // where the next page begins; 0 for no more
+	Of      uint64           `codec:"f,omitempty"` // the copy that was read
 	Indexes []uint64         `codec:"i,omitempty"` // of sums
 	Sums    []uint64         `codec:"s,omitempty"`
 	Keys    int              `codec:"k,omitempty"`
@@ -67,7 +69,10 @@
 	Results map[string]int64 `codec:"r,omitempty"`
 }
 
-const mostPage = 2000
+const (
+	mostPage   = 2000
+	mostLooked = 20000
+)
 
 // Read implements keep.Reader.
 func (b *Book) Read(body []byte) []byte {
@@ -98,22 +103,52 @@
 			}
 		}
 	case "find":
-		most := min(cmp.Or(q.Most, mostPage), mostPage)
-		var found []*record
-		for i := range b.slots {
-			if r := &b.slots[i]; !r.empty() && (len(q.Key) == 0 || slices.Compare(r.key[:], q.Key) > 0) && b.fits(r, q) {
-				found = append(found, r)
+		// Danger: a keeper answers nobody while it looks, so a page looks at so many records and no more.
+		p.Of = b.copy
+		from := q.From
+		if q.Of != b.copy {
+			from = 0
+		}
+		to := min(from+mostLooked, len(b.slots))
+		for ; from < to && len(p.Entries) < mostPage; from++ {
+			if r := &b.slots[from]; !r.empty() && b.fits(r, q) {
+				p.Entries = append(p.Entries, b.entry(r))
 			}
 		}
-		slices.SortFunc(found, func(x, y *record) int { return slices.Compare(x.key[:], y.key[:]) })
-		p.More = len(found) > most
-		for _, r := range found[:min(len(found), most)] {
-			p.Entries = append(p.Entries, b.entry(r))
+		if from < len(b.slots) {
+			p.Next = from
 		}
 	}
 	return p
 }
 
+// Each tells all that fits, once, page by page. What is claimed or forgotten meanwhile may be among them or not.
+func Each(q Query, ask func(*Query) (Page, error), take func(Entry) error) error {
+	told, n := map[string]bool{}, 0
+	for {
+		p, err := ask(&q)
+		if err != nil {
+			return err
+		}
+		for _, e := range p.Entries {
+			if told[e.Key] {
+				continue // another copy is read from its beginning
+			}
+			told[e.Key] = true
+			if n++; q.Most > 0 && n > q.Most {
+				return nil
+			}
+			if err := take(e); err != nil {
+				return err
+			}
+		}
+		if p.Next == 0 || q.What != "find" {
+			return nil
+		}
+		q.From, q.Of = p.Next, p.Of
+	}
+}
+
 func (b *Book) fits(r *record, q *Query) bool {
 	e := b.entry(r)
 	age := e.For * int64(time.Millisecond)
--- a/internal/cluster/ledger/rate_test.go
+++ b/internal/cluster/ledger/rate_test.go
@@ -201,6 +201,16 @@
 	if KeyOf(long+"a") == KeyOf(long+"b") || KeyOf("ab", "c") == KeyOf("a", "bc") {
 		t.Error("two keys are one")
 	}
+	// All of it is told page by page, each once, also where the copy changes in between.
+	pages, all := 0, 0
+	if err := Each(Query{What: "find", Group: "a/1"}, func(q *Query) (Page, error) {
+		if pages++; pages == 3 {
+			b.copy++
+		}
+		return b.Ask(q), nil
+	}, func(e Entry) error { all++; return nil }); err != nil || all != n/4 || pages < 4 {
+		t.Errorf("%d of %d keys in %d pages, %v", all, n/4, pages, err)
+	}
 	// Over its bound nothing is dropped: what is new is told so.
 	key := KeyOf("more")
 	full := b.do(&keep.Command{Member: "b1", Epoch: 1}, &Op{What: claim, Key: key[:], Number: uint64(n + 1), Keep: second}, n)
--- a/internal/cluster/staff.go
+++ b/internal/cluster/staff.go
@@ -50,20 +50,10 @@
 			return errors.New("find what? write a query as JSON behind it")
 		}
 		for group := range x.groups {
-			if f.What == "look" {
-				p, err := x.ask(ctx, "", group, &f.Query)
-				if err != nil {
-					return err
-				}
-				for _, e := range p.Entries {
-					if err := say.Encode(e); err != nil {
-						return err
-					}
-				}
-				continue
+			if f.What != "look" {
+				f.What = "find"
 			}
-			f.What = "find"
-			if _, err := x.find(ctx, "", group, f.Query, f.Query.Most, func(e ledger.Entry) error { return say.Encode(e) }); err != nil {
+			if err := x.find(ctx, "", group, f.Query, func(e ledger.Entry) error { return say.Encode(e) }); err != nil {
 				return err
 			}
 		}
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -23,7 +23,7 @@
 	silent     = 5 * time.Second  // until a caller without a call is let go
 	agreed     = 10 * time.Second // until what needs a majority of keepers is
 	answered   = time.Second      // until an answer that nobody reads is
-	mostAnswer = 64 << 20         // bytes that staff's side takes: the views of some hundred members
+	mostAnswer = 512 << 20        // bytes that staff's side takes: the views of some hundred members, or a ledger
 )
 
 // Balancer is what can be asked.
