--- a/cmd/ottershift/ledger.go
+++ b/cmd/ottershift/ledger.go
@@ -50,7 +50,7 @@
 		return errors.Join(err, fmt.Errorf("%s is no keeper's directory: it holds no group", f.directory))
 	}
 	for _, dir := range dirs {
-		book := ledger.NewBook(ledger.Guards{Fence: true})
+		book := ledger.NewBook(ledger.Guards{Fence: true}, 0)
 		if _, err := keep.Look(dir, map[byte]keep.Part{ledger.Part: book}); err != nil {
 			return fmt.Errorf("%s: %w", dir, err)
 		}
--- a/internal/cluster/claims.go
+++ b/internal/cluster/claims.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -37,7 +38,7 @@
 // parts are what keepers agree on beside runs and duties. A keeper holds them whatever its own process uses.
 func (c *Cluster) parts() map[byte]keep.Part {
 	fenced := c.o.Lab == nil || !c.o.Lab.without("fence")
-	return map[byte]keep.Part{ledger.Part: ledger.NewBook(ledger.Guards{Fence: fenced})}
+	return map[byte]keep.Part{ledger.Part: ledger.NewBook(ledger.Guards{Fence: fenced}, rand.Uint64())}
 }
 
 // openClaims takes part in the ledger, where the settings name one.
--- a/internal/cluster/ledger/book.go
+++ b/internal/cluster/ledger/book.go
@@ -10,7 +10,6 @@
 	"encoding/hex"
 	"fmt"
 	"maps"
-	"math/rand/v2"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -151,9 +150,9 @@
 // granule is how often time is told, at the least.
 const granule = second / 2
 
-// NewBook makes an empty one.
-func NewBook(g Guards) *Book {
-	b := &Book{guards: g, copy: rand.Uint64()}
+// NewBook makes an empty one; copy is a number that no other copy has, as far as chance goes.
+func NewBook(g Guards, copy uint64) *Book {
+	b := &Book{guards: g, copy: copy}
 	b.clear()
 	return b
 }
@@ -450,8 +449,8 @@
 func (b *Book) Load(raw []byte) error {
 	counts := b.counts
 	b.clear()
-	b.counts, b.copy = counts, rand.Uint64() // records stand elsewhere now
-	if len(raw) == 0 {                       // of a build that knew no ledger
+	b.counts, b.copy = counts, b.copy+1 // records stand elsewhere now
+	if len(raw) == 0 {                  // of a build that knew no ledger
 		return nil
 	}
 	var s saved
--- a/internal/cluster/ledger/rate_test.go
+++ b/internal/cluster/ledger/rate_test.go
@@ -66,7 +66,7 @@
 			k, err := keep.NewKeeper(keep.Options{
 				Cluster: "c", Name: name, Voters: names[:keepers], Group: g, Dir: at, FS: disk.Dir(at), Way: l, Election: time.Second,
 				Lease: keep.Lease{For: time.Second, Drift: 0.02}, Guards: keep.Guards{Fence: true, Once: true}, Log: slog.New(slog.DiscardHandler),
-				Parts: map[byte]keep.Part{Part: NewBook(Guards{Fence: true})},
+				Parts: map[byte]keep.Part{Part: NewBook(Guards{Fence: true}, 1)},
 			})
 			if err != nil {
 				t.Fatal(err)
@@ -152,7 +152,7 @@
 	var before, after runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&before)
-	b := NewBook(Guards{Fence: true})
+	b := NewBook(Guards{Fence: true}, 1)
 	long := strings.Repeat("k", 64<<10)
 	begun := time.Now()
 	for i := 0; i < n; i += mostOps {
@@ -179,7 +179,7 @@
 	raw := b.Save()
 	save := time.Since(begun)
 	begun = time.Now()
-	c := NewBook(Guards{Fence: true})
+	c := NewBook(Guards{Fence: true}, 1)
 	if err := c.Load(raw); err != nil || c.sum != b.sum || len(c.at) != n {
 		t.Fatalf("a snapshot of %d keys: %v", n, err)
 	}
--- a/internal/cluster/ledger/schedule_test.go
+++ b/internal/cluster/ledger/schedule_test.go
@@ -452,7 +452,7 @@
 	todo = nil
 	p := &planet{chance: rand.New(rand.NewPCG(seed, 41)), effects: map[string][]effect{}, known: map[string]int64{}, f: f}
 	p.keys = 3 + p.chance.IntN(60)
-	p.book = NewBook(Guards{Fence: !f.fence})
+	p.book = NewBook(Guards{Fence: !f.fence}, 1)
 	p.state = keep.NewState("c", nil, map[byte]keep.Part{Part: p.book}, keep.Guards{Fence: !f.fence, Once: true})
 	p.state.Duties[keep.Sessions] = &keep.Duty{Name: keep.Sessions, Token: 1, Owner: "owner", Epoch: 1}
 	for i := range 3 {
