--- a/internal/cluster/ledger/book.go
+++ b/internal/cluster/ledger/book.go
@@ -9,7 +9,6 @@
 	"encoding/binary"
 	"encoding/hex"
 	"fmt"
-	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -489,12 +488,3 @@
 	}
 	return nil
 }
-
-// Stand is how a book stands, for figures.
-type Stand struct {
-	Keys, Open int
-	Results    map[string]int64 `codec:"Results"`
-}
-
-// Stand tells it.
-func (b *Book) Stand() Stand { return Stand{len(b.at), len(b.held), maps.Clone(b.counts)} }
--- a/internal/cluster/ledger/query.go
+++ b/internal/cluster/ledger/query.go
@@ -94,8 +94,7 @@
 			}
 		}
 	case "stand":
-		s := b.Stand()
-		p.Keys, p.Open, p.Results = s.Keys, s.Open, s.Results
+		p.Keys, p.Open, p.Results = len(b.at), len(b.held), b.counts
 	case "marks":
 		for _, m := range b.marks {
 			if m.index != 0 {
--- a/internal/cluster/staff.go
+++ b/internal/cluster/staff.go
@@ -45,15 +45,15 @@
 	say := json.NewEncoder(to)
 	switch strings.ToLower(words[0]) {
 	case "find":
-		var f struct{ ledger.Query }
-		if len(words) < 2 || json.Unmarshal([]byte(strings.Join(words[1:], " ")), &f) != nil {
+		var q ledger.Query
+		if len(words) < 2 || json.Unmarshal([]byte(strings.Join(words[1:], " ")), &q) != nil {
 			return errors.New("find what? write a query as JSON behind it")
 		}
+		if q.What != "look" {
+			q.What = "find"
+		}
 		for group := range x.groups {
-			if f.What != "look" {
-				f.What = "find"
-			}
-			if err := x.find(ctx, "", group, f.Query, func(e ledger.Entry) error { return say.Encode(e) }); err != nil {
+			if err := x.find(ctx, "", group, q, func(e ledger.Entry) error { return say.Encode(e) }); err != nil {
 				return err
 			}
 		}
--- a/internal/lab/judge/ledger.go
+++ b/internal/lab/judge/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -53,12 +54,7 @@
 	}
 	counts := map[string]int{}
 	claims := f.r.Kept && f.r.Read != 0
-	var order []uint64
-	for root := range roots {
-		order = append(order, root)
-	}
-	slices.Sort(order)
-	for _, root := range order {
+	for _, root := range slices.Sorted(maps.Keys(roots)) {
 		w := roots[root]
 		tariff := f.e.Tariffs[w.tariff]
 		counts["repeats"] += w.tries - 1
