--- /dev/null
+++ b/internal/hive/buzz/buzz.go
@@ -0,0 +1,105 @@
+// Package buzz is how the mesh's own processes call one another: HTTP/1.1 with JSON on connections that are kept, each
+// call with an end of its own.
+package buzz
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/zeebo/errs"
+	"golang.org/x/sys/unix"
+)
+
+// Error is the class of calls that failed.
+var Error = errs.Class("buzz")
+
+const (
+	mostBytes = 64 << 20
+	silent    = time.Second // after which a peer that confirms nothing counts as gone
+)
+
+// Caller calls other processes.
+type Caller struct{ client *http.Client }
+
+// NewCaller makes a caller.
+func NewCaller() *Caller {
+	dialer := &net.Dialer{Timeout: 400 * time.Millisecond, KeepAlive: -1, Control: UserTimeout(silent)}
+	return &Caller{&http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second,
+		DisableCompression: true,
+	}}}
+}
+
+// UserTimeout bounds how long a connection waits for a peer that confirms nothing. Danger: without it one to a machine
+// that is cut off hangs for minutes.
+func UserTimeout(after time.Duration) func(network, address string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(after/time.Millisecond))
+		})
+	}
+}
+
+// Call posts a message to a path of the process at an address and takes its answer.
+func (c *Caller) Call(ctx context.Context, at, path string, message, answer any) error {
+	raw, err := json.Marshal(message)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+at+path, bytes.NewReader(raw))
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	r.GetBody = nil // never a second time by itself
+	r.Header["Content-Type"] = []string{"application/json"}
+	r.Header["User-Agent"] = []string{""}
+	w, err := c.client.Do(r)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	defer w.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(w.Body, mostBytes))
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	if w.StatusCode != http.StatusOK {
+		return Error.New("%s%s answers %d: %.200s", at, path, w.StatusCode, body)
+	}
+	return Error.Wrap(json.Unmarshal(body, answer))
+}
+
+// Close closes what is kept.
+func (c *Caller) Close() { c.client.CloseIdleConnections() }
+
+// Take serves one kind of call.
+func Take[In, Out any](f func(ctx context.Context, in *In) (*Out, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		in := new(In)
+		body, err := io.ReadAll(io.LimitReader(r.Body, mostBytes))
+		if err == nil {
+			err = json.Unmarshal(body, in)
+		}
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		out, err := f(r.Context(), in)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		raw, err := json.Marshal(out)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		w.Header()["Content-Type"] = []string{"application/json"}
+		w.Write(raw)
+	}
+}
--- /dev/null
+++ b/internal/hive/dance/dance.go
@@ -0,0 +1,484 @@
+// Package dance is the timetable, the configuration that the mesh agrees on: read, checked, amended, looked up. It does
+// no I/O. What it doesn't know in a configuration is kept as it was sent.
+package dance
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	validation "github.com/go-ozzo/ozzo-validation/v4"
+	"github.com/zeebo/errs"
+
+	"ottershift/internal/hive/box"
+)
+
+// Error is the class of faults in a configuration.
+var Error = errs.Class("timetable")
+
+const longest = 10 * time.Minute // that a route may hold a request
+
+// Span is a time as configurations write it.
+type Span time.Duration
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (s *Span) UnmarshalJSON(raw []byte) error {
+	var text string
+	if err := json.Unmarshal(raw, &text); err != nil {
+		return fmt.Errorf("%s is no time: text with a number and ms or s", raw)
+	}
+	d, err := box.Span(text)
+	*s = Span(d)
+	return err
+}
+
+// Class is what may be done with a request.
+type Class string
+
+// The classes; another one is treated as once only.
+const (
+	Repeatable Class = "repeatable"
+	OnceOnly   Class = "once_only"
+	Freight    Class = "outbound_freight"
+)
+
+// Repeats reports whether a request may run more than once.
+func (c Class) Repeats() bool { return c == Repeatable || c == Freight }
+
+// Part is a service with its share of a route.
+type Part struct {
+	Destination string
+	Share       float64
+}
+
+// Rule is a route.
+type Rule struct {
+	Name       string
+	MailClass  Class
+	Target     Span
+	Precedence int
+	Unstamped  bool
+	Sorting    struct{ StreetPrefix string }
+	Dispatch   struct {
+		Destination   string
+		Apportion     []Part
+		Deadline      Span
+		DeliveryTries int
+	}
+
+	Town  string          `json:"-"`
+	Parts []Part          `json:"-"` // where it goes, always at least one
+	raw   json.RawMessage // as sent
+}
+
+// Sender is a tenant.
+type Sender struct {
+	Name       string
+	ApiKeys    []string
+	Precedence int
+	RatePerS   float64
+	Surge      float64
+
+	raw json.RawMessage
+}
+
+// Depot is a service.
+type Depot struct {
+	Name       string
+	HealthPath string
+	LineCap    int
+	Protocol   string
+	Sealed     bool
+
+	raw json.RawMessage
+}
+
+// Limits bound what a client may send.
+type Limits struct {
+	EnvelopeBytes, ContentsBytes int64
+	Envelope, Idle               Span
+}
+
+type office struct {
+	Town  string
+	Rules []*Rule
+}
+
+// Timetable is one version of the configuration.
+type Timetable struct {
+	Edition int64
+	Limits  Limits
+	Senders []*Sender
+	Depots  []*Depot
+	Rules   []*Rule
+
+	offices []*office
+	other   map[string]json.RawMessage // top-level fields kept as they are
+	doc     json.RawMessage
+	towns   map[string]map[string]*Rule // by host and prefix
+	keys    map[string]*Sender
+	depots  map[string]*Depot
+}
+
+// Digest names a call that changes the configuration, so that the same one sent again is known.
+func Digest(call string, body []byte) string {
+	sum := sha256.Sum256(append([]byte(call+"\x00"), body...))
+	return hex.EncodeToString(sum[:16])
+}
+
+// whole decodes one JSON value with nothing behind it.
+func whole(body []byte, to any) error {
+	d := json.NewDecoder(bytes.NewReader(body))
+	if err := d.Decode(to); err != nil {
+		return err
+	}
+	if _, err := d.Token(); err != io.EOF {
+		return errs.New("something stands behind the configuration")
+	}
+	return nil
+}
+
+// named decodes a list of items, each kept raw.
+func named[T any](raw json.RawMessage, what string, take func(*T, json.RawMessage)) error {
+	if len(raw) == 0 || string(raw) == "null" {
+		return nil
+	}
+	var items []json.RawMessage
+	if err := json.Unmarshal(raw, &items); err != nil {
+		return Error.New("%s: %v", what, err)
+	}
+	for n, item := range items {
+		v := new(T)
+		if err := json.Unmarshal(item, v); err != nil {
+			return Error.New("%s[%d]: %v", what, n, err)
+		}
+		take(v, item)
+	}
+	return nil
+}
+
+type rawOffice struct {
+	Town        string
+	Regulations []json.RawMessage
+}
+
+// parts reads the lists that a whole configuration and an amendment have in common.
+func (t *Timetable) parts(top map[string]json.RawMessage) error {
+	var faults errs.Group
+	if raw := top["SizeLimits"]; len(raw) > 0 {
+		if err := json.Unmarshal(raw, &t.Limits); err != nil {
+			faults.Add(Error.New("SizeLimits: %v", err))
+		}
+	}
+	faults.Add(named(top["Senders"], "Senders", func(s *Sender, raw json.RawMessage) {
+		s.raw = raw
+		t.Senders = append(t.Senders, s)
+	}))
+	faults.Add(named(top["Depots"], "Depots", func(d *Depot, raw json.RawMessage) {
+		d.raw = raw
+		t.Depots = append(t.Depots, d)
+	}))
+	faults.Add(named(top["PostOffices"], "PostOffices", func(o *rawOffice, _ json.RawMessage) {
+		at := &office{Town: o.Town}
+		t.offices = append(t.offices, at)
+		for n, item := range o.Regulations {
+			r := &Rule{Town: o.Town, raw: item}
+			if err := json.Unmarshal(item, r); err != nil {
+				faults.Add(Error.New("PostOffices %q Regulations[%d]: %v", o.Town, n, err))
+				continue
+			}
+			at.Rules = append(at.Rules, r)
+		}
+	}))
+	return faults.Err()
+}
+
+// Parse reads a whole configuration and checks it.
+func Parse(body []byte) (*Timetable, error) {
+	var top map[string]json.RawMessage
+	if err := whole(body, &top); err != nil {
+		return nil, Error.New("can't be read whole: %v", err)
+	}
+	t := &Timetable{other: map[string]json.RawMessage{}}
+	if err := json.Unmarshal(top["Edition"], &t.Edition); err != nil {
+		return nil, Error.New("Edition: is no whole number")
+	}
+	if err := t.parts(top); err != nil {
+		return nil, err
+	}
+	for name, raw := range top {
+		switch name {
+		case "Edition", "Senders", "Depots", "PostOffices":
+		default:
+			t.other[name] = raw
+		}
+	}
+	var compact bytes.Buffer
+	if err := json.Compact(&compact, body); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	t.doc = compact.Bytes()
+	return t, t.settle()
+}
+
+// settle indexes a configuration and names all that makes it invalid.
+func (t *Timetable) settle() error {
+	var faults errs.Group
+	t.towns, t.keys, t.depots = map[string]map[string]*Rule{}, map[string]*Sender{}, map[string]*Depot{}
+	t.Rules = t.Rules[:0]
+	if err := validation.Validate(t.Edition, validation.Required, validation.Min(int64(1))); err != nil {
+		faults.Add(Error.New("Edition: %v", err))
+	}
+	for _, d := range t.Depots {
+		if err := validation.Validate(d.Name, validation.Required); err != nil {
+			faults.Add(Error.New("Depots: Name: %v", err))
+		}
+		t.depots[d.Name] = d
+	}
+	for _, s := range t.Senders {
+		faults.Add(checked("Senders "+s.Name, validation.ValidateStruct(s,
+			validation.Field(&s.Name, validation.Required),
+			validation.Field(&s.RatePerS, validation.Min(0.0)), validation.Field(&s.Surge, validation.Min(0.0)))))
+		for _, key := range s.ApiKeys {
+			t.keys[key] = s
+		}
+	}
+	for _, o := range t.offices {
+		if err := validation.Validate(strings.TrimSpace(o.Town), validation.Required); err != nil {
+			faults.Add(Error.New("PostOffices: Town: %v", err))
+		}
+		host := strings.ToLower(o.Town)
+		if t.towns[host] == nil {
+			t.towns[host] = map[string]*Rule{}
+		}
+		for _, r := range o.Rules {
+			faults.Add(t.rule(r))
+			t.towns[host][r.Sorting.StreetPrefix] = r
+			t.Rules = append(t.Rules, r)
+		}
+	}
+	return faults.Err()
+}
+
+func checked(where string, err error) error {
+	if err == nil {
+		return nil
+	}
+	return Error.New("%s: %v", where, err)
+}
+
+// rule checks a route and finds where it goes.
+func (t *Timetable) rule(r *Rule) error {
+	where := "route " + r.Name
+	d := &r.Dispatch
+	r.Parts = d.Apportion
+	if len(r.Parts) == 0 {
+		r.Parts = []Part{{d.Destination, 1}}
+	}
+	var faults errs.Group
+	total := 0.0
+	for _, p := range r.Parts {
+		if t.depots[p.Destination] == nil {
+			faults.Add(Error.New("%s: Destination: no service is named %q", where, p.Destination))
+		}
+		if p.Share < 0 {
+			faults.Add(Error.New("%s: Share: is below 0", where))
+		}
+		total += p.Share
+	}
+	if total <= 0 {
+		faults.Add(Error.New("%s: Apportion: the shares add up to 0", where))
+	}
+	faults.Add(checked(where+": Sorting", validation.ValidateStruct(&r.Sorting, validation.Field(&r.Sorting.StreetPrefix,
+		validation.Required, validation.By(func(v any) error {
+			if s := v.(string); !strings.HasPrefix(s, "/") || !strings.HasSuffix(s, "/") {
+				return errs.New("must begin and end with a slash")
+			}
+			return nil
+		})))))
+	faults.Add(checked(where+": Dispatch", validation.ValidateStruct(d,
+		validation.Field(&d.Deadline, validation.Required, validation.Max(Span(longest))),
+		validation.Field(&d.DeliveryTries, validation.Required, validation.Min(1)))))
+	return faults.Err()
+}
+
+// Doc is the configuration as it is read back.
+func (t *Timetable) Doc() json.RawMessage { return t.doc }
+
+// amendment is a call that alters items by name.
+type amendment struct {
+	Edition    int64
+	SizeLimits json.RawMessage
+	Deliver    map[string]json.RawMessage
+	Withdraw   map[string][]string
+}
+
+// Amend makes the version that an amendment asks for.
+func (t *Timetable) Amend(body []byte) (*Timetable, error) {
+	var a amendment
+	if err := whole(body, &a); err != nil {
+		return nil, Error.New("can't be read whole: %v", err)
+	}
+	next := &Timetable{Edition: a.Edition, Limits: t.Limits, other: map[string]json.RawMessage{}}
+	for name, raw := range t.other {
+		next.other[name] = raw
+	}
+	gone := func(lists ...string) map[string]bool {
+		out := map[string]bool{}
+		for _, list := range lists {
+			for _, name := range a.Withdraw[list] {
+				out[name] = true
+			}
+		}
+		return out
+	}
+	add := &Timetable{}
+	if err := add.parts(a.Deliver); err != nil {
+		return nil, err
+	}
+	for _, raw := range []json.RawMessage{a.SizeLimits, a.Deliver["SizeLimits"]} {
+		if len(raw) > 0 && string(raw) != "null" {
+			if err := json.Unmarshal(raw, &next.Limits); err != nil {
+				return nil, Error.New("SizeLimits: %v", err)
+			}
+			next.other["SizeLimits"] = raw
+		}
+	}
+	next.Senders = merge(t.Senders, add.Senders, gone("Senders"), func(s *Sender) string { return s.Name })
+	next.Depots = merge(t.Depots, add.Depots, gone("Depots", "Destinations"), func(d *Depot) string { return d.Name })
+
+	// Routes are replaced where they stand; one that comes to another town leaves its own.
+	routes, towns := gone("Routes", "Regulations"), gone("PostOffices", "Towns")
+	fresh, placed := map[string]*Rule{}, map[*Rule]bool{}
+	for _, o := range add.offices {
+		for _, r := range o.Rules {
+			fresh[r.Name] = r
+		}
+	}
+	at := map[string]*office{}
+	for _, o := range t.offices {
+		if towns[o.Town] {
+			continue
+		}
+		to := &office{Town: o.Town}
+		for _, r := range o.Rules {
+			if by := fresh[r.Name]; by != nil && by.Town == o.Town && !placed[by] {
+				to.Rules, placed[by] = append(to.Rules, by), true
+			} else if by == nil && !routes[r.Name] {
+				copied := *r
+				to.Rules = append(to.Rules, &copied)
+			}
+		}
+		at[o.Town] = to
+		next.offices = append(next.offices, to)
+	}
+	for _, o := range add.offices {
+		if at[o.Town] == nil {
+			at[o.Town] = &office{Town: o.Town}
+			next.offices = append(next.offices, at[o.Town])
+		}
+		for _, r := range o.Rules {
+			if !placed[r] && fresh[r.Name] == r {
+				at[o.Town].Rules = append(at[o.Town].Rules, r)
+			}
+		}
+	}
+	kept := next.offices[:0]
+	for _, o := range next.offices {
+		if len(o.Rules) > 0 || o.Town == "" {
+			kept = append(kept, o)
+		}
+	}
+	next.offices = kept
+	if err := next.settle(); err != nil {
+		return nil, err
+	}
+	return next, next.write()
+}
+
+// merge replaces items by name, adds what is new and leaves out what is withdrawn.
+func merge[T any](old, add []*T, gone map[string]bool, name func(*T) string) (out []*T) {
+	fresh, placed := map[string]*T{}, map[string]bool{}
+	for _, v := range add {
+		fresh[name(v)] = v
+	}
+	for _, v := range old {
+		switch by := fresh[name(v)]; {
+		case by != nil && !placed[name(v)]:
+			out, placed[name(v)] = append(out, by), true
+		case by == nil && !gone[name(v)]:
+			out = append(out, v)
+		}
+	}
+	for _, v := range add {
+		if !placed[name(v)] {
+			out, placed[name(v)] = append(out, fresh[name(v)]), true
+		}
+	}
+	return out
+}
+
+// write lays an amended configuration out as whole ones are put.
+func (t *Timetable) write() error {
+	top := map[string]any{"Edition": t.Edition}
+	for name, raw := range t.other {
+		top[name] = raw
+	}
+	if len(t.Senders) > 0 {
+		top["Senders"] = raws(t.Senders, func(s *Sender) json.RawMessage { return s.raw })
+	}
+	top["Depots"] = raws(t.Depots, func(d *Depot) json.RawMessage { return d.raw })
+	type town struct {
+		Town        string
+		Regulations []json.RawMessage
+	}
+	offices := []town{}
+	for _, o := range t.offices {
+		offices = append(offices, town{o.Town, raws(o.Rules, func(r *Rule) json.RawMessage { return r.raw })})
+	}
+	top["PostOffices"] = offices
+	var err error
+	t.doc, err = json.Marshal(top)
+	return err
+}
+
+func raws[T any](all []*T, raw func(*T) json.RawMessage) []json.RawMessage {
+	out := []json.RawMessage{}
+	for _, v := range all {
+		out = append(out, raw(v))
+	}
+	return out
+}
+
+// Find is the route of a request: of its host's, the one with the longest prefix of the path.
+func (t *Timetable) Find(host, path string) *Rule {
+	if at := strings.LastIndexByte(host, ':'); at >= 0 && strings.IndexByte(host[at:], ']') < 0 {
+		host = host[:at]
+	}
+	rules := t.towns[host]
+	if rules == nil {
+		if rules = t.towns[strings.ToLower(host)]; rules == nil {
+			return nil
+		}
+	}
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if r := rules[path[:end+1]]; r != nil {
+			return r
+		}
+	}
+	return nil
+}
+
+// Owner is the tenant that holds a key, nil for none.
+func (t *Timetable) Owner(key string) *Sender { return t.keys[key] }
+
+// Stamped reports whether requests must carry a key.
+func (t *Timetable) Stamped() bool { return len(t.Senders) > 0 }
+
+// Depot is a service by its name.
+func (t *Timetable) Depot(name string) *Depot { return t.depots[name] }
--- /dev/null
+++ b/internal/hive/flight/forager.go
@@ -0,0 +1,348 @@
+// Package flight is the data plane: a balancer beside an upstream. What starts on its machine goes out through it
+// (outbound.go), by way of the balancer beside the upstream that the module chooses (push.go), and what is meant for the
+// upstream on its machine comes in through it (inbound.go). view.go is what it goes by, brood.go its own upstream's life,
+// line.go the connections. It decides nothing about a request that the module decides.
+package flight
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"ottershift/internal/hive/box"
+	"ottershift/internal/hive/buzz"
+	"ottershift/internal/hive/dance"
+	"ottershift/internal/hive/hum"
+	"ottershift/internal/hive/pollen"
+	"ottershift/internal/hive/waggle"
+	"ottershift/internal/hive/wax"
+)
+
+const (
+	askWait   = 600 * time.Millisecond // that an ask hangs at the core
+	askMore   = 300 * time.Millisecond // beyond it, until another process of the core is asked
+	dialPeer  = 300 * time.Millisecond
+	dialApp   = 500 * time.Millisecond
+	settle    = 400 * time.Millisecond // before Grace is over, by which all has to have its answer
+	idleFirst = 15 * time.Second       // before a configuration says how long clients may be idle
+)
+
+// seen is a balancer as the core tells of it.
+type seen struct {
+	waggle.Told
+	born int64 // start of its upstream, in Unix nanoseconds, 0 where that is long ago
+}
+
+// Forager is one balancer.
+type Forager struct {
+	box    *box.Box
+	log    *slog.Logger
+	counts *hum.Counters
+	caller *buzz.Caller
+	life   string
+	epoch  time.Time
+	brood  *brood
+	peers  *lines
+	apps   *lines
+	end    chan struct{}
+
+	view       atomic.Pointer[view]
+	leaving    atomic.Bool
+	open       atomic.Int64
+	membersNow atomic.Int64
+	requests   *atomic.Int64
+	inbounds   *atomic.Int64
+	crossing   float64
+	zones      []string
+
+	purses struct {
+		sync.Mutex
+		all *pollen.Quotas
+	}
+
+	mu      sync.Mutex // never taken under a module's lock
+	pools   map[string]*pool
+	rules   map[string][]*dance.Rule
+	nests   map[string]*seen
+	combs   []waggle.Post
+	seeds   []string
+	have    waggle.Have
+	members int
+	ranked  [2]int
+
+	clients clients
+}
+
+// New makes a balancer; it serves nobody yet.
+func New(b *box.Box, log *slog.Logger) *Forager {
+	f := &Forager{
+		box: b, log: log, counts: hum.NewCounters(), caller: buzz.NewCaller(), life: wax.Draw(), epoch: time.Now(),
+		brood: newBrood(b.Bounds.Drain, b.App), end: make(chan struct{}), crossing: 0.1,
+		pools: map[string]*pool{}, nests: map[string]*seen{}, members: 1,
+	}
+	f.peers, f.apps = newLines(dialPeer, f.counts, "peer"), newLines(dialApp, f.counts, "app")
+	f.requests, f.inbounds = f.counts.Of("requests"), f.counts.Of("inbound")
+	f.purses.all = pollen.NewQuotas()
+	f.seeds = inner(b)
+	for zone := range b.Districts {
+		f.zones = append(f.zones, zone)
+	}
+	slices.Sort(f.zones)
+	f.clients.all = map[net.Conn]*client{}
+	return f
+}
+
+func inner(b *box.Box) (all []string) {
+	for _, at := range b.Seeds {
+		all = append(all, box.InnerOf(box.Host(at), b.InnerFirst))
+	}
+	return all
+}
+
+// Reseed takes other seeds, as the settings name them now.
+func (f *Forager) Reseed(b *box.Box) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.seeds = inner(b)
+}
+
+func (f *Forager) now() int64 { return int64(time.Since(f.epoch)) }
+
+// Run serves until the context ends, and then until what is under way has ended or Grace is nearly over.
+func (f *Forager) Run(ctx context.Context) error {
+	quiet := slog.NewLogLogger(f.log.Handler(), slog.LevelDebug)
+	out := &http.Server{Handler: http.HandlerFunc(f.outbound), ReadHeaderTimeout: 15 * time.Second, MaxHeaderBytes: 64 << 10,
+		ErrorLog: quiet, ConnState: f.clients.state, ConnContext: withConn, DisableGeneralOptionsHandler: true}
+	in := &http.Server{Handler: http.HandlerFunc(f.inbound), MaxHeaderBytes: 64 << 10, ErrorLog: quiet, DisableGeneralOptionsHandler: true}
+	ready := &http.Server{Handler: http.HandlerFunc(f.ready), ErrorLog: quiet}
+	control := &http.Server{Handler: http.HandlerFunc(f.control), ErrorLog: quiet}
+	for _, s := range []struct {
+		server  *http.Server
+		address string
+	}{{out, f.box.Outbound}, {in, f.box.Inbound}, {ready, f.box.Ready}, {control, f.box.Control}} {
+		l, err := net.Listen("tcp4", s.address)
+		if err != nil {
+			return err
+		}
+		go s.server.Serve(l)
+	}
+	go f.counts.Say(f.log, 5*time.Second, f.end)
+	asking, stop := context.WithCancel(context.Background())
+	go f.ask(asking)
+	go f.tidy()
+	<-ctx.Done()
+
+	f.leaving.Store(true)
+	f.log.Info("leaving", "open", f.open.Load())
+	until := time.Now().Add(f.box.Bounds.Grace - settle)
+	// Two answers to Ready in a row have to fail before nobody sends here any more.
+	for idle := 0; time.Now().Before(until) && idle < 25; {
+		time.Sleep(100 * time.Millisecond)
+		if idle++; f.open.Load() > 0 {
+			idle = 0
+		}
+		f.clients.sweep(time.Now(), true)
+	}
+	stop()
+	close(f.end)
+	last, done := context.WithDeadline(context.Background(), until.Add(settle/2))
+	defer done()
+	for _, s := range []*http.Server{out, in} {
+		s.Shutdown(last)
+	}
+	f.log.Info("left", "open", f.open.Load())
+	return nil
+}
+
+// ready answers the platform.
+func (f *Forager) ready(w http.ResponseWriter, _ *http.Request) {
+	if f.view.Load() == nil || f.leaving.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// tidy does what is due each second.
+func (f *Forager) tidy() {
+	t := time.NewTicker(time.Second)
+	defer t.Stop()
+	for {
+		select {
+		case now := <-t.C:
+			f.peers.sweep(now)
+			f.apps.sweep(now)
+			f.clients.sweep(now, false)
+			f.brood.quiet(now, 4*f.box.Beat)
+		case <-f.end:
+			return
+		}
+	}
+}
+
+// ask renews this balancer's lease and takes news, from one process of the core at a time. Danger: one that is cut off
+// or stands still answers nothing, or old news for new; so each ask has a short end, and who is not current is left.
+func (f *Forager) ask(ctx context.Context) {
+	bad := map[string]time.Time{}
+	for turn := 0; ctx.Err() == nil; turn++ {
+		at := f.comb(bad, turn)
+		f.mu.Lock()
+		a := &waggle.Ask{Have: f.have, Wait: int64(askWait)}
+		f.mu.Unlock()
+		up, seq := f.brood.nest()
+		a.Nest = waggle.Nest{Node: f.box.Node, Inbound: f.box.Inbound, District: f.box.District, Life: f.life, Seq: seq, Up: up,
+			Leaving: f.leaving.Load()}
+		if f.leaving.Load() {
+			a.Nest.Seq += 1 << 32
+		}
+		call, end := context.WithTimeout(ctx, askWait+askMore)
+		go func() {
+			select {
+			case <-f.brood.changed: // what is new here is told at once
+				end()
+			case <-call.Done():
+			}
+		}()
+		news := &waggle.News{}
+		err := f.caller.Call(call, at, "/hive/ask", a, news)
+		interrupted := errors.Is(call.Err(), context.Canceled)
+		end()
+		if err == nil {
+			err = f.take(news)
+			f.membersNow.Store(int64(f.memberCount()))
+		}
+		switch {
+		case err != nil && interrupted:
+		case err != nil:
+			f.counts.Add("asks_failed")
+			bad[at] = time.Now()
+		case !news.Current:
+			f.counts.Add("asks_not_current")
+			bad[at] = time.Now()
+		default:
+			continue
+		}
+		select {
+		case <-time.After(20 * time.Millisecond):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (f *Forager) memberCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.members
+}
+
+// comb is whom to ask: of those that have not failed of late, one of this zone first.
+func (f *Forager) comb(bad map[string]time.Time, turn int) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var all []string
+	add := func(at string) {
+		if !slices.Contains(all, at) {
+			all = append(all, at)
+		}
+	}
+	for _, p := range f.combs {
+		if p.Zone == f.box.District {
+			add(p.At)
+		}
+	}
+	others := len(all)
+	for _, p := range f.combs {
+		add(p.At)
+	}
+	for _, at := range f.seeds {
+		add(at)
+	}
+	if len(all) == 0 {
+		return ""
+	}
+	if rest := all[others:]; len(rest) > 1 { // not all of a zone without a process of its own ask the same one
+		by := len(f.box.Node) + int(f.box.Node[len(f.box.Node)-1])
+		rest = append(slices.Clone(rest[by%len(rest):]), rest[:by%len(rest)]...)
+		all = append(all[:others:others], rest...)
+	}
+	oldest := all[0]
+	for _, at := range all {
+		if time.Since(bad[at]) > 3*time.Second {
+			return at
+		}
+		if bad[at].Before(bad[oldest]) {
+			oldest = at
+		}
+	}
+	return oldest
+}
+
+// clients are the connections of those whose requests start here.
+type clients struct {
+	mu  sync.Mutex
+	all map[net.Conn]*client
+}
+
+type client struct {
+	idle    time.Time     // since when, zero while it has a request
+	promise time.Duration // that it has been told it may stay idle
+}
+
+type connKey struct{}
+
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+func (c *clients) state(conn net.Conn, now http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch now {
+	case http.StateNew:
+		c.all[conn] = &client{idle: time.Now(), promise: idleFirst}
+	case http.StateActive:
+		c.all[conn].idle = time.Time{}
+	case http.StateIdle:
+		c.all[conn].idle = time.Now()
+	default:
+		delete(c.all, conn)
+	}
+}
+
+// promise tells a client how long its connection may be idle; it is held to, whatever a later configuration says.
+func (f *Forager) promise(w http.ResponseWriter, r *http.Request, idle time.Duration) {
+	if idle <= 0 {
+		idle = idleFirst
+	}
+	conn, _ := r.Context().Value(connKey{}).(net.Conn)
+	f.clients.mu.Lock()
+	if c := f.clients.all[conn]; c != nil {
+		c.promise = idle
+	}
+	f.clients.mu.Unlock()
+	if idle >= time.Second {
+		w.Header()["Keep-Alive"] = []string{"timeout=" + strconv.Itoa(int(idle/time.Second))}
+	}
+}
+
+// sweep closes connections that have been idle for longer than was promised, or for a moment once this process leaves.
+func (c *clients) sweep(now time.Time, leaving bool) {
+	var old []net.Conn
+	c.mu.Lock()
+	for conn, k := range c.all {
+		if quiet := now.Sub(k.idle); !k.idle.IsZero() && (quiet > k.promise+time.Second || leaving && quiet > 500*time.Millisecond) {
+			old = append(old, conn)
+		}
+	}
+	c.mu.Unlock()
+	for _, conn := range old {
+		conn.Close()
+	}
+}
--- /dev/null
+++ b/internal/hive/flight/inbound.go
@@ -0,0 +1,117 @@
+package flight
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"ottershift/internal/hive/sting"
+	"ottershift/internal/roster"
+	"strconv"
+	"syscall"
+	"time"
+)
+
+// inbound is the second hop: a request from another balancer, for the upstream on this machine.
+func (f *Forager) inbound(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get(hiveOnly) == hiveWell {
+		if up, _ := f.brood.nest(); up != nil && !up.Closing && up.ID == r.Header.Get(addressee) {
+			w.WriteHeader(http.StatusOK)
+		} else {
+			sting.Write(w, sting.NotHere, 0, "")
+		}
+		return
+	}
+	f.open.Add(1)
+	defer f.open.Add(-1)
+	f.inbounds.Add(1)
+	header := onward(r.Header)
+	left, err := strconv.ParseFloat(r.Header.Get(timeLeft), 64)
+	if err != nil {
+		f.turn(w, r, sting.Malformed)
+		return
+	}
+	s := &sending{
+		id: r.Header.Get(attemptID), to: r.Header.Get(addressee), method: r.Method, target: r.RequestURI, host: r.Host, header: header,
+		length: max(r.ContentLength, 0), until: time.Now().Add(time.Duration(left * float64(time.Millisecond))),
+	}
+	if r.ContentLength > 0 {
+		if s.body, err = io.ReadAll(io.LimitReader(r.Body, heldBody)); err != nil {
+			f.turn(w, r, sting.Malformed)
+			return
+		}
+		if int64(len(s.body)) < r.ContentLength {
+			s.rest = r.Body
+		}
+	}
+	ctx, end := context.WithDeadline(r.Context(), s.until.Add(lateBy))
+	defer end()
+	back := f.give(ctx, s)
+	switch {
+	case back.kind == sting.NoRoom || back.kind == sting.NotHere || back.kind == sting.Unready:
+		f.turn(w, r, back.kind)
+		return
+	case back.kind != sting.None:
+		f.counts.Add("app_" + cut(back.err))
+		w.Header()[hiveOnly] = []string{hiveBroke}
+		f.refuse(w, r, sting.Broke, 0)
+		return
+	}
+	defer back.done(false)
+	into := &reply{status: back.answer.StatusCode, header: onward(back.answer.Header), length: back.answer.ContentLength,
+		flow: back.answer.Body, ended: make(chan bool, 1)}
+	f.write(w, into)
+	back.done(true)
+}
+
+func cut(err error) string {
+	var timeout net.Error
+	switch {
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return "late"
+	case errors.Is(err, syscall.ECONNRESET):
+		return "reset"
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return "closed"
+	case errors.Is(err, errStrays):
+		return "strays"
+	}
+	return "garbled"
+}
+
+// turn refuses a request with the proof that it has not run and never will.
+func (f *Forager) turn(w http.ResponseWriter, r *http.Request, kind sting.Kind) {
+	w.Header()[hiveOnly] = []string{hiveTurned}
+	w.Header()[notDelivrd] = []string{"1"}
+	f.refuse(w, r, kind, 0)
+}
+
+// well asks the balancer beside an upstream whether that is well.
+func (f *Forager) well(ctx context.Context, at roster.Place) bool {
+	name := ""
+	f.mu.Lock()
+	for _, n := range f.nests {
+		if n.Inbound == at.Address && n.Up != nil {
+			name = n.Up.ID
+		}
+	}
+	f.mu.Unlock()
+	s := &sending{method: http.MethodGet, target: "/", host: "hive", until: time.Now().Add(asideMost),
+		header: http.Header{hiveOnly: {hiveWell}, addressee: {name}}}
+	if at.Address == f.box.Inbound {
+		up, _ := f.brood.nest()
+		return up != nil && up.ID == name
+	}
+	back := f.send(ctx, s, f.peers, at)
+	if back.kind != sting.None {
+		return false
+	}
+	defer back.done(false)
+	back.finish()
+	return back.answer.StatusCode == http.StatusOK
+}
+
+const hiveWell = "well"
+
+const lateBy = 30 * time.Millisecond // beyond its time that an upstream's own word for it is waited for
--- /dev/null
+++ b/internal/hive/flight/outbound.go
@@ -0,0 +1,312 @@
+package flight
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"ottershift/internal/desk"
+	"ottershift/internal/hive/sting"
+	"ottershift/logic"
+)
+
+const (
+	heldBody   = 256 << 10 // of a request, so that it can be sent again; what is longer goes once
+	heldAnswer = 64 << 10  // of an answer, until it is known to be whole; what is longer flows
+	piece      = 16 << 10
+)
+
+// request is one try of a client on its way.
+type request struct {
+	pool    *pool
+	method  string
+	target  string // as it came
+	host    string
+	id      string
+	header  http.Header
+	body    []byte
+	rest    io.Reader // behind body, nil if that is all
+	length  int64
+	stop    time.Time
+	started time.Time
+
+	mu      sync.Mutex
+	closed  bool // it has its answer: nothing more goes out
+	ran     int  // pushes that may have run
+	out     int  // and of them, those without an outcome
+	failed  *reply
+	replies map[int]*reply // by push
+}
+
+// reply is an answer of an upstream, held whole or flowing.
+type reply struct {
+	status int
+	header http.Header
+	body   []byte
+	flow   io.Reader // the rest of it
+	length int64     // of all, -1 if nobody has said
+	ended  chan bool // says whether all of a flow was written
+}
+
+// begin lets a push out, unless its request has been answered. Danger: without it a push ordered before an answer that
+// promises that nothing runs would go out after it.
+func (q *request) begin() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.closed {
+		return false
+	}
+	q.ran++
+	q.out++
+	return true
+}
+
+// ended takes a push's outcome.
+func (q *request) ended(r logic.Result, failed *reply) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.out--
+	if r.NeverRan() {
+		q.ran--
+	}
+	if failed != nil {
+		q.failed = failed
+	}
+}
+
+// close lets nothing more out, and tells what may have run.
+func (q *request) close() (ran, out int, failed *reply) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.closed = true
+	return q.ran, q.out, q.failed
+}
+
+func (q *request) keep(n int, r *reply) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.replies[n] = r
+}
+
+// outbound is the life of a request that starts on this machine: read, routed, pushed as the module decides, answered
+// exactly once.
+func (f *Forager) outbound(w http.ResponseWriter, r *http.Request) {
+	f.requests.Add(1)
+	f.open.Add(1)
+	defer f.open.Add(-1)
+	v := f.view.Load()
+	if v == nil {
+		f.refuse(w, r, sting.Unready, 0)
+		return
+	}
+	if f.leaving.Load() {
+		w.Header()["Connection"] = []string{"close"}
+	} else {
+		f.promise(w, r, v.idle)
+	}
+	q, t, kind, again := f.read(v, r)
+	if kind != sting.None {
+		f.refuse(w, r, kind, again)
+		return
+	}
+	now := f.now()
+	t.pool.first(now)
+	c := t.pool.desk.Arrive(desk.Arrival{
+		Under: t.under, Tariff: t.tariff, Customer: -1, Left: time.Until(q.stop), Unwhole: q.rest != nil,
+	})
+	f.attend(w, r, q, c)
+}
+
+// read takes a request as it came, and what it may not do.
+func (f *Forager) read(v *view, r *http.Request) (q *request, t target, kind sting.Kind, again time.Duration) {
+	target, path := r.RequestURI, r.RequestURI
+	if at := strings.IndexByte(path, '?'); at >= 0 {
+		path = path[:at]
+	}
+	if !strings.HasPrefix(path, "/") || r.Method == http.MethodConnect {
+		return nil, t, sting.Malformed, 0
+	}
+	rule := v.table.Find(r.Host, path)
+	if rule == nil {
+		return nil, t, sting.NoRoute, 0
+	}
+	header := onward(r.Header)
+	for _, name := range setByTheHub {
+		delete(header, name)
+	}
+	if v.table.Stamped() && !rule.Unstamped {
+		owner := v.table.Owner(r.Header.Get(keyName))
+		if owner == nil {
+			return nil, t, sting.NoKey, 0
+		}
+		header[senderName] = []string{owner.Name}
+		f.purses.Lock()
+		ok, wait := f.purses.all.Take(owner.Name, f.now())
+		f.purses.Unlock()
+		if !ok {
+			return nil, t, sting.Beyond, time.Duration(wait)
+		}
+	}
+	header[returnTo] = []string{f.box.Destination}
+	left := time.Duration(rule.Dispatch.Deadline)
+	if text := r.Header.Get(timeLeft); text != "" {
+		ms, err := strconv.ParseFloat(text, 64)
+		if err != nil || !(ms >= 0) {
+			return nil, t, sting.Malformed, 0
+		}
+		left = min(left, time.Duration(min(ms, 1e9)*float64(time.Millisecond)))
+	}
+	most := v.table.Limits.ContentsBytes
+	if most > 0 && r.ContentLength > most {
+		return nil, t, sting.TooLong, 0
+	}
+	now := time.Now()
+	q = &request{
+		method: r.Method, target: target, host: r.Host, id: r.Header.Get(attemptID), header: header, started: now,
+		stop: now.Add(left), replies: map[int]*reply{}, length: r.ContentLength,
+	}
+	if r.ContentLength != 0 {
+		body, err := io.ReadAll(io.LimitReader(r.Body, heldBody+1))
+		if err != nil {
+			return nil, t, sting.Malformed, 0
+		}
+		q.body = body
+		if len(body) > heldBody {
+			if r.ContentLength < 0 { // its length is not known before its end: it is gathered
+				more, err := io.ReadAll(io.LimitReader(r.Body, most-int64(len(body))+1))
+				if q.body = append(q.body, more...); err != nil {
+					return nil, t, sting.Malformed, 0
+				}
+				if most > 0 && int64(len(q.body)) > most {
+					return nil, t, sting.TooLong, 0
+				}
+			} else {
+				q.rest = r.Body
+			}
+		}
+		if q.rest == nil {
+			q.length = int64(len(q.body))
+		}
+	}
+	t = v.pick(rule)
+	q.pool = t.pool
+	return q, t, sting.None, 0
+}
+
+// refuse answers what goes no further.
+func (f *Forager) refuse(w http.ResponseWriter, r *http.Request, kind sting.Kind, again time.Duration) {
+	f.counts.Add("answer_" + kind.String())
+	if id := r.Header.Get(attemptID); id != "" {
+		w.Header()[attemptID] = []string{id}
+	}
+	if r.ContentLength > heldBody {
+		w.Header()["Connection"] = []string{"close"}
+	}
+	sting.Write(w, kind, again, "")
+}
+
+// attend follows a request from its arrival at the module to its answer.
+func (f *Forager) attend(w http.ResponseWriter, r *http.Request, q *request, c *desk.Case) {
+	defer func() {
+		for { // what was ordered and not begun
+			select {
+			case o := <-c.Pushes:
+				q.pool.desk.Outcome(c, o, logic.Unsent)
+			default:
+				return
+			}
+		}
+	}()
+	for {
+		select {
+		case o := <-c.Pushes:
+			go f.push(q, c, o)
+		case a := <-c.Answer:
+			f.answer(w, r, q, a)
+			return
+		case <-r.Context().Done():
+			q.close()
+			q.pool.desk.Vanish(c)
+			f.counts.Add("clients_left")
+			select { // an answer that flows to nobody
+			case a := <-c.Answer:
+				q.drop(a.Push)
+			default:
+			}
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+func (q *request) drop(n int) {
+	q.mu.Lock()
+	r := q.replies[n]
+	q.mu.Unlock()
+	if r != nil && r.flow != nil {
+		r.ended <- false
+	}
+}
+
+// answer writes the one final answer.
+func (f *Forager) answer(w http.ResponseWriter, r *http.Request, q *request, a desk.Answer) {
+	ran, out, failed := q.close()
+	if a.Ending == desk.Settled || a.Ending == desk.Rejected {
+		q.mu.Lock()
+		back := q.replies[a.Push]
+		q.mu.Unlock()
+		f.write(w, back)
+		return
+	}
+	switch {
+	case failed != nil: // what an upstream said goes back unchanged
+		f.write(w, failed)
+	case ran == 0:
+		f.refuse(w, r, sting.NoRoom, a.Backoff)
+	case out > 0 || time.Until(q.stop) <= 0:
+		f.refuse(w, r, sting.Late, 0)
+	default:
+		f.refuse(w, r, sting.Broke, 0)
+	}
+}
+
+// write passes an upstream's answer on. Danger: one that breaks off must not look whole.
+func (f *Forager) write(w http.ResponseWriter, r *reply) {
+	h := w.Header()
+	for name, values := range r.header {
+		h[name] = values
+	}
+	if r.length >= 0 {
+		h["Content-Length"] = []string{strconv.FormatInt(r.length, 10)}
+	}
+	for _, name := range addedByServer { // unless it is set to nothing
+		if h[name] == nil {
+			h[name] = nil
+		}
+	}
+	w.WriteHeader(r.status)
+	_, err := w.Write(r.body)
+	if r.flow != nil {
+		if err == nil {
+			err = f.pour(w, r.flow)
+		}
+		r.ended <- err == nil
+	}
+	if err != nil {
+		f.counts.Add("answers_cut")
+		panic(http.ErrAbortHandler)
+	}
+}
+
+var addedByServer = []string{"Date", "Content-Type"}
+
+var pieces = sync.Pool{New: func() any { b := make([]byte, piece); return &b }}
+
+func (f *Forager) pour(w io.Writer, from io.Reader) error {
+	b := pieces.Get().(*[]byte)
+	defer pieces.Put(b)
+	_, err := io.CopyBuffer(struct{ io.Writer }{w}, struct{ io.Reader }{from}, *b)
+	return err
+}
--- /dev/null
+++ b/internal/hive/flight/push.go
@@ -0,0 +1,261 @@
+package flight
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"ottershift/internal/desk"
+	"ottershift/internal/hive/sting"
+	"ottershift/internal/roster"
+	"ottershift/logic"
+	"runtime/debug"
+	"strconv"
+	"syscall"
+	"time"
+)
+
+// push carries one order out.
+func (f *Forager) push(q *request, c *desk.Case, o *desk.Push) {
+	result, flowed := logic.Unsent, false
+	defer func() {
+		if fault := recover(); fault != nil {
+			f.log.Error("panic", "where", "push", "fault", fault, "stack", string(debug.Stack()))
+			result = logic.Broken
+		}
+		if !flowed {
+			q.pool.desk.Outcome(c, o, result)
+		}
+	}()
+	if o.Number > 0 && !q.pool.more(f.now(), int(f.membersNow.Load())) {
+		f.counts.Add("budget_spent")
+		return
+	}
+	if !q.begin() {
+		return
+	}
+	var failed *reply
+	result, flowed, failed = f.carry(q, c, o)
+	q.ended(result, failed)
+	if result != logic.Settled {
+		f.counts.Add("push_" + result.String())
+	}
+}
+
+// carry sends a request to the balancer beside an upstream, or to the upstream if it is here, and takes what comes back.
+func (f *Forager) carry(q *request, c *desk.Case, o *desk.Push) (result logic.Result, flowed bool, failed *reply) {
+	header := make(http.Header, len(q.header)+2)
+	for name, values := range q.header {
+		header[name] = values
+	}
+	header[addressee] = []string{o.Name}
+	s := &sending{id: q.id, to: o.Name, method: q.method, target: q.target, host: q.host, header: header, body: q.body,
+		rest: q.rest, length: q.length, until: o.Until}
+	if q.rest != nil { // its time begins with its last byte
+		s.until = time.Now().Add(time.Until(q.stop) + time.Minute)
+		s.rest = &lastByte{q.rest, func() { q.pool.desk.Whole(c, time.Until(q.stop)) }}
+	}
+	var back *coming
+	if o.Place.Address == f.box.Inbound {
+		back = f.give(o.Context, s)
+	} else {
+		back = f.send(o.Context, s, f.peers, o.Place)
+	}
+	defer func() {
+		if !flowed {
+			back.done(false)
+		}
+	}()
+	switch {
+	case back.kind == sting.NoRoom || back.kind == sting.NotHere:
+		return logic.TurnedAway, false, nil
+	case back.kind != sting.None:
+		return f.broken(o.Context, back), false, nil
+	}
+	answer := back.answer
+	h := answer.Header
+	switch said := h.Get(hiveOnly); {
+	case said == hiveTurned, h[notDelivrd] != nil, answer.StatusCode == http.StatusMisdirectedRequest:
+		back.finish()
+		return logic.TurnedAway, false, nil
+	case said == hiveBroke:
+		back.finish()
+		return logic.Broken, false, nil
+	}
+	good := answer.StatusCode < 300
+	if good && h[postmark] == nil {
+		f.counts.Add("answers_unstamped")
+		return logic.Broken, false, nil
+	}
+	into := &reply{status: answer.StatusCode, header: onward(h), length: answer.ContentLength}
+	body, err := io.ReadAll(io.LimitReader(answer.Body, heldAnswer+1))
+	into.body = body
+	if err != nil {
+		return f.broken(o.Context, &coming{kind: sting.Broke, err: err}), false, nil
+	}
+	if len(body) <= heldAnswer {
+		into.length = int64(len(body))
+		back.done(true)
+		q.keep(o.Number, into)
+		switch {
+		case good:
+			return logic.Settled, false, nil
+		case answer.StatusCode < 500:
+			return logic.Rejected, false, nil
+		}
+		return logic.Errored, false, into
+	}
+	if !good {
+		return logic.Errored, false, nil
+	}
+	into.flow, into.ended = answer.Body, make(chan bool, 1)
+	q.keep(o.Number, into)
+	if !q.pool.desk.Flow(c, o) {
+		return logic.Cancelled, false, nil
+	}
+	back.line.SetReadDeadline(q.stop.Add(time.Second)) // its client waits no longer
+	whole := <-into.ended
+	back.done(whole)
+	q.pool.desk.Flowed(c, o, whole)
+	return logic.Settled, true, nil
+}
+
+// broken names the outcome of a push without a whole answer.
+func (f *Forager) broken(ctx context.Context, b *coming) logic.Result {
+	cause := context.Cause(ctx)
+	switch {
+	case !b.wrote && b.kind == sting.Unready && ctx.Err() != nil:
+		return logic.Unsent // it was called off, or out of time, before it left
+	case !b.wrote && b.kind == sting.Unready:
+		return logic.Unreachable
+	case errors.Is(cause, context.Canceled):
+		return logic.Cancelled
+	case errors.Is(cause, context.DeadlineExceeded):
+		return logic.TimedOut
+	}
+	f.counts.Add("push_cut")
+	return logic.Broken
+}
+
+// lastByte tells when a body has been read to its end.
+type lastByte struct {
+	io.Reader
+	tell func()
+}
+
+func (l *lastByte) Read(b []byte) (int, error) {
+	n, err := l.Reader.Read(b)
+	if err == io.EOF && l.tell != nil {
+		l.tell()
+		l.tell = nil
+	}
+	return n, err
+}
+
+// sending is a request as it goes over one connection.
+type sending struct {
+	id, to                string
+	method, target, host  string
+	header                http.Header
+	body                  []byte
+	rest                  io.Reader
+	length                int64
+	until                 time.Time
+	onlyFresh, upstreamed bool
+}
+
+// coming is what comes back of it. kind Unready says that it never left, Broke that it may have run.
+type coming struct {
+	kind   sting.Kind
+	err    error
+	wrote  bool
+	answer *http.Response
+	line   *line
+	lines  *lines
+	long   time.Duration
+	stop   func() bool // no end of the request's reaches the line any more; false if one has
+	after  func()      // once, when it is over
+	over   bool
+}
+
+// done gives the connection back, whole if its answer has been read to the end.
+func (c *coming) done(whole bool) {
+	if c.over {
+		return
+	}
+	c.over = true
+	if c.line != nil {
+		if quiet := c.stop(); whole && quiet {
+			c.line.SetDeadline(time.Time{})
+			c.lines.put(c.line, c.answer, c.long)
+		} else {
+			c.line.Close()
+		}
+	}
+	if c.after != nil {
+		c.after()
+	}
+}
+
+// finish reads the rest of an answer that is no use, to keep its connection.
+func (c *coming) finish() {
+	_, err := io.CopyN(io.Discard, c.answer.Body, piece)
+	c.done(err == io.EOF)
+}
+
+// send carries a request over a connection of a set.
+func (f *Forager) send(ctx context.Context, s *sending, ls *lines, at roster.Place) *coming {
+	for again := false; ; again = true {
+		l, err := ls.take(ctx, at.Host, at.Address, again || s.onlyFresh, at.Kept)
+		if err != nil {
+			return &coming{kind: sting.Unready, err: err}
+		}
+		var b bytes.Buffer
+		s.header[timeLeft] = []string{strconv.FormatInt(max(1, time.Until(s.until).Milliseconds()), 10)}
+		head(&b, s.method, s.target, s.host, s.header, s.length)
+		b.Write(s.body)
+		stop := context.AfterFunc(ctx, func() { l.SetDeadline(time.Unix(1, 0)) })
+		answer, wrote, err := l.send(&http.Request{Method: s.method}, b.Bytes(), s.rest, s.id)
+		if err != nil {
+			stop()
+			l.Close()
+			if !wrote && l.kept && ctx.Err() == nil {
+				continue // it had ended before any of it went out
+			}
+			kind := sting.Broke
+			if !wrote {
+				kind = sting.Unready
+			}
+			return &coming{kind: kind, err: err, wrote: wrote}
+		}
+		return &coming{answer: answer, wrote: true, line: l, lines: ls, long: keptLong, stop: stop}
+	}
+}
+
+// give hands a request to the upstream on this machine, if it is the one that is meant and has room.
+func (f *Forager) give(ctx context.Context, s *sending) *coming {
+	address, kind := f.brood.admit(s.to, time.Now())
+	if kind != sting.None {
+		f.counts.Add("turned_" + kind.String())
+		return &coming{kind: kind}
+	}
+	back := f.send(ctx, s, f.apps, roster.Place{Host: s.to, Address: address})
+	if back.kind == sting.Unready {
+		if errors.Is(back.err, syscall.ECONNREFUSED) {
+			f.brood.refused(s.to)
+		}
+		f.brood.leave(s.to)
+		if ctx.Err() == nil {
+			back.kind = sting.NoRoom // it never reached the upstream
+		}
+		return back
+	}
+	if back.kind != sting.None {
+		f.brood.leave(s.to)
+		return back
+	}
+	back.long = keptShort
+	back.after = func() { f.brood.leave(s.to) }
+	return back
+}
--- /dev/null
+++ b/internal/hive/flight/view.go
@@ -0,0 +1,301 @@
+package flight
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"ottershift/internal/desk"
+	"ottershift/internal/figures"
+	"ottershift/internal/hive/dance"
+	"ottershift/internal/hive/pollen"
+	"ottershift/internal/hive/waggle"
+	"ottershift/internal/roster"
+	"ottershift/internal/terms"
+	"ottershift/logic"
+)
+
+const (
+	coldShare = 0.5              // of its capacity that a cold upstream has for certain
+	warmUp    = 10 * time.Second // within which it is warm, whatever it says
+	asideMost = 2 * time.Second  // for a probe of an upstream that is aside
+)
+
+// view is what a balancer goes by: one version of the timetable, whole.
+type view struct {
+	index   uint64
+	table   *dance.Timetable
+	idle    time.Duration
+	targets map[*dance.Rule][]target
+}
+
+// target is a service of a route, and the terms under which its pool takes the route's requests.
+type target struct {
+	pool   *pool
+	share  float64
+	under  *logic.Terms
+	tariff int
+}
+
+// pool is the upstreams of one service, and the module that decides among them.
+type pool struct {
+	name   string
+	desk   *desk.Desk
+	counts *figures.Pool
+	book   *terms.Book
+
+	mu     sync.Mutex
+	budget *pollen.Budget
+}
+
+func (p *pool) first(now int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.budget.First(now)
+}
+
+func (p *pool) more(now int64, members int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.budget.Take(now, members)
+}
+
+// pick takes a service of a route by its shares.
+func (v *view) pick(r *dance.Rule) target {
+	all := v.targets[r]
+	total := 0.0
+	for _, t := range all {
+		total += t.share
+	}
+	x := rand.Float64() * total
+	for _, t := range all {
+		if x -= t.share; x < 0 && t.share > 0 {
+			return t
+		}
+	}
+	return all[len(all)-1]
+}
+
+// adopt puts a version of the timetable in force. Danger: an older one than was acted on, within one life, is refused.
+func (f *Forager) adopt(index uint64, t *dance.Timetable) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if now := f.view.Load(); now != nil && index <= now.index {
+		return nil
+	}
+	v := &view{index: index, table: t, idle: time.Duration(t.Limits.Idle), targets: map[*dance.Rule][]target{}}
+	by := map[string][]*dance.Rule{}
+	for _, r := range t.Rules {
+		for _, part := range r.Parts {
+			by[part.Destination] = append(by[part.Destination], r)
+		}
+	}
+	for service, rules := range by {
+		if err := f.retune(service, rules); err != nil {
+			return err
+		}
+	}
+	for _, r := range t.Rules {
+		for _, part := range r.Parts {
+			p := f.pools[part.Destination]
+			under := *p.book.Terms
+			under.MaxPushes = r.Dispatch.DeliveryTries
+			v.targets[r] = append(v.targets[r], target{p, part.Share, &under, p.book.Tariffs[r.Name]})
+		}
+	}
+	f.rules = by
+	f.view.Store(v)
+	f.quota(t)
+	f.log.Info("timetable", "edition", t.Edition, "index", index, "routes", len(t.Rules))
+	f.relist()
+	return nil
+}
+
+// retune gives a service's module the routes that lead to it. Under mu.
+func (f *Forager) retune(service string, rules []*dance.Rule) error {
+	n, place := f.rank()
+	most := 1
+	t := &logic.Terms{
+		Seed: rand.Uint64(), Balancers: n, Index: place, Layer: 1, SecondCopies: true, Cancelling: true, Probing: true,
+		AdviseBackoff: true, MaxBackoff: int64(250 * time.Millisecond), CrossZonePrice: f.crossing,
+		ColdShare: coldShare, WarmUp: int64(warmUp), FallMultiple: 4, FallSpan: int64(time.Second), BeyondShare: 1,
+	}
+	b := &terms.Book{Terms: t, Tariffs: map[string]int{}, Customers: map[string]int{}, Default: -1}
+	for _, r := range rules {
+		if _, twice := b.Tariffs[r.Name]; twice {
+			continue
+		}
+		most = max(most, r.Dispatch.DeliveryTries)
+		f := &logic.Tariff{
+			HardStop: int64(r.Dispatch.Deadline), ContractTime: int64(cmp.Or(r.Target, r.Dispatch.Deadline)),
+			Earnings: 1, LateEarnings: 0.3,
+		}
+		if r.MailClass.Repeats() {
+			f.Repeat = logic.Repeatable
+		}
+		b.Tariffs[r.Name] = len(t.Tariffs)
+		t.Tariffs = append(t.Tariffs, f)
+	}
+	t.MaxPushes = most
+	b.Zones = append(b.Zones, f.zones...)
+	b.Complete(f.box.District)
+	p := f.pools[service]
+	if p == nil {
+		bounds := &f.box.Bounds
+		p = &pool{name: service, counts: &figures.Pool{}, book: b,
+			budget: pollen.NewBudget(int64(bounds.RetryWindow), bounds.RetryRatio, bounds.RetrySlack)}
+		var err error
+		if p.desk, err = desk.New(b, p.counts, f.log.With("service", service), desk.Design); err != nil {
+			return err
+		}
+		f.pools[service] = p
+		go f.probe(p)
+		return nil
+	}
+	b.Keep(p.book)
+	if err := p.desk.Retune(b); err != nil {
+		return err
+	}
+	p.book = b
+	return nil
+}
+
+// rank is how many balancers there are, and this one's place in their agreed order. Under mu.
+func (f *Forager) rank() (n, place int) {
+	var names []string
+	for node, t := range f.nests {
+		if !t.Lost {
+			names = append(names, node)
+		}
+	}
+	if !slices.Contains(names, f.box.Node) {
+		names = append(names, f.box.Node)
+	}
+	slices.Sort(names)
+	return len(names), slices.Index(names, f.box.Node)
+}
+
+// relist hands every module the list of its upstreams as it stands. Under mu.
+func (f *Forager) relist() {
+	by := map[string][]roster.Entry[string]{}
+	for _, n := range f.nests {
+		if n.Up == nil || n.Up.ID == "" {
+			continue
+		}
+		by[n.Up.Service] = append(by[n.Up.Service], roster.Entry[string]{
+			Name: n.Up.ID, Zone: n.District, Address: n.Inbound, Ends: n.Up.Closing || n.Leaving,
+			Up: logic.Upstream{Number: roster.Number(n.Up.ID), Weight: float64(max(n.Up.Capacity, 1)), Born: n.born},
+		})
+	}
+	for service, p := range f.pools {
+		list := by[service]
+		slices.SortFunc(list, func(a, b roster.Entry[string]) int { return strings.Compare(a.Name, b.Name) })
+		change := p.desk.List(list, true)
+		for _, host := range change.Left {
+			f.peers.leave(host)
+		}
+		if change.Joined+change.Ends+change.Gone > 0 {
+			f.log.Info("list", "service", service, "listed", change.Listed, "joined", change.Joined, "end", change.Ends, "gone", change.Gone)
+		}
+	}
+}
+
+// take takes the core's news.
+func (f *Forager) take(n *waggle.News) error {
+	f.mu.Lock()
+	now := time.Now()
+	if n.Whole {
+		told := map[string]bool{}
+		for _, t := range n.Nests {
+			told[t.Node] = true
+		}
+		for node := range f.nests {
+			if !told[node] && !n.Young { // Danger: a core that has just started has heard of nobody yet
+				delete(f.nests, node)
+			}
+		}
+	}
+	for _, t := range n.Nests {
+		s := &seen{Told: t}
+		if before := f.nests[t.Node]; t.Up != nil && before != nil && before.Up != nil && before.Up.ID == t.Up.ID {
+			s.born = before.born
+		} else if t.Up != nil && t.Up.Cold > 0 {
+			s.born = now.UnixNano() + t.Up.Cold - int64(warmUp)
+		}
+		f.nests[t.Node] = s
+	}
+	for _, node := range n.Gone {
+		delete(f.nests, node)
+	}
+	f.combs = n.Combs
+	changed := len(n.Nests)+len(n.Gone) > 0 || n.Whole
+	if members := max(n.Members, len(f.nests), 1); members != f.members {
+		f.members = members
+		if v := f.view.Load(); v != nil {
+			f.quota(v.table)
+		}
+	}
+	if changed {
+		if count, place := f.rank(); count != f.ranked[0] || place != f.ranked[1] {
+			f.ranked = [2]int{count, place}
+			for service, rules := range f.rules {
+				if err := f.retune(service, rules); err != nil {
+					f.log.Error("retune", "service", service, "err", err)
+				}
+			}
+		}
+		f.relist()
+	}
+	f.have.Comb, f.have.Seq = n.Comb, n.Seq
+	f.mu.Unlock()
+
+	if n.Timetable != nil && (n.Current || f.view.Load() != nil) {
+		t, err := dance.Parse(n.Timetable)
+		if err != nil {
+			return err
+		}
+		if err := f.adopt(n.Index, t); err != nil {
+			return err
+		}
+		f.mu.Lock()
+		f.have.Index, f.have.Edition = max(f.have.Index, n.Index), t.Edition
+		f.mu.Unlock()
+	} else if n.Timetable == nil && n.Index > f.have.Index && (n.Edition == f.have.Edition || n.Edition == 0) {
+		f.mu.Lock()
+		f.have.Index = n.Index // something else was agreed
+		f.mu.Unlock()
+	}
+	return nil
+}
+
+// quota gives tenants their parts. Under mu.
+func (f *Forager) quota(t *dance.Timetable) {
+	f.purses.Lock()
+	defer f.purses.Unlock()
+	is := map[string]bool{}
+	for _, s := range t.Senders {
+		is[s.Name] = true
+		f.purses.all.Set(s.Name, s.RatePerS, s.Surge, f.members, f.now())
+	}
+	f.purses.all.Keep(func(tenant string) bool { return is[tenant] })
+}
+
+// probe carries out a module's probes: a question to the balancer beside the upstream, which knows it best.
+func (f *Forager) probe(p *pool) {
+	for {
+		select {
+		case o := <-p.desk.Probes():
+			go func() {
+				ctx, end := context.WithTimeout(context.Background(), asideMost)
+				defer end()
+				p.desk.Probed(o.Upstream, f.well(ctx, o.Place))
+			}()
+		case <-f.end:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/hive/swarm/swarm.go
@@ -0,0 +1,262 @@
+// Package swarm is how the core agrees: one state, replaced whole, slot after slot. Each slot is decided by Paxos among
+// the members that the state before it names, so that the core itself is part of what is agreed. It does no I/O and
+// reads no clock: Copy is an acceptor's record and its answers, Proposal one proposer's attempt.
+//
+// What is decided in slot n was accepted, synced, by a quorum of the core of state n-1. A quorum is a majority, and no
+// fewer than Tolerate+1, so that what counts outlives as many lost disks. A member is known by the identity of its
+// disk: a wiped disk comes back under a new one, which counts only once an agreed change has put it into the core.
+package swarm
+
+import (
+	"encoding/json"
+	"slices"
+)
+
+// Ballot orders the attempts at a slot.
+type Ballot struct {
+	Round uint64
+	By    string // of one life of one process
+}
+
+// Below reports whether b comes before c.
+func (b Ballot) Below(c Ballot) bool { return b.Round < c.Round || b.Round == c.Round && b.By < c.By }
+
+// Member is one disk of the core.
+type Member struct {
+	ID   string
+	At   string // its process's address
+	Zone string
+}
+
+// Taken is a change that was taken, known by its digest.
+type Taken struct {
+	Edition int64
+	Digest  string
+}
+
+const mostTaken = 64
+
+// State is all that is agreed.
+type State struct {
+	Index     uint64
+	Core      []Member
+	Tolerate  int
+	Edition   int64 // of the timetable; 0 before the first
+	Timetable json.RawMessage
+	Taken     []Taken
+	Members   int // balancers, by which what all may spend is shared out
+}
+
+// Majority is how many of the core meet any quorum.
+func (s *State) Majority() int { return len(s.Core)/2 + 1 }
+
+// Quorum is how many of the core have to accept.
+func (s *State) Quorum() int { return max(s.Majority(), min(s.Tolerate+1, len(s.Core))) }
+
+// Has is a member by identity.
+func (s *State) Has(id string) bool {
+	return slices.ContainsFunc(s.Core, func(m Member) bool { return m.ID == id })
+}
+
+// Was reports whether that very change has been taken.
+func (s *State) Was(edition int64, digest string) bool {
+	return slices.Contains(s.Taken, Taken{edition, digest})
+}
+
+// Put is the state after a change of the timetable.
+func (s *State) Put(edition int64, doc json.RawMessage, digest string) *State {
+	next := s.next()
+	next.Edition, next.Timetable = edition, doc
+	next.Taken = append(slices.Clone(s.Taken), Taken{edition, digest})
+	if len(next.Taken) > mostTaken {
+		next.Taken = next.Taken[len(next.Taken)-mostTaken:]
+	}
+	return next
+}
+
+// Swap is the state after a member has made room for another; an empty one to be replaced only adds.
+func (s *State) Swap(old string, by Member) *State {
+	next := s.next()
+	next.Core = slices.DeleteFunc(slices.Clone(s.Core), func(m Member) bool { return m.ID == old || m.ID == by.ID })
+	next.Core = append(next.Core, by)
+	slices.SortFunc(next.Core, func(a, b Member) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return next
+}
+
+// Count is the state after a census of the balancers.
+func (s *State) Count(members int) *State {
+	next := s.next()
+	next.Members = members
+	return next
+}
+
+func (s *State) next() *State {
+	next := *s
+	next.Index++
+	return &next
+}
+
+// Voted is a value that was accepted under a ballot.
+type Voted struct {
+	Ballot Ballot
+	Value  *State
+}
+
+// Copy is what a core process keeps on disk.
+type Copy struct {
+	ID       string // of this disk
+	Decided  *State
+	Promised Ballot // for the slot after it
+	Accepted *Voted // for the same
+}
+
+// What is asked of a copy.
+const (
+	Look    = "look"    // where it stands; nothing is kept of it
+	Prepare = "prepare" // promise a slot
+	Accept  = "accept"  // accept a value
+	Learn   = "learn"   // a value is decided
+)
+
+// Ask is a message to a copy.
+type Ask struct {
+	Kind   string
+	Slot   uint64 `json:",omitempty"`
+	Ballot Ballot
+	Value  *State `json:",omitempty"`
+}
+
+// Answer is what a copy says.
+type Answer struct {
+	ID       string
+	Index    uint64 // decided
+	OK       bool
+	Promised Ballot
+	Pending  bool   // something is accepted for the next slot
+	Accepted *Voted `json:",omitempty"`
+	Decided  *State `json:",omitempty"` // to who is behind
+}
+
+// Handle answers an ask; keep says that the copy has changed and must be synced before the answer leaves.
+func (c *Copy) Handle(a Ask) (out Answer, keep bool) {
+	out = Answer{ID: c.ID, Index: c.Decided.Index}
+	switch a.Kind {
+	case Prepare:
+		switch {
+		case a.Slot <= c.Decided.Index:
+			out.Decided = c.Decided
+		case a.Slot == c.Decided.Index+1 && c.Promised.Below(a.Ballot):
+			c.Promised, out.OK, keep = a.Ballot, true, true
+			out.Accepted = c.Accepted
+		}
+	case Accept:
+		switch {
+		case a.Slot <= c.Decided.Index:
+			out.Decided = c.Decided
+		case a.Slot == c.Decided.Index+1 && !a.Ballot.Below(c.Promised) && a.Value != nil && a.Value.Index == a.Slot:
+			c.Promised, c.Accepted = a.Ballot, &Voted{a.Ballot, a.Value}
+			out.OK, keep = true, true
+		}
+	case Learn:
+		if a.Value != nil && a.Value.Index > c.Decided.Index {
+			c.Decided, c.Promised, c.Accepted = a.Value, Ballot{}, nil
+			keep = true
+		}
+		out.OK = true
+	case Look:
+		out.OK = true
+		if a.Slot < c.Decided.Index {
+			out.Decided = c.Decided
+		}
+	}
+	out.Index, out.Promised, out.Pending = c.Decided.Index, c.Promised, c.Accepted != nil
+	return out, keep
+}
+
+// Tally counts answers of members to one step of an attempt at the slot after a state. Only identities of that state's
+// core count, each once.
+type Tally struct {
+	of    *State
+	yes   map[string]bool
+	no    map[string]bool
+	best  *Voted
+	ahead *State // decided later than the state
+	high  Ballot
+	open  bool // somebody has accepted something for the slot
+	old   bool // a member has not heard of the state
+}
+
+// NewTally starts a count.
+func NewTally(of *State) *Tally {
+	return &Tally{of: of, yes: map[string]bool{}, no: map[string]bool{}}
+}
+
+// Add counts an answer.
+func (t *Tally) Add(a Answer) {
+	if a.Decided != nil && a.Decided.Index > t.of.Index && (t.ahead == nil || a.Decided.Index > t.ahead.Index) {
+		t.ahead = a.Decided
+	}
+	if t.high.Below(a.Promised) {
+		t.high = a.Promised
+	}
+	if !t.of.Has(a.ID) {
+		return
+	}
+	t.open = t.open || a.Pending && a.Index == t.of.Index
+	t.old = t.old || a.Index < t.of.Index
+	if !a.OK || a.Index != t.of.Index {
+		t.no[a.ID] = true
+		return
+	}
+	t.yes[a.ID] = true
+	if a.Accepted != nil && (t.best == nil || t.best.Ballot.Below(a.Accepted.Ballot)) {
+		t.best = a.Accepted
+	}
+}
+
+// Promised reports whether a majority has: enough to meet any quorum that accepts.
+func (t *Tally) Promised() bool { return len(t.yes) >= t.of.Majority() }
+
+// Accepted reports whether a quorum has.
+func (t *Tally) Accepted() bool { return len(t.yes) >= t.of.Quorum() }
+
+// Lost reports whether so many can't agree any more.
+func (t *Tally) Lost(need int) bool { return len(t.of.Core)-len(t.no) < need }
+
+// Pending reports whether something is accepted for the slot.
+func (t *Tally) Pending() bool { return t.open }
+
+// Behind reports whether a member has not heard of the state.
+func (t *Tally) Behind() bool { return t.old }
+
+// High is the highest ballot that was seen.
+func (t *Tally) High() Ballot { return t.high }
+
+// Ahead is a later decided state that somebody told, nil for none.
+func (t *Tally) Ahead() *State { return t.ahead }
+
+// Best is what was accepted under the highest ballot: an attempt has to go on with it.
+func (t *Tally) Best() *Voted { return t.best }
+
+// Founders is the state of a core that has agreed on nothing yet.
+func Founders(addresses []string, zoneOf func(string) string, tolerate int) *State {
+	s := &State{Index: 1, Tolerate: tolerate} // a stranger's, that knows of no core, has 0
+	for _, at := range addresses {
+		s.Core = append(s.Core, Member{FounderID(at), at, zoneOf(at)})
+	}
+	slices.SortFunc(s.Core, func(a, b Member) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return s
+}
+
+// FounderID is the identity of a founder's first disk. Its next one is drawn.
+func FounderID(address string) string { return "founder-" + address }
--- a/internal/httpwire/gate.go
+++ b/internal/httpwire/gate.go
@@ -5,8 +5,9 @@
 	"errors"
 	"net"
 	"sync"
-	"syscall"
 	"time"
+
+	"ottershift/internal/rawconn"
 )
 
 // gate is what all pushes of a transaction go out through, until its answer closes it or its client has gone.
@@ -41,21 +42,10 @@
 	if err != nil {
 		return true
 	}
-	_, gone := peek(raw)
+	_, gone := rawconn.Peek(raw)
 	return gone
 }
 
-// peek looks at what the kernel holds of a connection, without waiting: bytes unread, or its end.
-func peek(raw syscall.RawConn) (unread, ended bool) {
-	err := raw.Control(func(fd uintptr) { // not Read: somebody waits in one
-		var first [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), first[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		unread = n > 0
-		ended = n == 0 && err == nil || err != nil && err != syscall.EAGAIN && err != syscall.EINTR
-	})
-	return unread, ended || err != nil
-}
-
 // until closes it at a time. Danger: a process that was stopped writes before its timers fire.
 func (g *gate) until(ends time.Time) {
 	g.mu.Lock()
--- a/internal/httpwire/outward.go
+++ b/internal/httpwire/outward.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"syscall"
 
+	"ottershift/internal/rawconn"
 	"ottershift/internal/roster"
 )
 
@@ -140,7 +141,7 @@
 	if o.closed {
 		return r, net.ErrClosed
 	}
-	switch unread, ended := peek(o.raw); {
+	switch unread, ended := rawconn.Peek(o.raw); {
 	case unread:
 		return r, errStray
 	case ended:
--- a/internal/httpwire/sockets.go
+++ b/internal/httpwire/sockets.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"ottershift/internal/rawconn"
 	"ottershift/internal/shares"
 )
 
@@ -152,7 +153,7 @@
 	if err != nil {
 		return false
 	}
-	unread, _ := peek(raw)
+	unread, _ := rawconn.Peek(raw)
 	if unread {
 		c.heard.Store(time.Now().UnixNano())
 		c.said.Store(true)
@@ -308,7 +309,7 @@
 	s.mu.Unlock()
 	for _, c := range idle {
 		if raw, err := c.SyscallConn(); err == nil && !all {
-			if unread, _ := peek(raw); unread {
+			if unread, _ := rawconn.Peek(raw); unread {
 				continue
 			}
 		}
