--- a/internal/hive/flight/forager.go
+++ b/internal/hive/flight/forager.go
@@ -49,7 +49,6 @@
 	life   string
 	epoch  time.Time
 	brood  *brood
-	peers  *lines
 	apps   *lines
 	end    chan struct{}
 
@@ -87,7 +86,7 @@
 		brood: newBrood(b.Bounds.Drain, b.App), end: make(chan struct{}), crossing: 0.1,
 		pools: map[string]*pool{}, nests: map[string]*seen{}, members: 1,
 	}
-	f.peers, f.apps = newLines(dialPeer, f.counts, "peer"), newLines(dialApp, f.counts, "app")
+	f.apps = newLines(dialApp, f.counts, "app")
 	f.requests, f.inbounds = f.counts.Of("requests"), f.counts.Of("inbound")
 	f.purses.all = pollen.NewQuotas()
 	f.seeds = inner(b)
@@ -177,7 +176,11 @@
 	for {
 		select {
 		case now := <-t.C:
-			f.peers.sweep(now)
+			f.mu.Lock()
+			for _, p := range f.pools {
+				p.peers.sweep(now)
+			}
+			f.mu.Unlock()
 			f.apps.sweep(now)
 			f.clients.sweep(now, false)
 			f.brood.quiet(now, 4*f.box.Beat)
--- a/internal/hive/flight/inbound.go
+++ b/internal/hive/flight/inbound.go
@@ -88,7 +88,7 @@
 }
 
 // well asks the balancer beside an upstream whether that is well.
-func (f *Forager) well(ctx context.Context, at roster.Place) bool {
+func (f *Forager) well(ctx context.Context, p *pool, at roster.Place) bool {
 	name := ""
 	f.mu.Lock()
 	for _, n := range f.nests {
@@ -103,7 +103,7 @@
 		up, _ := f.brood.nest()
 		return up != nil && up.ID == name
 	}
-	back := f.send(ctx, s, f.peers, at)
+	back := f.send(ctx, s, p.peers, at)
 	if back.kind != sting.None {
 		return false
 	}
--- a/internal/hive/flight/push.go
+++ b/internal/hive/flight/push.go
@@ -60,7 +60,7 @@
 	if o.Place.Address == f.box.Inbound {
 		back = f.give(o.Context, s)
 	} else {
-		back = f.send(o.Context, s, f.peers, o.Place)
+		back = f.send(o.Context, s, q.pool.peers, o.Place)
 	}
 	defer func() {
 		if !flowed {
--- a/internal/hive/flight/view.go
+++ b/internal/hive/flight/view.go
@@ -47,6 +47,7 @@
 	desk   *desk.Desk
 	counts *figures.Pool
 	book   *terms.Book
+	peers  *lines // hosts are named by the pool's own roster
 
 	mu     sync.Mutex
 	budget *pollen.Budget
@@ -146,7 +147,7 @@
 	p := f.pools[service]
 	if p == nil {
 		bounds := &f.box.Bounds
-		p = &pool{name: service, counts: &figures.Pool{}, book: b,
+		p = &pool{name: service, counts: &figures.Pool{}, book: b, peers: newLines(dialPeer, f.counts, "peer"),
 			budget: pollen.NewBudget(int64(bounds.RetryWindow), bounds.RetryRatio, bounds.RetrySlack)}
 		var err error
 		if p.desk, err = desk.New(b, p.counts, f.log.With("service", service), desk.Design); err != nil {
@@ -196,7 +197,7 @@
 		slices.SortFunc(list, func(a, b roster.Entry[string]) int { return strings.Compare(a.Name, b.Name) })
 		change := p.desk.List(list, true)
 		for _, host := range change.Left {
-			f.peers.leave(host)
+			p.peers.leave(host)
 		}
 		if change.Joined+change.Ends+change.Gone > 0 {
 			f.log.Info("list", "service", service, "listed", change.Listed, "joined", change.Joined, "end", change.Ends, "gone", change.Gone)
@@ -292,7 +293,7 @@
 			go func() {
 				ctx, end := context.WithTimeout(context.Background(), asideMost)
 				defer end()
-				p.desk.Probed(o.Upstream, f.well(ctx, o.Place))
+				p.desk.Probed(o.Upstream, f.well(ctx, p, o.Place))
 			}()
 		case <-f.end:
 			return
