--- a/internal/hive/comb/comb.go
+++ b/internal/hive/comb/comb.go
@@ -24,9 +24,10 @@
 
 const (
 	mingleEvery = 250 * time.Millisecond
-	away        = 1200 * time.Millisecond // for which a process of the core that is not heard of counts as there
-	adoptAfter  = 1500 * time.Millisecond // for which a member of the core is not heard of before another takes its place
-	mendAfter   = 150 * time.Millisecond  // for which something may stand accepted and undecided
+	away        = time.Duration(swarm.AwayAfter)
+	diskTries   = 100                    // at a disk that refuses, before the process gives up
+	diskPause   = 200 * time.Millisecond // between two of them
+	mendAfter   = 150 * time.Millisecond // for which something may stand accepted and undecided
 )
 
 // Hello is how processes of the core know one another.
@@ -79,14 +80,22 @@
 			return nil, err
 		}
 	}
-	w, copied, fresh, err := wax.Open(dir, func() (string, *swarm.State) {
+	first := func() (string, *swarm.State) {
 		founders := slices.Clone(c.seeds)
 		slices.Sort(founders)
 		if b.FirstStart && slices.Contains(founders, self) {
 			return swarm.FounderID(self), swarm.Founders(founders, func(string) string { return "" }, b.Tolerate.Machines)
 		}
 		return wax.Draw(), &swarm.State{} // a stranger: no core that it knows of, so nothing that it could decide
-	})
+	}
+	w, copied, fresh, err := wax.Open(dir, first)
+	for n := 0; err != nil && n < diskTries; n++ { // a disk in trouble refuses for seconds
+		if n == 0 {
+			log.Warn("disk", "err", err)
+		}
+		time.Sleep(diskPause)
+		w, copied, fresh, err = wax.Open(dir, first)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -194,7 +203,7 @@
 	if len(s.Core) == 0 {
 		return
 	}
-	_, pending := c.keeper.look(ctx)
+	_, _, pending := c.keeper.look(ctx)
 	c.mu.Lock()
 	core := coreText(s)
 	if core != c.core {
@@ -251,81 +260,39 @@
 	return strings.Join(all, " ")
 }
 
-// rank is this process's place among the members of the core that are heard of, in their agreed order: 0 does what one
-// alone has to do. Under mu.
-func (c *Comb) rank(s *swarm.State) (rank int) {
-	now := c.now()
-	for _, m := range s.Core {
-		if m.ID == c.keeper.id() {
-			return rank
-		}
-		if h, is := c.known[m.At]; is && h.ID == m.ID && now-c.heard[m.At] < int64(away) {
-			rank++
+// heardOf is the other processes of the core as they are heard of. Under mu.
+func (c *Comb) heardOf() (all []swarm.Heard) {
+	for at, h := range c.known {
+		heard := swarm.Heard{Member: swarm.Member{ID: h.ID, At: at, Zone: h.Zone}, Quiet: -1}
+		if last, is := c.heard[at]; is {
+			heard.Quiet = c.now() - last
 		}
+		all = append(all, heard)
 	}
-	return rank + len(s.Core)
+	return all
 }
 
-// adopt keeps the core whole: a member whose disk is gone, or that is not heard of, makes room for a process that is
-// there. It is decided by agreement with the core as it is, so who does it twice or late does no harm.
+// rank is this process's place in the agreed order of those that are there. Under mu.
+func (c *Comb) rank(s *swarm.State) int { return s.Rank(c.keeper.id(), c.heardOf()) }
+
+// adopt keeps the core whole. It is decided by agreement with the core as it is, so who does it twice or late does no
+// harm.
 func (c *Comb) adopt(ctx context.Context, s *swarm.State) {
 	if !c.keeper.current() {
 		return
 	}
 	c.mu.Lock()
-	now := c.now()
-	out, in := "", swarm.Member{}
+	self := swarm.Member{ID: c.keeper.id(), At: c.box.Inner(), Zone: c.box.District}
+	a, wanted := s.Adopt(self, c.heardOf(), c.now())
 	first := c.rank(s) == 0
-	live := func(at string) bool { return now-c.heard[at] < int64(away) && c.heard[at] > 0 }
-	var strangers []Hello
-	for at, h := range c.known {
-		if live(at) && !s.Has(h.ID) && h.ID != "" {
-			strangers = append(strangers, h)
-		}
-	}
-	self := Hello{ID: c.keeper.id(), At: c.box.Inner(), Zone: c.box.District}
-	if !s.Has(self.ID) {
-		strangers = append(strangers, self)
-	}
-	slices.SortFunc(strangers, func(a, b Hello) int { return strings.Compare(a.At, b.At) })
-	for _, m := range s.Core {
-		for _, h := range strangers {
-			if h.At == m.At && out == "" { // the same machine under a new identity: its old disk is gone
-				out, in = m.ID, swarm.Member{ID: h.ID, At: h.At, Zone: h.Zone}
-			}
-		}
-	}
-	if out == "" && len(strangers) > 0 {
-		for _, m := range s.Core {
-			quiet := now - max(c.heard[m.At], 0)
-			if m.ID != c.keeper.id() && quiet > int64(adoptAfter) && now > int64(adoptAfter) {
-				h := strangers[0]
-				for _, other := range strangers { // its own zone's first
-					if other.Zone == m.Zone {
-						h = other
-					}
-				}
-				out, in = m.ID, swarm.Member{ID: h.ID, At: h.At, Zone: h.Zone}
-				break
-			}
-		}
-	}
-	if out == "" && len(strangers) > 0 && len(s.Core) < 2*c.box.Tolerate.Machines+1 {
-		out, in = " ", swarm.Member{ID: strangers[0].ID, At: strangers[0].At, Zone: strangers[0].Zone} // only adds
-	}
 	c.mu.Unlock()
-	if out == "" || !first {
+	if !wanted || !first {
 		return
 	}
 	within, end := context.WithTimeout(ctx, 2*time.Second)
 	defer end()
-	_, err := c.keeper.change(within, c.others, func(newest *swarm.State) (*swarm.State, error) {
-		if newest.Has(in.ID) || out != " " && !newest.Has(out) || out == " " && len(newest.Core) >= 2*c.box.Tolerate.Machines+1 {
-			return nil, nil
-		}
-		return newest.Swap(out, in), nil
-	})
-	c.log.Info("adopt", "out", out, "in", in.ID, "at", in.At, "err", err)
+	_, err := c.keeper.change(within, c.others, func(newest *swarm.State) (*swarm.State, error) { return newest.Adopted(a), nil })
+	c.log.Info("adopt", "out", a.Out, "in", a.In.ID, "at", a.In.At, "err", err)
 }
 
 // stir wakes who waits for news of the cell. Under mu.
--- a/internal/hive/comb/keeper.go
+++ b/internal/hive/comb/keeper.go
@@ -93,8 +93,8 @@
 	return &out, nil
 }
 
-// ask puts the same question to all members of a core and counts until done says enough or nobody is left.
-func (k *keeper) ask(ctx context.Context, of *swarm.State, a swarm.Ask, within time.Duration, done func(*swarm.Tally) bool) *swarm.Tally {
+// ask puts the same question to all members of a core; the answers come as they do, nil for none.
+func (k *keeper) ask(ctx context.Context, of *swarm.State, a swarm.Ask, within time.Duration) <-chan *swarm.Answer {
 	ctx, end := context.WithTimeout(ctx, within)
 	answers := make(chan *swarm.Answer, len(of.Core))
 	var wait sync.WaitGroup
@@ -106,21 +106,7 @@
 		}()
 	}
 	go func() { wait.Wait(); end() }() // the slower ones go on: what they keep counts too
-	t := swarm.NewTally(of)
-	for range of.Core {
-		select {
-		case answer := <-answers:
-			if answer != nil {
-				t.Add(*answer)
-			}
-			if done(t) || t.Ahead() != nil {
-				return t
-			}
-		case <-ctx.Done():
-			return t
-		}
-	}
-	return t
+	return answers
 }
 
 func (k *keeper) one(ctx context.Context, at string, a swarm.Ask) *swarm.Answer {
@@ -167,20 +153,25 @@
 
 // look asks the core where it stands, mends this copy if it is old, and reports whether it is current and whether
 // something is accepted that nobody has been seen to decide.
-func (k *keeper) look(ctx context.Context) (current, pending bool) {
+func (k *keeper) look(ctx context.Context) (s *swarm.State, current, pending bool) {
 	asked := time.Since(k.epoch)
-	s, _ := k.state()
-	t := k.ask(ctx, s, swarm.Ask{Kind: swarm.Look, Slot: s.Index}, lookWithin, func(t *swarm.Tally) bool { return t.Promised() })
-	if ahead := t.Ahead(); ahead != nil {
+	s, _ = k.state()
+	reading, ask := swarm.Read(s)
+	answers := k.ask(ctx, s, ask, lookWithin)
+	for range s.Core {
+		if answer := <-answers; answer != nil && reading.Take(*answer) {
+			break
+		}
+	}
+	if ahead := reading.Ahead(); ahead != nil {
 		k.counts.Add("copies_mended")
 		k.learn(ahead)
-		return false, false
 	}
-	if !t.Promised() {
-		return false, false
+	if !reading.Current() {
+		return s, false, false
 	}
 	k.confirmed.Store(int64(asked))
-	return true, t.Pending()
+	return s, true, reading.Pending()
 }
 
 // current reports whether a majority has said of late that this copy is.
@@ -205,58 +196,55 @@
 		s, _ := k.state()
 		k.mu.Lock()
 		k.round = max(k.round, k.copy.Promised.Round) + 1
-		ballot := swarm.Ballot{Round: k.round, By: k.by}
+		p, ask := swarm.Propose(s, swarm.Ballot{Round: k.round, By: k.by}, what)
 		k.mu.Unlock()
-		t := k.ask(ctx, s, swarm.Ask{Kind: swarm.Prepare, Slot: s.Index + 1, Ballot: ballot}, stepWithin,
-			func(t *swarm.Tally) bool { return t.Promised() || t.Lost(s.Majority()) })
-		if ahead := t.Ahead(); ahead != nil {
-			k.learn(ahead)
-			continue
-		}
+		step := k.attempt(ctx, s, p, ask)
 		k.mu.Lock()
-		k.round = max(k.round, t.High().Round)
+		k.round = max(k.round, p.Round)
 		k.mu.Unlock()
-		if !t.Promised() {
-			if t.Behind() { // members that have not heard of the last decision
-				k.tell(s, nil)()
+		switch step {
+		case swarm.Ended:
+			return p.State, p.Err
+		case swarm.Ahead:
+			k.learn(p.State)
+		case swarm.Old: // members that have not heard of the last decision
+			k.tell(s, nil)()
+		case swarm.Decided:
+			k.counts.Add("decided")
+			go k.learn(p.State)
+			told := k.tell(p.State, also())
+			if !sameCore(s, p.State) {
+				told() // Danger: a new core must hold what it begins with before the old one's disks may go
 			}
-			continue
-		}
-		// From here s is the newest: whatever came after it would have been seen by one of those who promised.
-		var next *swarm.State
-		own := false
-		if best := t.Best(); best != nil {
-			next = best.Value
-		} else {
-			var err error
-			if next, err = what(s); err != nil || next == nil {
-				return s, err
+			if p.Own {
+				return p.State, nil
 			}
-			own = true
-		}
-		t = k.ask(ctx, s, swarm.Ask{Kind: swarm.Accept, Slot: s.Index + 1, Ballot: ballot, Value: next}, stepWithin,
-			func(t *swarm.Tally) bool { return t.Accepted() || t.Lost(s.Quorum()) })
-		if ahead := t.Ahead(); ahead != nil {
-			k.learn(ahead)
-			continue
+			k.waitFor(ctx, p.State.Index)
 		}
-		if !t.Accepted() {
-			continue
-		}
-		k.counts.Add("decided")
-		go k.learn(next)
-		told := k.tell(next, also())
-		if !sameCore(s, next) {
-			told() // Danger: a new core must hold what it begins with before the old one's disks may go
-		}
-		if own {
-			return next, nil
-		}
-		k.waitFor(ctx, next.Index)
 	}
 	return nil, sting.New(sting.Unclear, "no majority of the core has agreed in time")
 }
 
+// attempt carries one proposal to its last step, or to Wait where answers stay away.
+func (k *keeper) attempt(ctx context.Context, s *swarm.State, p *swarm.Proposal, ask swarm.Ask) (step swarm.Step) {
+	for step = swarm.Send; step == swarm.Send; {
+		answers := k.ask(ctx, s, ask, stepWithin)
+		step = swarm.Wait
+		for n := 0; n < len(s.Core) && step == swarm.Wait; n++ {
+			select {
+			case answer := <-answers:
+				if answer != nil {
+					step = p.Take(*answer)
+				}
+			case <-ctx.Done():
+				return swarm.Wait
+			}
+		}
+		ask = p.Ask()
+	}
+	return step
+}
+
 // waitFor waits until this copy knows a decision that is on its way to it.
 func (k *keeper) waitFor(ctx context.Context, index uint64) {
 	for {
@@ -281,11 +269,8 @@
 // newest is the newest state beyond doubt: a majority says that nothing came after it, or it is made sure of.
 func (k *keeper) newest(ctx context.Context, also func() []string) (*swarm.State, error) {
 	for range 2 {
-		before, _ := k.state()
-		if current, pending := k.look(ctx); current && !pending {
-			if after, _ := k.state(); after == before {
-				return after, nil
-			}
+		if s, current, pending := k.look(ctx); current && !pending {
+			return s, nil
 		}
 	}
 	k.counts.Add("reads_settled")
--- a/internal/hive/swarm/swarm.go
+++ b/internal/hive/swarm/swarm.go
@@ -10,6 +10,7 @@
 import (
 	"encoding/json"
 	"slices"
+	"strings"
 )
 
 // Ballot orders the attempts at a slot.
@@ -79,12 +80,7 @@
 	next := s.next()
 	next.Core = slices.DeleteFunc(slices.Clone(s.Core), func(m Member) bool { return m.ID == old || m.ID == by.ID })
 	next.Core = append(next.Core, by)
-	slices.SortFunc(next.Core, func(a, b Member) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(next.Core, byID)
 	return next
 }
 
@@ -133,6 +129,8 @@
 
 // Answer is what a copy says.
 type Answer struct {
+	To       string // the kind of ask
+	Slot     uint64 // that it asked for
 	ID       string
 	Index    uint64 // decided
 	OK       bool
@@ -144,7 +142,7 @@
 
 // Handle answers an ask; keep says that the copy has changed and must be synced before the answer leaves.
 func (c *Copy) Handle(a Ask) (out Answer, keep bool) {
-	out = Answer{ID: c.ID, Index: c.Decided.Index}
+	out = Answer{To: a.Kind, Slot: a.Slot, ID: c.ID, Index: c.Decided.Index}
 	switch a.Kind {
 	case Prepare:
 		switch {
@@ -243,20 +241,217 @@
 // Best is what was accepted under the highest ballot: an attempt has to go on with it.
 func (t *Tally) Best() *Voted { return t.best }
 
+// Step is what a proposal wants next.
+type Step uint8
+
+// The steps.
+const (
+	Wait    Step = iota // for more answers
+	Send                // Ask, to all of the core
+	Ahead               // a later state is decided: State; begin again on top of it
+	Old                 // members have not heard of the state: tell them, begin again
+	Lost                // no quorum comes about under this ballot; begin again under a higher one
+	Ended               // the function wanted nothing more of the state, which is the newest
+	Decided             // State is decided; Own says whether it is the function's
+)
+
+// Proposal is one attempt at the slot after a state, from a promise to a decision.
+type Proposal struct {
+	of     *State
+	what   func(*State) (*State, error)
+	asked  Ask
+	tally  *Tally
+	State  *State
+	Own    bool
+	Err    error
+	Round  uint64 // the highest that was seen
+	closed bool
+}
+
+// Propose begins an attempt; the ask goes to all of the state's core. The function is called once the state is the
+// newest beyond doubt, unless somebody's value has to be gone on with.
+func Propose(of *State, b Ballot, what func(*State) (*State, error)) (*Proposal, Ask) {
+	p := &Proposal{of: of, what: what, tally: NewTally(of)}
+	p.asked = Ask{Kind: Prepare, Slot: of.Index + 1, Ballot: b}
+	return p, p.asked
+}
+
+// Ask is what is being asked.
+func (p *Proposal) Ask() Ask { return p.asked }
+
+// Take takes an answer. Those to another ask than the last say nothing.
+func (p *Proposal) Take(a Answer) Step {
+	if p.closed || a.To != p.asked.Kind || a.Slot != p.asked.Slot {
+		return Wait
+	}
+	p.tally.Add(a)
+	p.Round = max(p.Round, p.tally.High().Round)
+	if ahead := p.tally.Ahead(); ahead != nil {
+		p.State, p.closed = ahead, true
+		return Ahead
+	}
+	if p.asked.Kind == Accept {
+		switch {
+		case p.tally.Accepted():
+			p.closed = true
+			return Decided
+		case p.tally.Lost(p.of.Quorum()):
+			p.closed = true
+			return Lost
+		}
+		return Wait
+	}
+	switch {
+	case p.tally.Promised():
+		// From here the state is the newest: whatever came after it would have been seen by one of those who promised.
+		if best := p.tally.Best(); best != nil {
+			p.State = best.Value
+		} else if p.State, p.Err = p.what(p.of); p.Err != nil || p.State == nil {
+			p.State, p.closed = p.of, true
+			return Ended
+		} else {
+			p.Own = true
+		}
+		p.asked = Ask{Kind: Accept, Slot: p.of.Index + 1, Ballot: p.asked.Ballot, Value: p.State}
+		p.tally = NewTally(p.of)
+		return Send
+	case p.tally.Lost(p.of.Majority()):
+		p.closed = true
+		if p.tally.Behind() {
+			return Old
+		}
+		return Lost
+	}
+	return Wait
+}
+
+// Reading is a look at the core: is a state the newest?
+type Reading struct {
+	of    *State
+	tally *Tally
+}
+
+// Read begins a look; the ask goes to all of the state's core.
+func Read(of *State) (*Reading, Ask) {
+	return &Reading{of, NewTally(of)}, Ask{Kind: Look, Slot: of.Index}
+}
+
+// Take takes an answer; done says that a majority has spoken or somebody is ahead.
+func (r *Reading) Take(a Answer) (done bool) {
+	if a.To != Look || a.Slot != r.of.Index {
+		return false
+	}
+	r.tally.Add(a)
+	return r.tally.Promised() || r.tally.Ahead() != nil
+}
+
+// Newest reports whether a majority says that nothing came after the state.
+func (r *Reading) Newest() bool {
+	return r.tally.Ahead() == nil && r.tally.Promised() && !r.tally.Pending()
+}
+
+// Current reports whether a majority has not seen anything decided after it.
+func (r *Reading) Current() bool { return r.tally.Ahead() == nil && r.tally.Promised() }
+
+// Pending reports whether something stands accepted.
+func (r *Reading) Pending() bool { return r.tally.Pending() }
+
+// Ahead is a later decided state, nil for none.
+func (r *Reading) Ahead() *State { return r.tally.Ahead() }
+
+// Heard is a process of the core as another one hears of it.
+type Heard struct {
+	Member
+	Quiet int64 // nanoseconds since it was heard of; below 0 for never
+}
+
+// Adoption is a change of the core: In comes, and Out, where it is not empty, makes room.
+type Adoption struct {
+	Out string
+	In  Member
+}
+
+// Bounds of adoption, in nanoseconds.
+const (
+	AwayAfter  = int64(1200e6) // quiet for so long, a process counts as away
+	AdoptAfter = int64(1500e6) // and a member for so long, another may take its place
+)
+
+// Rank is a process's place among the members that are heard of, in the order of their identities: whoever is 0 does
+// what one alone has to do. Several that think so do no harm: what they do is decided by agreement.
+func (s *State) Rank(self string, others []Heard) (rank int) {
+	for _, m := range s.Core {
+		if m.ID == self {
+			return rank
+		}
+		if slices.ContainsFunc(others, func(h Heard) bool { return h.ID == m.ID && h.Quiet >= 0 && h.Quiet < AwayAfter }) {
+			rank++
+		}
+	}
+	return rank + len(s.Core)
+}
+
+// Adopt is what would make the core whole: a member whose disk is gone, or that is not heard of, makes room for a process
+// that is there, and a core that could not bear what it has to grows. up is how long self has listened.
+func (s *State) Adopt(self Member, others []Heard, up int64) (a Adoption, wanted bool) {
+	var strangers []Member
+	quiet := map[string]int64{self.ID: 0}
+	for _, h := range others {
+		if h.Quiet < 0 {
+			continue
+		}
+		quiet[h.ID] = h.Quiet
+		if h.Quiet < AwayAfter && !s.Has(h.ID) {
+			strangers = append(strangers, h.Member)
+		}
+	}
+	if !s.Has(self.ID) {
+		strangers = append(strangers, self)
+	}
+	if len(strangers) == 0 {
+		return a, false
+	}
+	slices.SortFunc(strangers, func(a, b Member) int { return strings.Compare(a.At, b.At) })
+	for _, m := range s.Core { // the same machine under another identity: its old disk is gone
+		for _, n := range strangers {
+			if n.At == m.At {
+				return Adoption{m.ID, n}, true
+			}
+		}
+	}
+	for _, m := range s.Core {
+		q, heard := quiet[m.ID]
+		if heard && q < AdoptAfter || !heard && up < AdoptAfter {
+			continue
+		}
+		in := strangers[0]
+		if at := slices.IndexFunc(strangers, func(n Member) bool { return n.Zone == m.Zone }); at >= 0 {
+			in = strangers[at]
+		}
+		return Adoption{m.ID, in}, true
+	}
+	return Adoption{"", strangers[0]}, len(s.Core) < 2*s.Tolerate+1
+}
+
+// Adopted is the state after an adoption, nil where it has been overtaken.
+func (s *State) Adopted(a Adoption) *State {
+	if s.Has(a.In.ID) || a.Out != "" && !s.Has(a.Out) || a.Out == "" && len(s.Core) >= 2*s.Tolerate+1 {
+		return nil
+	}
+	return s.Swap(a.Out, a.In)
+}
+
 // Founders is the state of a core that has agreed on nothing yet.
 func Founders(addresses []string, zoneOf func(string) string, tolerate int) *State {
 	s := &State{Index: 1, Tolerate: tolerate} // a stranger's, that knows of no core, has 0
 	for _, at := range addresses {
 		s.Core = append(s.Core, Member{FounderID(at), at, zoneOf(at)})
 	}
-	slices.SortFunc(s.Core, func(a, b Member) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(s.Core, byID)
 	return s
 }
 
+func byID(a, b Member) int { return strings.Compare(a.ID, b.ID) }
+
 // FounderID is the identity of a founder's first disk. Its next one is drawn.
 func FounderID(address string) string { return "founder-" + address }
--- a/internal/hive/wax/wax.go
+++ b/internal/hive/wax/wax.go
@@ -7,14 +7,16 @@
 	"encoding/binary"
 	"encoding/hex"
 	"encoding/json"
-	"errors"
+	"fmt"
 	"hash/crc32"
 	"os"
 	"path/filepath"
 	"sync"
 
 	"github.com/syndtr/goleveldb/leveldb"
+	leveldberrors "github.com/syndtr/goleveldb/leveldb/errors"
 	"github.com/syndtr/goleveldb/leveldb/opt"
+	"github.com/syndtr/goleveldb/leveldb/storage"
 	"github.com/zeebo/errs"
 
 	"ottershift/internal/hive/swarm"
@@ -33,82 +35,127 @@
 
 // Wax is one process's disk.
 type Wax struct {
-	mu  sync.Mutex
-	db  *leveldb.DB
-	was swarm.Copy // as it is on disk
+	mu   sync.Mutex
+	stor storage.Storage
+	db   *leveldb.DB
+	was  swarm.Copy // as it is on disk
 }
 
-// Open opens a directory. A disk without an identity gets the one that first says, which is called then only; an
-// unreadable one is put aside whole and counts as empty.
-func Open(dir string, first func() (id string, state *swarm.State)) (w *Wax, c *swarm.Copy, fresh bool, err error) {
+// synced is a storage whose current manifest is on disk before it is named. Danger: goleveldb names a new manifest, at each
+// start, once it is written and not yet synced; power lost then takes all that it led to.
+type synced struct {
+	storage.Storage
+	manifest func(storage.FileDesc) error // syncs it
+}
+
+func (s synced) SetMeta(fd storage.FileDesc) error {
+	if err := s.manifest(fd); err != nil {
+		return err
+	}
+	return s.Storage.SetMeta(fd)
+}
+
+// Open opens a directory. A disk without an identity gets the one that first says, which is called then only, and fresh
+// says why there was none; an unreadable one is put aside whole and counts as empty.
+func Open(dir string, first func() (id string, state *swarm.State)) (w *Wax, c *swarm.Copy, fresh error, err error) {
 	path := filepath.Join(dir, "wax")
-	w, c, err = open(path)
-	if err != nil && !errors.Is(err, leveldb.ErrNotFound) && !os.IsPermission(err) {
-		if w != nil {
-			w.db.Close()
-		}
-		for n := 1; ; n++ { // Danger: taken for whole, a torn copy would vote with half a memory
-			aside := path + ".unreadable-" + hex.EncodeToString([]byte{byte(n)})
-			if _, missing := os.Stat(aside); os.IsNotExist(missing) {
-				if err := os.Rename(path, aside); err != nil && !os.IsNotExist(err) {
-					return nil, nil, false, Error.Wrap(err)
-				}
-				break
-			}
-		}
-		w, c, err = open(path)
+	aside := "unreadable-" + Draw()
+	w, c, fresh, err = OpenOn(func() (storage.Storage, error) { return files(dir, path) }, first)
+	if err == nil || w == nil {
+		return w, c, fresh, err
 	}
-	if err == nil {
-		return w, c, false, nil
+	why := err
+	w.Close()
+	if err := os.Rename(path, filepath.Join(dir, aside)); err != nil {
+		return nil, nil, nil, Error.Wrap(err)
 	}
-	if w == nil || !errors.Is(err, leveldb.ErrNotFound) {
-		return nil, nil, false, Error.Wrap(err)
+	w, c, fresh, err = OpenOn(func() (storage.Storage, error) { return files(dir, path) }, first)
+	return w, c, errs.Combine(Error.New("put aside as %s: %v", aside, why), fresh), err
+}
+
+// files is the storage of a directory whose own name is on disk.
+func files(dir, path string) (storage.Storage, error) {
+	if err := os.MkdirAll(path, 0o755); err != nil {
+		return nil, err
+	}
+	if err := syncPath(dir); err != nil {
+		return nil, err
 	}
-	id, state := first()
-	c = &swarm.Copy{ID: id, Decided: state}
-	if err := w.keep(c, true); err != nil {
-		w.db.Close()
-		return nil, nil, false, err
+	stor, err := storage.OpenFile(path, false)
+	if err != nil {
+		return nil, err
 	}
-	return w, c, true, nil
+	return synced{stor, func(fd storage.FileDesc) error {
+		if err := syncPath(filepath.Join(path, fmt.Sprintf("MANIFEST-%06d", fd.Num))); err != nil {
+			return err
+		}
+		return syncPath(path)
+	}}, nil
 }
 
-// Draw makes an identity that no other disk has.
-func Draw() string {
-	var raw [12]byte
-	rand.Read(raw[:])
-	return "disk-" + hex.EncodeToString(raw[:])
+func syncPath(path string) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	return f.Sync()
 }
 
-func open(path string) (*Wax, *swarm.Copy, error) {
-	if err := os.MkdirAll(path, 0o755); err != nil {
-		return nil, nil, err
+// OpenOn opens a storage. An error with a Wax says that what is there can't be read.
+func OpenOn(on func() (storage.Storage, error), first func() (id string, state *swarm.State)) (w *Wax, c *swarm.Copy, fresh error, err error) {
+	stor, err := on()
+	if err != nil {
+		return nil, nil, nil, Error.Wrap(err)
+	}
+	w = &Wax{stor: stor}
+	if w.db, err = leveldb.Open(stor, options); leveldberrors.IsCorrupted(err) {
+		// Its manifest is not what it was; tables and journals bear checksums of their own, and an order.
+		w.db, err = leveldb.Recover(stor, options)
 	}
-	db, err := leveldb.OpenFile(path, &opt.Options{
-		WriteBuffer: 1 << 20, BlockCacheCapacity: 128 << 10, OpenFilesCacheCapacity: 16, Compression: opt.NoCompression,
-		Strict: opt.StrictJournalChecksum | opt.StrictBlockChecksum,
-	})
 	if err != nil {
-		return nil, nil, err
+		return w, nil, nil, Error.Wrap(err)
 	}
-	w, c := &Wax{db: db}, &swarm.Copy{}
+	c = &swarm.Copy{}
+	empty := true
 	for key, to := range map[string]any{keyID: &c.ID, keyCopy: &c.Decided, keyVow: &c.Promised, keyVoted: &c.Accepted} {
-		raw, err := db.Get([]byte(key), nil)
-		if err == leveldb.ErrNotFound && key != keyID {
+		raw, err := w.db.Get([]byte(key), nil)
+		if err == leveldb.ErrNotFound {
 			continue
 		}
+		empty = false
 		if err == nil {
 			err = unseal(raw, to)
 		}
 		if err != nil {
-			return w, nil, err
+			return w, nil, nil, Error.New("%s: %v", key, err)
 		}
 	}
-	if c.Decided == nil {
-		return w, nil, errs.New("an identity without a state")
+	switch {
+	case empty:
+		fresh = Error.New("an empty disk")
+		id, state := first()
+		c = &swarm.Copy{ID: id, Decided: state}
+		if err := w.keep(c, true); err != nil {
+			return w, nil, nil, err
+		}
+	case c.ID == "" || c.Decided == nil:
+		return w, nil, nil, Error.New("a copy without an identity or a state")
 	}
 	w.was = *c
-	return w, c, nil
+	return w, c, fresh, nil
+}
+
+var options = &opt.Options{
+	WriteBuffer: 1 << 20, BlockCacheCapacity: 128 << 10, OpenFilesCacheCapacity: 16, Compression: opt.NoCompression,
+	Strict: opt.StrictJournalChecksum | opt.StrictBlockChecksum | opt.StrictManifest,
+}
+
+// Draw makes an identity that no other disk has.
+func Draw() string {
+	var raw [12]byte
+	rand.Read(raw[:])
+	return "disk-" + hex.EncodeToString(raw[:])
 }
 
 // Keep syncs a copy. What has not changed is not written again.
@@ -140,7 +187,12 @@
 }
 
 // Close lets the disk go.
-func (w *Wax) Close() error { return w.db.Close() }
+func (w *Wax) Close() (err error) {
+	if w.db != nil {
+		err = w.db.Close()
+	}
+	return errs.Combine(err, w.stor.Close())
+}
 
 // seal puts the format's version and a checksum before a value.
 func seal(v any) ([]byte, error) {
