Apiary: the core's state machines on a virtual clock, guards left out are convicted

Found on the way: a core of three founders that has to bear the loss of two is stuck by one loss until it has grown.

--- /dev/null
+++ b/internal/hive/apiary/core.go
@@ -0,0 +1,654 @@
+package apiary
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"ottershift/internal/hive/swarm"
+)
+
+// Core is a day of a core: processes with disks, links between them, operators who change one configuration, and what
+// goes wrong.
+type Core struct {
+	Combs    int   // processes
+	Founders int   // of them, members from the beginning
+	Tolerate int   // disks that may be lost at once
+	Length   int64 // of the day; what is wrong ends at 7/10 of it
+	CatchUp  int64 // after its return, a wiped machine still counts as lost
+	Delay    int64 // of a link, one way
+	Jitter   int64
+	Sync     int64 // of a disk
+	Loss     float64
+	Puts     int // changes that operators try
+	Reads    int
+
+	Kills, KillAlls, Wipes, Cuts, Freezes, Stalls int // how many of each
+	AckWipes                                      int // of acknowledgements, after which whoever gave it loses its disk and all others power
+
+	// Guards left out, to show that what they guard against is seen without them.
+	UnsyncedAck, StrangerVotes, NoEpoch, OldRead bool
+}
+
+// CoreDay is what came of one.
+type CoreDay struct {
+	Broken   []string // rules, in the order in which they were seen to break
+	Acked    int
+	Stale    int
+	Unclear  int
+	Read     int
+	Took     []int64 // of changes that were acknowledged
+	Decided  uint64  // slots
+	Adopted  int
+	History  []Op
+	Excluded int // faults that Tolerate did not allow at their time
+}
+
+// Op is a call of an operator and what it was told, for those who check histories.
+type Op struct {
+	Client     int
+	Read       bool
+	On, Put    int64 // a change from one version to another
+	Got        int64 // what a read returned
+	OK, Stale  bool  // neither: nobody knows
+	Call, Back int64
+}
+
+type comb struct {
+	name   int
+	at     string
+	up     bool
+	frozen int64 // until then
+	slow   int64 // until then its disk does nothing
+	life   int
+	disk   *swarm.Copy
+	mem    *swarm.Copy
+	busy   int64 // until then its disk is at work
+	round  uint64
+	since  int64 // of this life
+	heard  map[string]swarm.Heard
+	when   map[string]int64
+	looked map[string]bool
+	lost   int64 // counts as lost until then
+}
+
+type coreWorld struct {
+	*World
+	Core
+	day     CoreDay
+	net     *rand.Rand
+	combs   []*comb
+	cut     map[[2]int]int64 // until then
+	decided map[uint64]string
+	taken   map[int64]bool // versions that were acknowledged
+	newest  int64
+	drawn   int
+	founded *swarm.State
+	strike  func(*comb) // right after an acknowledgement
+}
+
+var errStale = errors.New("stale")
+
+// Play plays one day.
+func (c Core) Play(seed uint64) *CoreDay {
+	w := &coreWorld{World: NewWorld(seed), Core: c, cut: map[[2]int]int64{}, decided: map[uint64]string{}, taken: map[int64]bool{}}
+	w.net = w.Chance("net")
+	var founders []string
+	for n := range c.Founders {
+		founders = append(founders, address(n))
+	}
+	state := swarm.Founders(founders, func(at string) string { return at }, c.Tolerate)
+	w.founded = state
+	for n := range c.Combs {
+		b := &comb{name: n, at: address(n), up: true, heard: map[string]swarm.Heard{}, when: map[string]int64{}, looked: map[string]bool{}}
+		if n < c.Founders {
+			b.disk = &swarm.Copy{ID: swarm.FounderID(b.at), Decided: state}
+		} else {
+			b.disk = &swarm.Copy{ID: fmt.Sprintf("disk-%d-first", n), Decided: &swarm.State{}}
+		}
+		w.combs = append(w.combs, b)
+		w.start(b)
+	}
+	w.trouble()
+	w.operators()
+	w.Run(c.Length)
+	w.final()
+	w.day.Decided = uint64(len(w.decided))
+	return &w.day
+}
+
+func address(n int) string { return fmt.Sprintf("10.0.0.%d:1", n) }
+
+func (w *coreWorld) fault(format string, args ...any) {
+	w.day.Broken = append(w.day.Broken, fmt.Sprintf("%.3fs ", float64(w.Now)/1e9)+fmt.Sprintf(format, args...))
+}
+
+// start begins a life with what is on the disk.
+func (w *coreWorld) start(b *comb) {
+	b.life++
+	b.up, b.since, b.busy, b.round = true, w.Now, 0, 0
+	b.heard, b.when, b.looked = map[string]swarm.Heard{}, map[string]int64{}, map[string]bool{}
+	copied := *b.disk
+	b.mem = &copied
+	life := b.life
+	var tend func()
+	tend = func() {
+		if b.life != life || !b.up {
+			return
+		}
+		if w.Now >= b.frozen {
+			w.tend(b)
+		}
+		w.After(250*Ms, tend)
+	}
+	w.After(int64(w.net.IntN(250))*Ms, tend)
+}
+
+// alive says whether what was begun in a life may go on.
+func (b *comb) alive(life int) bool { return b.up && b.life == life }
+
+// send carries a message, unless it is lost; do runs in whatever life the hearer has by then.
+func (w *coreWorld) send(from, to *comb, do func()) {
+	for copies := 1 + w.net.IntN(20)/19; copies > 0; copies-- {
+		if from != to && (w.net.Float64() < w.Loss || w.Now < w.cut[[2]int{from.name, to.name}]) {
+			continue
+		}
+		late := w.Delay + int64(w.net.Float64()*float64(w.Jitter))
+		if from == to {
+			late = 0
+		}
+		w.After(late, func() { w.arrive(to, do) })
+	}
+}
+
+func (w *coreWorld) arrive(to *comb, do func()) {
+	switch {
+	case !to.up:
+	case w.Now < to.frozen:
+		w.After(to.frozen-w.Now, func() { w.arrive(to, do) })
+	default:
+		do()
+	}
+}
+
+// handle is a copy's turn: asks that need the disk wait for it, one after the other.
+func (w *coreWorld) handle(b *comb, a swarm.Ask, back func(swarm.Answer)) {
+	life := b.life
+	answer := func(out swarm.Answer) { back(out) }
+	sync := func(out swarm.Answer) {
+		now := *b.mem
+		until := max(b.busy, w.Now, b.slow) + w.Sync
+		b.busy = until
+		if w.UnsyncedAck {
+			answer(out)
+		}
+		w.After(until-w.Now, func() {
+			if !b.alive(life) {
+				return
+			}
+			b.disk = &now
+			if !w.UnsyncedAck {
+				answer(out)
+			}
+		})
+	}
+	work := func() {
+		if !b.alive(life) {
+			return
+		}
+		if w.NoEpoch && a.Kind == swarm.Accept {
+			b.mem.Promised = swarm.Ballot{}
+		}
+		before := b.mem.Decided
+		out, keep := b.mem.Handle(a)
+		if b.mem.Decided != before {
+			w.decide(b.mem.Decided)
+		}
+		if keep {
+			sync(out)
+		} else {
+			answer(out)
+		}
+	}
+	if a.Kind == swarm.Look || a.Kind == swarm.Learn {
+		work()
+		return
+	}
+	w.After(max(b.busy-w.Now, 0), work)
+}
+
+// decide holds decisions against one another: of a slot there is one.
+func (w *coreWorld) decide(s *swarm.State) {
+	text := fmt.Sprint(s.Edition, s.Core, s.Members, s.Taken)
+	if was, is := w.decided[s.Index]; is && was != text {
+		w.fault("two decisions in slot %d: %s and %s", s.Index, was, text)
+	}
+	w.decided[s.Index] = text
+}
+
+// ask puts a question to the core of a state; take takes answers until it says that it has enough.
+func (w *coreWorld) ask(b *comb, of *swarm.State, a swarm.Ask, within int64, take func(swarm.Answer) bool, timeout func()) {
+	life, over := b.life, false
+	for _, m := range of.Core {
+		for _, to := range w.combs {
+			if to.at == m.At {
+				w.send(b, to, func() {
+					w.handle(to, a, func(out swarm.Answer) {
+						w.send(to, b, func() {
+							if b.alive(life) && !over {
+								over = take(out)
+							}
+						})
+					})
+				})
+			}
+		}
+	}
+	w.After(within, func() {
+		if b.alive(life) && !over {
+			over = true
+			timeout()
+		}
+	})
+}
+
+// change is a proposer's loop, as the runner has it; until is when it gives up.
+func (w *coreWorld) change(b *comb, until int64, attempt int, what func(*swarm.State) (*swarm.State, error), done func(s *swarm.State, err error, ok bool)) {
+	if w.Now >= until {
+		done(nil, nil, false)
+		return
+	}
+	again := func() {
+		life := b.life
+		w.After(int64(1+attempt*7%20)*Ms+int64(w.net.IntN(20))*Ms, func() {
+			if b.alive(life) {
+				w.change(b, until, attempt+1, what, done)
+			}
+		})
+	}
+	b.round = max(b.round, b.mem.Promised.Round) + 1
+	s := b.mem.Decided
+	p, first := swarm.Propose(s, swarm.Ballot{Round: b.round, By: fmt.Sprintf("%d.%d", b.name, b.life)}, what)
+	var step func(ask swarm.Ask)
+	step = func(ask swarm.Ask) {
+		w.ask(b, s, ask, min(900*Ms, until-w.Now), func(a swarm.Answer) bool {
+			b.round = max(b.round, p.Round)
+			switch p.Take(a) {
+			case swarm.Wait:
+				return false
+			case swarm.Send:
+				step(p.Ask())
+			case swarm.Ahead:
+				w.handle(b, swarm.Ask{Kind: swarm.Learn, Value: p.State}, func(swarm.Answer) {})
+				again()
+			case swarm.Old:
+				w.tell(b, s)
+				again()
+			case swarm.Lost:
+				again()
+			case swarm.Ended:
+				done(p.State, p.Err, true)
+			case swarm.Decided:
+				w.decide(p.State)
+				w.handle(b, swarm.Ask{Kind: swarm.Learn, Value: p.State}, func(swarm.Answer) {})
+				w.tell(b, p.State)
+				if p.Own {
+					done(p.State, nil, true)
+				} else {
+					again()
+				}
+			}
+			return true
+		}, again)
+	}
+	step(first)
+}
+
+func (w *coreWorld) tell(b *comb, s *swarm.State) {
+	for _, to := range w.combs {
+		if to != b {
+			w.send(b, to, func() { w.handle(to, swarm.Ask{Kind: swarm.Learn, Value: s}, func(swarm.Answer) {}) })
+		}
+	}
+}
+
+// tend is what a process does by itself four times a second: hear of the others, look where the core stands, settle what
+// hangs, keep the core whole.
+func (w *coreWorld) tend(b *comb) {
+	for _, to := range w.combs {
+		if to == b {
+			continue
+		}
+		id, index := b.mem.ID, b.mem.Decided.Index
+		w.send(b, to, func() {
+			to.heard[b.at] = swarm.Heard{Member: swarm.Member{ID: id, At: b.at, Zone: b.at}}
+			to.when[b.at] = w.Now
+			if index > to.mem.Decided.Index && b.up {
+				s := b.mem.Decided
+				w.handle(to, swarm.Ask{Kind: swarm.Learn, Value: s}, func(swarm.Answer) {})
+			}
+		})
+	}
+	s := b.mem.Decided
+	if len(s.Core) == 0 {
+		return
+	}
+	r, ask := swarm.Read(s)
+	w.ask(b, s, ask, 400*Ms, func(a swarm.Answer) bool {
+		if !r.Take(a) {
+			return false
+		}
+		if ahead := r.Ahead(); ahead != nil {
+			w.handle(b, swarm.Ask{Kind: swarm.Learn, Value: ahead}, func(swarm.Answer) {})
+			return true
+		}
+		if !r.Current() || b.looked["busy"] {
+			return true
+		}
+		var others []swarm.Heard
+		for at, h := range b.heard {
+			h.Quiet = w.Now - b.when[at]
+			others = append(others, h)
+		}
+		slices.SortFunc(others, func(x, y swarm.Heard) int { return int(x.At[7]) - int(y.At[7]) })
+		rank := s.Rank(b.mem.ID, others)
+		free := func(*swarm.State, error, bool) { b.looked["busy"] = false }
+		if r.Pending() && rank <= 1 {
+			b.looked["busy"] = true
+			w.change(b, w.Now+2*S, 0, func(*swarm.State) (*swarm.State, error) { return nil, nil }, free)
+			return true
+		}
+		self := swarm.Member{ID: b.mem.ID, At: b.at, Zone: b.at}
+		if adoption, wanted := s.Adopt(self, others, w.Now-b.since); wanted && rank == 0 {
+			b.looked["busy"] = true
+			w.change(b, w.Now+2*S, 0, func(newest *swarm.State) (*swarm.State, error) { return newest.Adopted(adoption), nil },
+				func(s *swarm.State, err error, ok bool) {
+					if free(s, err, ok); ok {
+						w.day.Adopted++
+					}
+				})
+		}
+		return true
+	}, func() {})
+}
+
+// operators call one process after the other: changes on top of what they last saw, the same one again after silence, and
+// reads.
+func (w *coreWorld) operators() {
+	chance := w.Chance("operators")
+	last := int64(0) // the version that was last seen by anybody
+	for n := range w.Puts {
+		at := int64(chance.Float64() * float64(w.Length*8/10))
+		w.After(at, func() {
+			base := last
+			version := base + int64(1+chance.IntN(3))
+			digest := fmt.Sprint("put-", n)
+			op := Op{Client: n, On: base, Put: version, Call: w.Now}
+			w.call(chance.IntN(len(w.combs)), 0, func(b *comb, done func(bool)) {
+				w.change(b, w.Now+900*Ms, 0, func(s *swarm.State) (*swarm.State, error) {
+					if s.Was(version, digest) {
+						return nil, nil
+					}
+					if s.Edition != base {
+						return nil, errStale
+					}
+					return s.Put(version, nil, digest), nil
+				}, func(s *swarm.State, err error, ok bool) {
+					if ok {
+						op.OK, op.Stale = err == nil, err != nil
+					}
+					if done(ok); op.OK {
+						w.strike(b)
+					}
+				})
+			}, func(ok bool) {
+				op.Back = w.Now
+				w.day.History = append(w.day.History, op)
+				switch {
+				case op.OK:
+					w.day.Acked++
+					w.day.Took = append(w.day.Took, op.Back-op.Call)
+					if w.taken[version] {
+						w.fault("version %d acknowledged to two", version)
+					}
+					w.taken[version] = true
+					w.newest = max(w.newest, version)
+					last = max(last, version)
+				case op.Stale:
+					w.day.Stale++
+				default:
+					w.day.Unclear++
+				}
+			})
+		})
+	}
+	for n := range w.Reads {
+		at := int64(chance.Float64() * float64(w.Length*9/10))
+		w.After(at, func() {
+			op := Op{Client: w.Puts + n, Read: true, Call: w.Now}
+			w.call(chance.IntN(len(w.combs)), 0, func(b *comb, done func(bool)) {
+				w.read(b, func(s *swarm.State, ok bool) {
+					if ok {
+						op.OK, op.Got = true, s.Edition
+					}
+					done(ok)
+				})
+			}, func(ok bool) {
+				op.Back = w.Now
+				if ok {
+					w.day.Read++
+					last = max(last, op.Got)
+					w.day.History = append(w.day.History, op)
+				}
+			})
+		})
+	}
+}
+
+// read asks for the newest state beyond doubt.
+func (w *coreWorld) read(b *comb, done func(*swarm.State, bool)) {
+	s := b.mem.Decided
+	if w.OldRead {
+		done(s, s.Edition > 0)
+		return
+	}
+	settle := func() {
+		w.change(b, w.Now+900*Ms, 0, func(*swarm.State) (*swarm.State, error) { return nil, nil },
+			func(s *swarm.State, _ error, ok bool) { done(s, ok) })
+	}
+	r, ask := swarm.Read(s)
+	w.ask(b, s, ask, 400*Ms, func(a swarm.Answer) bool {
+		if !r.Take(a) {
+			return false
+		}
+		if r.Newest() {
+			done(s, true)
+		} else {
+			if ahead := r.Ahead(); ahead != nil {
+				w.handle(b, swarm.Ask{Kind: swarm.Learn, Value: ahead}, func(swarm.Answer) {})
+			}
+			settle()
+		}
+		return true
+	}, settle)
+}
+
+// call has an operator call a process, and after a second of silence or an unclear answer the next, with the same words.
+func (w *coreWorld) call(first, tries int, do func(b *comb, done func(bool)), end func(ok bool)) {
+	if tries == 4 {
+		end(false)
+		return
+	}
+	b := w.combs[(first+tries)%len(w.combs)]
+	over := false
+	next := func() {
+		if !over {
+			over = true
+			w.After(50*Ms, func() { w.call(first, tries+1, do, end) })
+		}
+	}
+	w.After(S, next)
+	w.After(w.Delay, func() {
+		w.arrive(b, func() {
+			do(b, func(ok bool) {
+				w.After(w.Delay, func() {
+					if over {
+						return
+					}
+					if !ok {
+						next()
+						return
+					}
+					over = true
+					end(true)
+				})
+			})
+		})
+	})
+}
+
+// lead is how long nothing goes wrong at first: a core that is to bear the loss of two grows from its three founders.
+const lead = 4 * S
+
+// trouble does what goes wrong. Disks are lost within what is to be borne at once, everything else as it comes.
+func (w *coreWorld) trouble() {
+	chance := w.Chance("trouble")
+	last := w.Length * 7 / 10
+	when := func() int64 { return lead + int64(chance.Float64()*float64(last-lead)) }
+	pick := func() *comb { return w.combs[chance.IntN(len(w.combs))] }
+	down := func(b *comb, span int64, wipe bool) {
+		if !b.up {
+			return
+		}
+		b.up = false
+		b.life++
+		if wipe {
+			w.drawn++
+			id := fmt.Sprintf("disk-%d-%d", b.name, w.drawn)
+			if w.StrangerVotes {
+				id = b.disk.ID
+			}
+			b.disk = &swarm.Copy{ID: id, Decided: &swarm.State{}}
+			if w.StrangerVotes { // it takes itself for the founder that it was
+				b.disk.Decided = w.founded
+			}
+		}
+		b.lost = w.Now + span + w.CatchUp
+		w.After(span, func() { w.start(b) })
+	}
+	away := func(b *comb, span int64) { b.lost = max(b.lost, w.Now+span+w.CatchUp) }
+	lost := func() (n int) {
+		for _, b := range w.combs {
+			if w.Now < b.lost || !b.up || w.Now < b.frozen {
+				n++
+			}
+		}
+		return n
+	}
+	for range w.Kills {
+		b, span := pick(), 200*Ms+int64(chance.IntN(3000))*Ms
+		w.After(when(), func() { down(b, span, false) })
+	}
+	for range w.KillAlls {
+		spans := make([]int64, len(w.combs))
+		for n := range spans {
+			spans[n] = 300*Ms + int64(chance.IntN(700))*Ms
+		}
+		w.After(when(), func() {
+			for n, b := range w.combs {
+				down(b, spans[n], false)
+			}
+		})
+	}
+	for range w.Wipes {
+		b, span, others := pick(), 300*Ms+int64(chance.IntN(1500))*Ms, chance.IntN(3) == 0
+		w.After(when(), func() {
+			if lost() >= w.Tolerate || !b.up {
+				w.day.Excluded++
+				return
+			}
+			down(b, span, true)
+			if others { // all others lose power in that moment, and keep their disks
+				for _, o := range w.combs {
+					if o != b {
+						down(o, 400*Ms, false)
+					}
+				}
+			}
+		})
+	}
+	strikes := map[int]bool{}
+	for range w.AckWipes {
+		strikes[chance.IntN(max(w.Puts/2, 1))] = true
+	}
+	acks := 0
+	w.strike = func(b *comb) {
+		if acks++; !strikes[acks] || w.Now > last || w.Now < lead {
+			return
+		}
+		span := 300*Ms + int64(chance.IntN(300))*Ms
+		w.After(w.Delay+Ms/4, func() {
+			if lost() > 0 || !b.up {
+				w.day.Excluded++
+				return
+			}
+			down(b, span, true)
+			for _, o := range w.combs {
+				if o != b {
+					down(o, 200*Ms+int64(chance.IntN(500))*Ms, false)
+				}
+			}
+		})
+	}
+	for range w.Cuts {
+		b, span, way := pick(), 500*Ms+int64(chance.IntN(4000))*Ms, chance.IntN(3)
+		w.After(when(), func() {
+			away(b, span)
+			for _, o := range w.combs {
+				if o != b {
+					if way != 0 {
+						w.cut[[2]int{b.name, o.name}] = w.Now + span
+					}
+					if way != 1 {
+						w.cut[[2]int{o.name, b.name}] = w.Now + span
+					}
+				}
+			}
+		})
+	}
+	for range w.Freezes {
+		b, span := pick(), 300*Ms+int64(chance.IntN(4000))*Ms
+		w.After(when(), func() { away(b, span); b.frozen = w.Now + span })
+	}
+	for range w.Stalls {
+		b, span := pick(), 300*Ms+int64(chance.IntN(4000))*Ms
+		w.After(when(), func() { away(b, span); b.slow = w.Now + span })
+	}
+}
+
+// final reads once more, with everything mended: what was acknowledged is there, and the core answers.
+func (w *coreWorld) final() {
+	answered := false
+	for n := 0; n < 8 && !answered; n++ {
+		b := w.combs[n%len(w.combs)]
+		w.read(b, func(s *swarm.State, ok bool) {
+			if !ok || answered {
+				return
+			}
+			answered = true
+			if s.Edition < w.newest {
+				w.fault("lost: version %d was acknowledged, %d is read", w.newest, s.Edition)
+			}
+			for version := range w.taken {
+				if !slices.ContainsFunc(s.Taken, func(t swarm.Taken) bool { return t.Edition == version }) {
+					w.fault("lost: version %d was acknowledged and is not among those taken", version)
+				}
+			}
+		})
+		w.Run(w.Now + 2*S)
+	}
+	if !answered {
+		w.fault("no answer: a core that has all it needs does not read")
+	}
+}
