--- a/internal/hive/flight/forager.go
+++ b/internal/hive/flight/forager.go
@@ -37,7 +37,7 @@
 // seen is a balancer as the core tells of it.
 type seen struct {
 	waggle.Told
-	born int64 // start of its upstream, in Unix nanoseconds, 0 where that is long ago
+	warm time.Time // when its upstream is no longer slow from its start
 }
 
 // Forager is one balancer.
@@ -74,6 +74,7 @@
 	seeds   []string
 	have    waggle.Have
 	members int
+	warms   time.Time // when the next upstream is warm
 	ranked  [2]int
 
 	clients clients
@@ -180,6 +181,9 @@
 			for _, p := range f.pools {
 				p.peers.sweep(now)
 			}
+			if !f.warms.IsZero() && now.After(f.warms) {
+				f.relist()
+			}
 			f.mu.Unlock()
 			f.apps.sweep(now)
 			f.clients.sweep(now, false)
--- a/internal/hive/flight/view.go
+++ b/internal/hive/flight/view.go
@@ -20,9 +20,8 @@
 )
 
 const (
-	coldShare = 0.5              // of its capacity that a cold upstream has for certain
-	warmUp    = 10 * time.Second // within which it is warm, whatever it says
-	asideMost = 2 * time.Second  // for a probe of an upstream that is aside
+	coldShare = 0.5             // of its slots that a cold upstream is sent work for
+	asideMost = 2 * time.Second // for a probe of an upstream that is aside
 )
 
 // view is what a balancer goes by: one version of the timetable, whole.
@@ -123,7 +122,7 @@
 	t := &logic.Terms{
 		Seed: rand.Uint64(), Balancers: n, Index: place, Layer: 1, SecondCopies: true, Cancelling: true, Probing: true,
 		AdviseBackoff: true, MaxBackoff: int64(250 * time.Millisecond), CrossZonePrice: f.crossing,
-		ColdShare: coldShare, WarmUp: int64(warmUp), FallMultiple: 4, FallSpan: int64(time.Second), BeyondShare: 1,
+		ColdShare: 1, FallMultiple: 1, FallSpan: int64(time.Second), BeyondShare: 1, // nothing here falls over: see weight
 	}
 	b := &terms.Book{Terms: t, Tariffs: map[string]int{}, Customers: map[string]int{}, Default: -1}
 	for _, r := range rules {
@@ -183,13 +182,18 @@
 // relist hands every module the list of its upstreams as it stands. Under mu.
 func (f *Forager) relist() {
 	by := map[string][]roster.Entry[string]{}
+	now := time.Now()
+	f.warms = time.Time{}
 	for _, n := range f.nests {
+		if now.Before(n.warm) && (f.warms.IsZero() || n.warm.Before(f.warms)) {
+			f.warms = n.warm
+		}
 		if n.Up == nil || n.Up.ID == "" {
 			continue
 		}
 		by[n.Up.Service] = append(by[n.Up.Service], roster.Entry[string]{
 			Name: n.Up.ID, Zone: n.District, Address: n.Inbound, Ends: n.Up.Closing || n.Leaving,
-			Up: logic.Upstream{Number: roster.Number(n.Up.ID), Weight: float64(max(n.Up.Capacity, 1)), Born: n.born},
+			Up: logic.Upstream{Number: roster.Number(n.Up.ID), Weight: n.weight(now)},
 		})
 	}
 	for service, p := range f.pools {
@@ -205,6 +209,17 @@
 	}
 }
 
+// weight is the part of a service's work that an upstream is sent: its slots, fewer while it is slow from its start. The
+// module's purses for cold upstreams, made for those that fall over, stay unused: the balancer beside an upstream lets in
+// what it has room for, and after a start of everything they would turn away nearly all there is to serve.
+func (n *seen) weight(now time.Time) float64 {
+	w := float64(max(n.Up.Capacity, 1))
+	if now.Before(n.warm) {
+		w *= coldShare
+	}
+	return w
+}
+
 // take takes the core's news.
 func (f *Forager) take(n *waggle.News) error {
 	f.mu.Lock()
@@ -222,10 +237,8 @@
 	}
 	for _, t := range n.Nests {
 		s := &seen{Told: t}
-		if before := f.nests[t.Node]; t.Up != nil && before != nil && before.Up != nil && before.Up.ID == t.Up.ID {
-			s.born = before.born
-		} else if t.Up != nil && t.Up.Cold > 0 {
-			s.born = now.UnixNano() + t.Up.Cold - int64(warmUp)
+		if t.Up != nil {
+			s.warm = now.Add(time.Duration(t.Up.Cold))
 		}
 		f.nests[t.Node] = s
 	}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -565,7 +565,7 @@
 	if b.terms.Peers {
 		least, few = metBySaid, fewSaid
 	}
-	rounds := int(float64(least)*n/(1+b.away*(n-1)) + 0.5)
+	rounds := max(1, int(float64(least)*n/(1+b.away*(n-1))+0.5)) // with an empty list too
 	for len(b.own) > 0 && rounds*len(b.own) < few*b.terms.Balancers && (!b.terms.Peers || rounds < mostSaid) {
 		if rounds++; !b.terms.Peers {
 			rounds += rounds - 2
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -607,3 +607,18 @@
 		t.Errorf("of 1200 pushes %d and, with a kept connection, %d followed another at their upstream", all, one)
 	}
 }
+
+// An empty list is divided too: a mesh's balancer is told of others before it is told of upstreams.
+func TestRetuneWithAnEmptyList(t *testing.T) {
+	terms := &Terms{Balancers: 1, Tariffs: []*Tariff{{HardStop: 1e9, ContractTime: 1e8}}, MaxPushes: 2, ColdShare: 1}
+	b, err := New(terms, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	other := *terms
+	other.Balancers, other.Index = 3, 1
+	if err := b.Retune(&other, 2); err != nil {
+		t.Fatal(err)
+	}
+	b.Round(3, nil)
+}
