Whole meshes on loopback in a test; the desk's room is read without its lock safely

Three combs and four foragers with stand-in upstreams: served through the loss of a comb and of a forager, answers of upstreams that go wrong in eight ways, a long answer cut, a closing upstream beside a forager that is stopped with work both ways, and each refusal of the operator's calls.

--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"ottershift/internal/figures"
@@ -124,7 +125,7 @@
 	roster *roster.Roster[string]
 	epoch  time.Time // with its monotonic reading, from which all times are taken
 	wake   *time.Timer
-	room   int // pushes that a case's channel holds
+	room   atomic.Int64 // pushes that a case's channel holds
 	open   map[*Case]struct{}
 	closed bool
 	tally  Tally
@@ -142,8 +143,9 @@
 func New(book *terms.Book, counts *figures.Pool, log *slog.Logger, module Make) (*Desk, error) {
 	d := &Desk{
 		log: log, counts: counts, book: book, epoch: time.Now(), follow: make(chan struct{}, 1), probes: make(chan Probe, 256),
-		open: map[*Case]struct{}{}, room: min(book.Terms.MaxPushes, 64),
+		open: map[*Case]struct{}{},
 	}
+	d.room.Store(int64(min(book.Terms.MaxPushes, 64)))
 	var b Module
 	var err error
 	if book.Watch {
@@ -241,7 +243,7 @@
 
 // Arrive takes a transaction. Its answer will come; so will orders to push it.
 func (d *Desk) Arrive(a Arrival) *Case {
-	c := &Case{pushes: make(chan *Push, d.room), answer: make(chan Answer, 1)}
+	c := &Case{pushes: make(chan *Push, d.room.Load()), answer: make(chan Answer, 1)}
 	c.Pushes, c.Answer = c.pushes, c.answer
 	c.t.Mark, c.t.Under, c.t.Single, c.t.Unwhole = c, a.Under, a.Unwhole, a.Unwhole
 	ok := d.tell(func(now int64) {
@@ -409,7 +411,8 @@
 		book.Terms.Zone = d.roster.Zone(book.Zones[book.Terms.Zone]) // the list's numbers stay as they were
 		if err = b.Retune(book.Terms, now); err == nil {
 			d.show(book)
-			d.book, d.room = book, min(max(book.Terms.MaxPushes, d.room), 64)
+			d.book = book
+			d.room.Store(min(max(int64(book.Terms.MaxPushes), d.room.Load()), 64))
 		}
 	})
 	if !ok {
--- a/internal/desk/desk_test.go
+++ b/internal/desk/desk_test.go
@@ -137,7 +137,7 @@
 // Danger: an order that nobody takes must not stop the rest.
 func TestOrdersNeverWait(t *testing.T) {
 	d := start(t, tariff(logic.OnceOnly))
-	d.room = 0
+	d.room.Store(0)
 	c := d.Arrive(Arrival{Tariff: 0, Customer: -1, Left: time.Second})
 	if a := <-c.Answer; a.Ending != Deferred { // it never left
 		t.Errorf("%v", a)
--- /dev/null
+++ b/internal/hive/hive_test.go
@@ -0,0 +1,298 @@
+package hive_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+
+	"ottershift/internal/hive/box"
+	"ottershift/internal/hive/comb"
+	"ottershift/internal/hive/flight"
+	"ottershift/internal/hive/stand"
+)
+
+// mesh is whole processes of both planes on loopback, in one process of ours.
+type mesh struct {
+	t     *testing.T
+	plan  *stand.Mesh
+	apps  []*stand.App
+	stops map[string]func()
+	ids   int
+}
+
+func start(t *testing.T, combs, foragers int, work time.Duration, size int) *mesh {
+	plan, err := stand.Plan(combs, foragers, []string{"east", "west"}, []string{"album", "album", "regie"}, t.TempDir())
+	must.NoError(t, err)
+	m := &mesh{t: t, plan: plan, stops: map[string]func(){}}
+	t.Cleanup(func() {
+		for _, stop := range m.stops {
+			stop()
+		}
+		for _, a := range m.apps {
+			a.Stop()
+		}
+	})
+	for _, b := range plan.Combs {
+		must.NoError(t, os.MkdirAll(b.DataDir, 0o755))
+		m.comb(b)
+	}
+	for n, b := range plan.Foragers {
+		m.forager(b)
+		a, err := stand.NewApp(fmt.Sprintf("i-%d", n), b.Destination, b.App, b.Control, 8, work, size)
+		must.NoError(t, err)
+		m.apps = append(m.apps, a)
+	}
+	return m
+}
+
+var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
+
+func (m *mesh) run(name string, run func(context.Context) error) {
+	ctx, end := context.WithCancel(context.Background())
+	var over sync.WaitGroup
+	over.Add(1)
+	go func() { defer over.Done(); run(ctx) }()
+	m.stops[name] = func() { end(); over.Wait(); delete(m.stops, name) }
+}
+
+func (m *mesh) comb(b *box.Box) {
+	c, err := comb.Open(b, quiet)
+	must.NoError(m.t, err)
+	m.run(b.Node, c.Run)
+}
+
+func (m *mesh) forager(b *box.Box) {
+	b.Bounds.Grace = 2 * time.Second
+	m.run(b.Node, flight.New(b, quiet).Run)
+}
+
+const config = `{"Edition":%d,"SizeLimits":{"EnvelopeBytes":16384,"ContentsBytes":67108864,"Envelope":"3000ms","Idle":"15000ms"},
+"Senders":[{"Name":"acme","ApiKeys":["k1"],"Precedence":1,"RatePerS":10000,"Surge":10000}],
+"PostOffices":[{"Town":"a.example","Regulations":[
+ {"Name":"read","MailClass":"repeatable","Target":"300ms","Precedence":2,"Sorting":{"StreetPrefix":"/read/"},"Dispatch":{"Destination":"album","Deadline":"2000ms","DeliveryTries":3}},
+ {"Name":"once","MailClass":"once_only","Target":"300ms","Precedence":1,"Sorting":{"StreetPrefix":"/once/"},"Dispatch":{"Destination":"album","Deadline":"2000ms","DeliveryTries":2}}]}],
+"Depots":[{"Name":"album","HealthPath":"/health","LineCap":130,"Protocol":"h1"},{"Name":"regie","HealthPath":"/health","LineCap":130,"Protocol":"h1"}]}`
+
+// call is an operator's call at one of the core's processes.
+func (m *mesh) call(at int, call, match, body string) (int, string) {
+	r, err := http.NewRequest(http.MethodPost, "http://"+m.plan.Combs[at].Control+"/-/rpc?call="+call, strings.NewReader(body))
+	must.NoError(m.t, err)
+	r.Header.Set("If-Match", match)
+	w, err := (&http.Client{Timeout: 3 * time.Second}).Do(r)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer w.Body.Close()
+	text, _ := io.ReadAll(w.Body)
+	return w.StatusCode, string(text)
+}
+
+// ready waits until a balancer knows its configuration and so many upstreams answer through it.
+func (m *mesh) until(what func() bool) {
+	m.t.Helper()
+	must.Wait(m.t, wait.InitialSuccess(wait.BoolFunc(what), wait.Timeout(15*time.Second), wait.Gap(20*time.Millisecond)))
+}
+
+func (m *mesh) send(forager int, method, path string) (status int, id string, w *http.Response, body string) {
+	m.ids++
+	id = fmt.Sprintf("t%d", m.ids)
+	status, w, body = m.sendAs(forager, method, path, id)
+	return status, id, w, body
+}
+
+func (m *mesh) sendAs(forager int, method, path, id string) (int, *http.Response, string) {
+	r, err := http.NewRequest(method, "http://"+m.plan.Foragers[forager].Outbound+path, nil)
+	must.NoError(m.t, err)
+	r.Host = "a.example"
+	r.Header = http.Header{"X-Attempt-Id": {id}, "X-Time-Left-Ms": {"2000"}, "X-Key": {"k1"}, "X-Sender": {"forged"}, "X-Return-Address": {"forged"}}
+	w, err := (&http.Client{Timeout: 4 * time.Second}).Do(r)
+	if err != nil {
+		return 0, nil, err.Error()
+	}
+	defer w.Body.Close()
+	body, err := io.ReadAll(w.Body)
+	if err != nil {
+		return -1, w, err.Error()
+	}
+	return w.StatusCode, w, string(body)
+}
+
+func (m *mesh) runs(id string) (n int) {
+	for _, a := range m.apps {
+		n += a.Runs(id)
+	}
+	return n
+}
+
+func (m *mesh) put(edition int) {
+	m.until(func() bool {
+		status, _ := m.call(0, "timetable.replace", "0", fmt.Sprintf(config, edition))
+		return status == http.StatusOK
+	})
+	for n := range m.plan.Foragers {
+		m.until(func() bool { status, _, _, _ := m.send(n, "GET", "/read/x"); return status == http.StatusOK })
+	}
+}
+
+func TestAMeshServesThroughTheLossOfACombAndAForager(t *testing.T) {
+	m := start(t, 3, 4, 0, 100)
+	status, _, w, _ := m.send(0, "GET", "/read/x")
+	must.Eq(t, http.StatusServiceUnavailable, status) // no configuration yet: it has not run, come back
+	must.NotEq(t, "", w.Header.Get("Retry-After"))
+	m.put(3)
+	_, id, w, body := m.send(1, "POST", "/once/y?z=1")
+	must.Eq(t, 1, m.runs(id))
+	must.Eq(t, id, w.Header.Get("X-Attempt-Id"))
+	must.Eq(t, 100, len(body))
+	for _, a := range m.apps {
+		if a.Runs(id) == 1 {
+			must.Eq(t, "acme", a.Saw("X-Sender"))
+			must.Eq(t, m.plan.Foragers[1].Destination, a.Saw("X-Return-Address"))
+			must.Eq(t, "", a.Saw("X-Key"))
+			must.Eq(t, a.ID, a.Saw("X-Addressee"))
+		}
+	}
+	m.stops["comb-1"]()
+	m.stops["forager-0"]()
+	m.apps[0].Stop()
+	for n := range 40 {
+		status, id, _, _ := m.send(1+n%3, "GET", "/read/x")
+		must.Eq(t, http.StatusOK, status, must.Sprint(n, id))
+	}
+	status, _ = m.call(0, "timetable.replace", "3", fmt.Sprintf(config, 9))
+	must.Eq(t, http.StatusOK, status)
+	status, text := m.call(2, "timetable.fetch", "", "")
+	must.Eq(t, http.StatusOK, status)
+	must.StrContains(t, text, `"Edition":9`)
+}
+
+func TestAnswersOfUpstreamsThatGoWrong(t *testing.T) {
+	m := start(t, 1, 2, 0, 4000)
+	m.put(1)
+	all := func(f stand.Fault) {
+		for _, a := range m.apps {
+			a.Next(f)
+		}
+	}
+	clear := func() {
+		for _, a := range m.apps {
+			for a.Pending() > 0 {
+				a.Drop()
+			}
+		}
+	}
+	for _, c := range []struct {
+		fault        stand.Fault
+		method, path string
+		status, runs int
+	}{
+		{stand.OtherID, "POST", "/once/", 200, 1}, {stand.Extra, "POST", "/once/", 200, 1}, {stand.Sound, "POST", "/once/", 200, 1},
+		{stand.CutShort, "POST", "/once/", 502, 1}, {stand.Reset, "POST", "/once/", 502, 1}, {stand.Unstamped, "POST", "/once/", 502, 1},
+		{stand.Full, "POST", "/once/", 503, 0}, {stand.Error, "POST", "/once/", 500, 1},
+	} {
+		all(c.fault)
+		status, id, _, body := m.send(0, c.method, c.path)
+		must.Eq(t, c.status, status, must.Sprint(c.fault, c.path))
+		must.Eq(t, c.runs, m.runs(id), must.Sprint(c.fault, c.path))
+		if status == 200 {
+			must.Eq(t, 4000, len(body))
+		}
+		clear()
+	}
+	for range 12 { // the module's bucket is filled by first sends
+		m.send(1, "GET", "/read/")
+	}
+	m.apps[0].Next(stand.CutShort) // a repeatable one is sent again, to the other
+	m.apps[1].Next(stand.Sound)
+	for range 2 {
+		status, _, _, body := m.send(1, "GET", "/read/")
+		must.Eq(t, 200, status)
+		must.Eq(t, 4000, len(body))
+	}
+}
+
+func TestALongAnswerThatIsCutLooksCut(t *testing.T) {
+	m := start(t, 1, 1, 0, 300<<10)
+	m.put(1)
+	status, _, _, body := m.send(0, "GET", "/read/")
+	must.Eq(t, 200, status)
+	must.Eq(t, 300<<10, len(body))
+	m.apps[0].Next(stand.CutShort)
+	status, _, _, _ = m.send(0, "GET", "/read/")
+	must.Eq(t, -1, status)
+}
+
+func TestAClosingUpstreamGetsNothingMoreAndOneThatLeavesEndsItsWork(t *testing.T) {
+	m := start(t, 1, 2, 300*time.Millisecond, 10)
+	m.put(1)
+	m.until(func() bool { // both are known everywhere
+		before := m.apps[0].Total()
+		m.send(1, "GET", "/read/x")
+		m.send(1, "GET", "/read/x")
+		return m.apps[0].Total() > before
+	})
+	var wg sync.WaitGroup
+	results := make(chan int, 8)
+	for n := range 8 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			status, _, _ := m.sendAs(n%2, "POST", "/once/x", fmt.Sprintf("w%d", n))
+			results <- status
+		}()
+	}
+	m.until(func() bool { return m.apps[0].Total()+m.apps[1].Total() > 8 })
+	must.True(t, m.apps[0].Close())
+	m.stops["forager-0"]() // SIGTERM with work both ways in flight
+	wg.Wait()
+	close(results)
+	for status := range results {
+		must.Eq(t, 200, status)
+	}
+}
+
+func TestTheOperatorsCalls(t *testing.T) {
+	m := start(t, 3, 0, 0, 0)
+	one := fmt.Sprintf(config, 3)
+	m.until(func() bool { status, _ := m.call(0, "timetable.replace", "0", one); return status == 200 })
+	for _, c := range []struct {
+		at          int
+		call, match string
+		body        string
+		status      int
+	}{
+		{1, "timetable.replace", "0", one, 200},                    // the very same again
+		{2, "timetable.replace", "0", fmt.Sprintf(config, 5), 412}, // another on the same version
+		{0, "timetable.replace", "3", fmt.Sprintf(config, 3), 200}, // known still
+		{0, "timetable.replace", "3", fmt.Sprintf(config, 2), 400}, // not above the current one
+		{1, "timetable.replace", "3", one[:len(one)/2], 400},       // cut short
+		{1, "timetable.replace", "x", fmt.Sprintf(config, 5), 400}, // no version to build on
+		{1, "timetable.amend", "3", `{"Edition":7,"Withdraw":{"Routes":["read","no-such"]}}`, 200},
+		{2, "timetable.amend", "3", `{"Edition":7,"Withdraw":{"Routes":["read","no-such"]}}`, 200}, // again, after silence
+		{2, "timetable.amend", "7", `{"Edition":8,"Withdraw":{"Depots":["album"]}}`, 400},          // a route goes there
+		{0, "timetable.amend", "3", `{"Edition":9}`, 412},
+		{0, "timetable.burn", "3", ``, 404},
+	} {
+		status, text := m.call(c.at, c.call, c.match, c.body)
+		must.Eq(t, c.status, status, must.Sprint(c.call, c.match, c.body, text))
+	}
+	_, text := m.call(1, "timetable.fetch", "", "")
+	must.StrContains(t, text, `"Edition":7`)
+	must.StrNotContains(t, text, `"read"`)
+	m.stops["comb-0"]()
+	m.stops["comb-1"]()
+	status, text := m.call(2, "timetable.replace", "7", fmt.Sprintf(config, 9)) // no majority: unclear, never a 4xx
+	must.Eq(t, 503, status, must.Sprint(text))
+	status, _ = m.call(2, "timetable.fetch", "", "")
+	must.Eq(t, 503, status)
+}
