--- a/internal/hive/flight/forager.go
+++ b/internal/hive/flight/forager.go
@@ -50,6 +50,7 @@
 	epoch  time.Time
 	brood  *brood
 	apps   *lines
+	pace   *pacer
 	end    chan struct{}
 
 	view       atomic.Pointer[view]
@@ -87,6 +88,7 @@
 		brood: newBrood(b.Bounds.Drain, b.App), end: make(chan struct{}), crossing: 0.1,
 		pools: map[string]*pool{}, nests: map[string]*seen{}, members: 1,
 	}
+	f.pace = newPacer(b.LineMbps)
 	f.apps = newLines(dialApp, f.counts, "app")
 	f.requests, f.inbounds = f.counts.Of("requests"), f.counts.Of("inbound")
 	f.purses.all = pollen.NewQuotas()
--- a/internal/hive/flight/headers.go
+++ b/internal/hive/flight/headers.go
@@ -16,11 +16,12 @@
 	keyName     = textproto.CanonicalMIMEHeaderKey("X-Key")
 	postmark    = textproto.CanonicalMIMEHeaderKey("X-Postmark")
 	notDelivrd  = textproto.CanonicalMIMEHeaderKey("X-Not-Delivered")
-	hiveOnly    = textproto.CanonicalMIMEHeaderKey("X-Hive") // between two balancers: who says it, and what it means
-	hiveBroke   = "broke"                                    // the push may have run
-	hiveTurned  = "turned"                                   // it has not run and never will
+	hiveOnly    = textproto.CanonicalMIMEHeaderKey("X-Hive")     // between two balancers: who says it, and what it means
+	hiveAim     = textproto.CanonicalMIMEHeaderKey("X-Hive-Aim") // on a push whose answer is long: milliseconds within which it is of full worth
+	hiveBroke   = "broke"                                        // the push may have run
+	hiveTurned  = "turned"                                       // it has not run and never will
 	ofOneHop    = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length"}
-	setByTheHub = []string{addressee, returnTo, senderName, keyName, timeLeft, hiveOnly}
+	setByTheHub = []string{addressee, returnTo, senderName, keyName, timeLeft, hiveOnly, hiveAim}
 )
 
 // onward copies the headers that concern more than one connection.
--- a/internal/hive/flight/inbound.go
+++ b/internal/hive/flight/inbound.go
@@ -27,6 +27,15 @@
 	defer f.open.Add(-1)
 	f.inbounds.Add(1)
 	header := onward(r.Header)
+	delete(header, hiveAim)
+	if aim, err := strconv.ParseInt(r.Header.Get(hiveAim), 10, 64); err == nil {
+		if !f.pace.admit(time.Duration(aim) * time.Millisecond) {
+			f.counts.Add("turned_line_full")
+			f.turn(w, r, sting.NoRoom)
+			return
+		}
+		defer f.pace.leave()
+	}
 	left, err := strconv.ParseFloat(r.Header.Get(timeLeft), 64)
 	if err != nil {
 		f.turn(w, r, sting.Malformed)
@@ -60,7 +69,7 @@
 	}
 	defer back.done(false)
 	into := &reply{status: back.answer.StatusCode, header: onward(back.answer.Header), length: back.answer.ContentLength,
-		flow: back.answer.Body, ended: make(chan bool, 1)}
+		flow: back.answer.Body, ended: make(chan bool, 1), pace: f.pace, context: r.Context()}
 	f.write(w, into)
 	back.done(true)
 }
--- a/internal/hive/flight/outbound.go
+++ b/internal/hive/flight/outbound.go
@@ -1,6 +1,8 @@
 package flight
 
 import (
+	"cmp"
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -9,6 +11,7 @@
 	"time"
 
 	"ottershift/internal/desk"
+	"ottershift/internal/hive/dance"
 	"ottershift/internal/hive/sting"
 	"ottershift/logic"
 )
@@ -30,6 +33,7 @@
 	body    []byte
 	rest    io.Reader // behind body, nil if that is all
 	length  int64
+	aim     string // in milliseconds, where the answer is long
 	stop    time.Time
 	started time.Time
 
@@ -49,6 +53,9 @@
 	flow   io.Reader // the rest of it
 	length int64     // of all, -1 if nobody has said
 	ended  chan bool // says whether all of a flow was written
+
+	pace    *pacer // of the line that it flows over, nil for none
+	context context.Context
 }
 
 // begin lets a push out, unless its request has been answered. Danger: without it a push ordered before an answer that
@@ -191,6 +198,9 @@
 			q.length = int64(len(q.body))
 		}
 	}
+	if rule.MailClass == dance.Freight {
+		q.aim = strconv.FormatInt(time.Duration(cmp.Or(rule.Target, rule.Dispatch.Deadline)).Milliseconds(), 10)
+	}
 	t = v.pick(rule)
 	q.pool = t.pool
 	return q, t, sting.None, 0
@@ -290,7 +300,7 @@
 	_, err := w.Write(r.body)
 	if r.flow != nil {
 		if err == nil {
-			err = f.pour(w, r.flow)
+			err = r.pour(w)
 		}
 		r.ended <- err == nil
 	}
@@ -304,9 +314,16 @@
 
 var pieces = sync.Pool{New: func() any { b := make([]byte, piece); return &b }}
 
-func (f *Forager) pour(w io.Writer, from io.Reader) error {
+// pour writes what flows, at the line's pace where it leaves the machine.
+func (r *reply) pour(w io.Writer) error {
+	if r.pace != nil && r.pace.rate > 0 && (r.length < 0 || r.length > longFrom) {
+		return r.pace.pour(r.context, w, r.flow, max(r.length, longFrom))
+	}
+	if r.pace != nil {
+		r.pace.small(int(max(r.length, 0)))
+	}
 	b := pieces.Get().(*[]byte)
 	defer pieces.Put(b)
-	_, err := io.CopyBuffer(struct{ io.Writer }{w}, struct{ io.Reader }{from}, *b)
+	_, err := io.CopyBuffer(struct{ io.Writer }{w}, struct{ io.Reader }{r.flow}, *b)
 	return err
 }
--- a/internal/hive/flight/push.go
+++ b/internal/hive/flight/push.go
@@ -50,6 +50,9 @@
 		header[name] = values
 	}
 	header[addressee] = []string{o.Name}
+	if q.aim != "" && o.Place.Address != f.box.Inbound {
+		header[hiveAim] = []string{q.aim}
+	}
 	s := &sending{id: q.id, to: o.Name, method: q.method, target: q.target, host: q.host, header: header, body: q.body,
 		rest: q.rest, length: q.length, until: o.Until}
 	if q.rest != nil { // its time begins with its last byte
@@ -256,6 +259,6 @@
 		return back
 	}
 	back.long = keptShort
-	back.after = func() { f.brood.leave(s.to) }
+	f.brood.leave(s.to) // its work is done: what is left is bytes
 	return back
 }
