Quotas: a bank at the queen, tokens drawn before they are needed

Now one pool a tenant is kept by the first core process in the agreed order, under a reign that the core agrees on and that waits out the one before; balancers draw ahead by demand, one without a token waits for a draw, one that hears nothing has a standing part. Bound: R·W + Reserve.

--- a/internal/hive/comb/comb.go
+++ b/internal/hive/comb/comb.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"ottershift/internal/hive/box"
@@ -62,6 +63,9 @@
 		table *dance.Timetable
 	}
 	prod chan struct{}
+	bank bank
+
+	acting atomic.Bool // on what the core's first process has to do
 }
 
 // Open opens the disk and makes the process; it serves nobody yet.
@@ -135,6 +139,7 @@
 	mux.HandleFunc("/hive/swarm", buzz.Take(c.keeper.handle))
 	mux.HandleFunc("/hive/mingle", buzz.Take(c.mingled))
 	mux.HandleFunc("/hive/ask", buzz.Take(c.asked))
+	mux.HandleFunc("/hive/draw", buzz.Take(c.drawn))
 	servers := []*http.Server{
 		{Handler: http.HandlerFunc(c.office), ReadHeaderTimeout: 5 * time.Second, ErrorLog: slog.NewLogLogger(c.log.Handler(), slog.LevelDebug)},
 		{Handler: mux, ErrorLog: slog.NewLogLogger(c.log.Handler(), slog.LevelDebug)},
@@ -224,8 +229,13 @@
 		defer end()
 		c.keeper.change(within, c.others, func(*swarm.State) (*swarm.State, error) { return nil, nil })
 	}
-	c.adopt(ctx, s)
-	c.census(ctx, s)
+	if c.acting.CompareAndSwap(false, true) { // one change at a time from here
+		defer c.acting.Store(false)
+		s, _ = c.keeper.state()
+		c.adopt(ctx, s)
+		c.census(ctx, s)
+		c.reign(ctx, s)
+	}
 }
 
 // census has the number of balancers agreed, by which what all may spend is shared out: more at once, fewer once leases
@@ -438,7 +448,7 @@
 // tidings is what a balancer has not got yet.
 func (c *Comb) tidings(a *waggle.Ask, s *swarm.State) *waggle.News {
 	out := &waggle.News{Have: waggle.Have{Comb: c.life, Index: s.Index, Edition: s.Edition}, Current: c.keeper.current(), Members: s.Members}
-	out.Young = c.now() < waggle.Lease
+	out.Young, out.Queen, out.Reign = c.now() < waggle.Lease, s.Queen.At, s.Reign
 	if s.Index > a.Have.Index && s.Edition != a.Have.Edition {
 		out.Timetable = s.Timetable
 	}
--- a/internal/hive/flight/forager.go
+++ b/internal/hive/flight/forager.go
@@ -62,10 +62,7 @@
 	crossing   float64
 	zones      []string
 
-	purses struct {
-		sync.Mutex
-		all *pollen.Quotas
-	}
+	wallet wallet
 
 	mu      sync.Mutex // never taken under a module's lock
 	pools   map[string]*pool
@@ -91,7 +88,7 @@
 	f.pace = newPacer(b.LineMbps)
 	f.apps = newLines(dialApp, f.counts, "app")
 	f.requests, f.inbounds = f.counts.Of("requests"), f.counts.Of("inbound")
-	f.purses.all = pollen.NewQuotas()
+	f.wallet = wallet{is: pollen.NewWallet(0), need: make(chan struct{}, 1), drawn: make(chan struct{})}
 	f.seeds = inner(b)
 	for zone := range b.Districts {
 		f.zones = append(f.zones, zone)
@@ -138,6 +135,7 @@
 	go f.counts.Say(f.log, 5*time.Second, f.end)
 	asking, stop := context.WithCancel(context.Background())
 	go f.ask(asking)
+	go f.draw(asking)
 	go f.tidy()
 	<-ctx.Done()
 
--- a/internal/hive/flight/outbound.go
+++ b/internal/hive/flight/outbound.go
@@ -150,11 +150,8 @@
 			return nil, t, sting.NoKey, 0
 		}
 		header[senderName] = []string{owner.Name}
-		f.purses.Lock()
-		ok, wait := f.purses.all.Take(owner.Name, f.now())
-		f.purses.Unlock()
-		if !ok {
-			return nil, t, sting.Beyond, time.Duration(wait)
+		if ok, again := f.within(r.Context(), owner.Name); !ok {
+			return nil, t, sting.Beyond, again
 		}
 	}
 	header[returnTo] = []string{f.box.Destination}
--- a/internal/hive/flight/view.go
+++ b/internal/hive/flight/view.go
@@ -246,6 +246,7 @@
 		delete(f.nests, node)
 	}
 	f.combs = n.Combs
+	f.wallet.reigns(n.Queen, n.Reign)
 	changed := len(n.Nests)+len(n.Gone) > 0 || n.Whole
 	if members := max(n.Members, len(f.nests), 1); members != f.members {
 		f.members = members
@@ -288,14 +289,14 @@
 
 // quota gives tenants their parts. Under mu.
 func (f *Forager) quota(t *dance.Timetable) {
-	f.purses.Lock()
-	defer f.purses.Unlock()
-	is := map[string]bool{}
-	for _, s := range t.Senders {
-		is[s.Name] = true
-		f.purses.all.Set(s.Name, s.RatePerS, s.Surge, f.members, f.now())
+	f.wallet.Lock()
+	defer f.wallet.Unlock()
+	limits := pollen.LimitsOf(t, &f.box.Bounds)
+	f.wallet.limited = false
+	for _, l := range limits {
+		f.wallet.limited = f.wallet.limited || l.Rate > 0
 	}
-	f.purses.all.Keep(func(tenant string) bool { return is[tenant] })
+	f.wallet.is.Set(limits, f.members, f.now())
 }
 
 // probe carries out a module's probes: a question to the balancer beside the upstream, which knows it best.
--- /dev/null
+++ b/internal/hive/flight/wallet.go
@@ -0,0 +1,112 @@
+package flight
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"ottershift/internal/hive/pollen"
+)
+
+const (
+	drawEvery  = 350 * time.Millisecond // where nothing is needed: the bank leaves who is silent a standing rate
+	drawPause  = 12 * time.Millisecond  // between two draws
+	drawWithin = 300 * time.Millisecond
+	drawWait   = 60 * time.Millisecond // that a request without a token waits for a draw, twice at most
+)
+
+// wallet is this balancer's tokens of tenants' quotas, and where more are drawn.
+type wallet struct {
+	sync.Mutex
+	is      *pollen.Wallet
+	limited bool // a tenant has a limit
+	queen   string
+	reign   uint64
+	need    chan struct{} // has room for one
+	drawn   chan struct{} // closed with the end of each draw
+}
+
+// reigns takes who keeps the bank. An earlier one than was heard of is refused.
+func (w *wallet) reigns(at string, reign uint64) {
+	w.Lock()
+	defer w.Unlock()
+	if reign >= w.reign {
+		w.queen, w.reign = at, reign
+	}
+}
+
+func (w *wallet) want() {
+	select {
+	case w.need <- struct{}{}:
+	default:
+	}
+}
+
+// within reports whether a request is within its tenant's quota. Most find a token; one that doesn't waits for a draw.
+func (f *Forager) within(ctx context.Context, tenant string) (ok bool, again time.Duration) {
+	w := &f.wallet
+	for round := 0; ; round++ {
+		w.Lock()
+		verdict, wait := w.is.Take(tenant, f.now(), round == 2)
+		drawn := w.drawn
+		wants := verdict == pollen.Ask || w.is.Wants(f.now())
+		w.Unlock()
+		if wants {
+			w.want()
+		}
+		if verdict != pollen.Ask {
+			return verdict == pollen.Pass, time.Duration(wait)
+		}
+		f.counts.Add("draws_waited")
+		late := time.NewTimer(drawWait)
+		select {
+		case <-drawn:
+		case <-late.C:
+		case <-ctx.Done():
+		}
+		late.Stop()
+	}
+}
+
+// draw keeps the wallet as full as demand wants it.
+func (f *Forager) draw(ctx context.Context) {
+	w := &f.wallet
+	t := time.NewTicker(drawEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-w.need:
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+		w.Lock()
+		at, sent := w.queen, f.now()
+		if !w.limited || at == "" {
+			w.Unlock()
+			continue
+		}
+		d := w.is.Draw(f.box.Node, f.life, sent)
+		w.Unlock()
+		call, end := context.WithTimeout(ctx, drawWithin)
+		given := map[string]pollen.Given{}
+		err := f.caller.Call(call, at, "/hive/draw", d, &given)
+		end()
+		w.Lock()
+		if err == nil {
+			w.is.Given(given, sent, f.now())
+		}
+		close(w.drawn)
+		w.drawn = make(chan struct{})
+		w.Unlock()
+		f.counts.Add("draws")
+		if err != nil {
+			f.counts.Add("draws_failed")
+		}
+		select {
+		case <-time.After(drawPause):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/internal/hive/swarm/swarm.go
+++ b/internal/hive/swarm/swarm.go
@@ -35,6 +35,9 @@
 	Digest  string
 }
 
+// Queen is the process that has the duties that one does, in one of its lives.
+type Queen struct{ ID, Life, At string }
+
 const mostTaken = 64
 
 // State is all that is agreed.
@@ -46,6 +49,8 @@
 	Timetable json.RawMessage
 	Taken     []Taken
 	Members   int // balancers, by which what all may spend is shared out
+	Queen     Queen
+	Reign     uint64 // its number
 }
 
 // Majority is how many of the core meet any quorum.
@@ -84,6 +89,13 @@
 	return next
 }
 
+// Crown is the state after a process has taken the duties over.
+func (s *State) Crown(q Queen) *State {
+	next := s.next()
+	next.Queen, next.Reign = q, s.Reign+1
+	return next
+}
+
 // Count is the state after a census of the balancers.
 func (s *State) Count(members int) *State {
 	next := s.next()
--- a/internal/hive/waggle/waggle.go
+++ b/internal/hive/waggle/waggle.go
@@ -70,6 +70,8 @@
 	Current   bool            // a majority of the core confirmed Index a moment ago
 	Young     bool            `json:",omitempty"` // the asked process has not been up for a lease yet: there may be more nests
 	Members   int             // balancers, as agreed
+	Queen     string          // address of who keeps the bank of quotas
+	Reign     uint64          // rises with each
 	Timetable json.RawMessage `json:",omitempty"` // where Edition was another
 	Whole     bool            // Nests are all there are
 	Nests     []Told          `json:",omitempty"`
