--- a/internal/hive/comb/keeper.go
+++ b/internal/hive/comb/keeper.go
@@ -16,7 +16,7 @@
 const (
 	stepWithin = 900 * time.Millisecond // for one step of an attempt at one member; a disk may take its time
 	lookWithin = 400 * time.Millisecond
-	fresh      = 700 * time.Millisecond // for which a majority's word that this copy is current holds
+	fresh      = 600 * time.Millisecond // for which a majority's word that this copy is current holds
 )
 
 // disk is where a copy is kept: wax, or what a test sets in its place.
--- a/internal/hive/comb/queen.go
+++ b/internal/hive/comb/queen.go
@@ -14,7 +14,7 @@
 	crownAfter = 600 * time.Millisecond // of a process's life before it takes duties over
 	// regency is how long a new queen waits before its first grant. The one before it grants only while a majority has
 	// confirmed its copy within fresh of being asked, and that majority has since agreed on another queen.
-	regency = fresh + 300*time.Millisecond
+	regency = fresh + 250*time.Millisecond
 )
 
 // bank is the quotas' bank, while this process has the duty.
--- a/internal/hive/pollen/quota.go
+++ b/internal/hive/pollen/quota.go
@@ -16,19 +16,21 @@
 // The bound. In any window W, what passes is what the pool gained (R·W), what lay in the pool (P) and what was out in
 // wallets (H) at its beginning: R·W + P + H. The bank keeps P + H within Reserve, so
 //
-//	passed(W) <= R·W + Reserve, Reserve = 0.8·(S + over·(R·W + S) + slack)
+//	passed(W) <= R·W + Reserve + R·(Silent - Standing)·k/n
+//	Reserve = X - max(0.3·X, R·(Silent - Standing)), X = S + over·(R·W + S) + slack
 //
 // A balancer that hears nothing from the bank has a standing rate R/n; the bank fills that much less for each that it
-// does not hear. Between the two clocks one may count double for Standing - Silent at most, which the other fifth is for.
+// does not hear. k of n that lose the bank at once count double until it has noticed, which is what Reserve leaves free.
 
 // Times of the quota's protocol, in nanoseconds of whoever counts them.
 const (
 	Silent   = int64(900e6)  // after which the bank leaves a balancer that it does not hear its standing rate
-	Standing = int64(1100e6) // after which a balancer without a bank takes it
+	Standing = int64(450e6)  // after which a balancer without a bank takes it
 	Expiry   = int64(2500e6) // after which a balancer without a bank drops its tokens
 	Forget   = int64(3000e6) // after which the bank counts them as gone
-	Ahead    = int64(400e6)  // of its demand that a balancer draws beforehand
-	dryLeast = int64(40e6)   // that a balancer does without asking for once the pool is dry
+	Ahead    = int64(600e6)  // of its demand that a balancer draws beforehand
+	dryLeast = int64(40e6)   // that a balancer does without asking for while the pool is dry
+	dryFirst = int64(10e6)   // the same for a pool that has just run dry, or has just been opened: it is waited for
 )
 
 // Limit is a tenant's quota and the rule's figures.
@@ -40,7 +42,8 @@
 
 // Reserve is the most that may lie in the pool and in wallets together.
 func (l Limit) Reserve() float64 {
-	return 0.8 * (l.Surge + l.Over*(l.Rate*float64(l.Window)/s+l.Surge) + l.Slack)
+	x := l.Surge + l.Over*(l.Rate*float64(l.Window)/s+l.Surge) + l.Slack
+	return math.Max(0, x-math.Max(0.3*x, l.Rate*float64(Silent-Standing)/s))
 }
 
 // Bound is the most that may pass in a window, as the rule has it.
@@ -62,7 +65,7 @@
 	pool  float64
 	at    int64
 	out   map[string]float64 // tokens by balancer
-	total float64
+	dried int64              // when it was dry last
 }
 
 type member struct {
@@ -208,7 +211,12 @@
 		}
 		g := Given{Tokens: math.Max(give, 0)}
 		if give < 1 && w.More >= 1 {
-			g.Dry = max(dryLeast, min(int64(s/4), int64((1-math.Min(room, 1))/math.Max(a.Rate*b.present(now), 1e-3)*s)))
+			least := dryLeast
+			if now-a.dried > int64(s/2) {
+				least = dryFirst
+			}
+			a.dried = now
+			g.Dry = max(least, min(int64(s/4), int64((1-math.Min(room, 1))/math.Max(a.Rate*b.present(now), 1e-3)*s)))
 		}
 		given[tenant] = g
 	}
@@ -242,12 +250,11 @@
 	by      map[string]*purse
 	seq     uint64
 	heard   int64 // when the last draw was sent that was answered
-	began   int64
 }
 
-// NewWallet makes an empty one.
+// NewWallet makes an empty one, that has its standing rate until it has heard of the bank.
 func NewWallet(now int64) *Wallet {
-	return &Wallet{by: map[string]*purse{}, heard: now, began: now}
+	return &Wallet{by: map[string]*purse{}, heard: now - Standing - 1}
 }
 
 // Set puts limits in force; members is how many balancers there are, as far as is known.
@@ -281,7 +288,7 @@
 	if p == nil {
 		return Pass, 0
 	}
-	if !asked {
+	if !asked { // what has waited has been counted
 		p.demand *= math.Exp(-float64(now-p.at) / s)
 		p.demand++
 		p.at = now
@@ -300,7 +307,7 @@
 		}
 		return Stop, int64((1 - p.standing.has) / p.standing.rate * s)
 	}
-	if asked || now < p.dry {
+	if asked || now < p.dry-dryFirst {
 		return Stop, max(p.dry-now, dryLeast)
 	}
 	p.waiting++
--- a/internal/hive/swarm/swarm.go
+++ b/internal/hive/swarm/swarm.go
@@ -386,6 +386,7 @@
 // Bounds of adoption, in nanoseconds.
 const (
 	AwayAfter  = int64(1200e6) // quiet for so long, a process counts as away
+	DutyAfter  = int64(800e6)  // and its duties are another's
 	AdoptAfter = int64(1500e6) // and a member for so long, another may take its place
 )
 
@@ -396,7 +397,7 @@
 		if m.ID == self {
 			return rank
 		}
-		if slices.ContainsFunc(others, func(h Heard) bool { return h.ID == m.ID && h.Quiet >= 0 && h.Quiet < AwayAfter }) {
+		if slices.ContainsFunc(others, func(h Heard) bool { return h.ID == m.ID && h.Quiet >= 0 && h.Quiet < DutyAfter }) {
 			rank++
 		}
 	}
