--- /dev/null
+++ b/internal/hive/apiary/ask.go
@@ -0,0 +1,296 @@
+package apiary
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"runtime"
+	"slices"
+	"sort"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	validation "github.com/go-ozzo/ozzo-validation/v4"
+	"github.com/pelletier/go-toml/v2"
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of faults in questions.
+var Error = errs.Class("apiary")
+
+// span is a time in a question: "1.5s".
+type span int64
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (s *span) UnmarshalText(text []byte) error {
+	d, err := time.ParseDuration(string(text))
+	if err == nil && d < 0 {
+		err = fmt.Errorf("%q is below 0", text)
+	}
+	*s = span(d)
+	return err
+}
+
+// Question is a file that asks what would be.
+type Question struct {
+	Title string
+	Seeds int              // days for each row
+	Core  coreFile         // a day of a core
+	Mesh  meshFile         // or of a whole mesh
+	Vary  map[string][]any // a row for each value, or for each pair of values of two
+	Holds string           // "always": no rule breaks on any row; "never": on each row one does
+	Ask   []string         // what to show, all where left out
+}
+
+type coreFile struct {
+	Combs, Founders, Tolerate, Puts, Reads int
+	Length, Delay, Jitter, Sync            span
+	CatchUp                                span `toml:"catch_up"`
+	Loss                                   float64
+	Kills, Wipes, Cuts, Freezes, Stalls    int
+	KillAlls                               int  `toml:"kill_alls"`
+	AckWipes                               int  `toml:"ack_wipes"`
+	UnsyncedAck                            bool `toml:"unsynced_ack"`
+	StrangerVotes                          bool `toml:"stranger_votes"`
+	NoEpoch                                bool `toml:"no_epoch"`
+	OldRead                                bool `toml:"old_read"`
+}
+
+func (c coreFile) core() Core {
+	return Core{Combs: c.Combs, Founders: c.Founders, Tolerate: c.Tolerate, Puts: c.Puts, Reads: c.Reads, Length: int64(c.Length),
+		CatchUp: int64(c.CatchUp), Delay: int64(c.Delay), Jitter: int64(c.Jitter), Sync: int64(c.Sync), Loss: c.Loss, Kills: c.Kills,
+		KillAlls: c.KillAlls, Wipes: c.Wipes, AckWipes: c.AckWipes, Cuts: c.Cuts, Freezes: c.Freezes, Stalls: c.Stalls,
+		UnsyncedAck: c.UnsyncedAck, StrangerVotes: c.StrangerVotes, NoEpoch: c.NoEpoch, OldRead: c.OldRead}
+}
+
+// ReadQuestion reads a question and names what is wrong with it.
+func ReadQuestion(text []byte) (*Question, error) {
+	q := &Question{Seeds: 50, Holds: "always", Core: coreFile{Combs: 4, Founders: 3, Tolerate: 1, Length: span(30 * S), CatchUp: span(4 * S),
+		Delay: span(Ms / 2), Jitter: span(Ms), Sync: span(2 * Ms), Puts: 20, Reads: 20}, Mesh: plainMesh()}
+	d := toml.NewDecoder(strings.NewReader(string(text))).DisallowUnknownFields()
+	if err := d.Decode(q); err != nil {
+		if strict, is := err.(*toml.StrictMissingError); is {
+			return nil, Error.New("unknown keys:\n%s", strict.String())
+		}
+		if at, is := err.(*toml.DecodeError); is {
+			row, column := at.Position()
+			return nil, Error.New("line %d, column %d: %v", row, column, at)
+		}
+		return nil, Error.Wrap(err)
+	}
+	var faults errs.Group
+	check := func(key string, v any, rules ...validation.Rule) {
+		if err := validation.Validate(v, rules...); err != nil {
+			faults.Add(Error.New("%s: %v", key, err))
+		}
+	}
+	check("seeds", q.Seeds, validation.Min(1), validation.Max(100000))
+	check("core.combs", q.Core.Combs, validation.Required, validation.Min(1), validation.Max(64))
+	check("core.founders", q.Core.Founders, validation.Required, validation.Min(1), validation.Max(q.Core.Combs))
+	check("core.length", int64(q.Core.Length), validation.Min(8*S))
+	check("holds", q.Holds, validation.In("always", "never"))
+	check("mesh.foragers", q.Mesh.Foragers, validation.Min(0), validation.Max(5000))
+	if len(q.Vary) > 2 {
+		faults.Add(Error.New("vary: two things at most"))
+	}
+	return q, faults.Err()
+}
+
+// Row is one line of an answer.
+type Row struct {
+	Values []string
+	Days   int
+	Broken int    // days on which a rule broke
+	First  string // the first such, with its seed
+	Shown  []Shown
+}
+
+// Shown is one figure of a row.
+type Shown struct{ Name, Value string }
+
+// rows are the questions for each value, or pair of values.
+func (q *Question) rows() (names []string, all [][]any) {
+	for name := range q.Vary {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	all = [][]any{nil}
+	for _, name := range names {
+		var next [][]any
+		for _, row := range all {
+			for _, v := range q.Vary[name] {
+				next = append(next, append(slices.Clone(row), v))
+			}
+		}
+		all = next
+	}
+	return names, all
+}
+
+// with is the question with values put in.
+func (q *Question) with(names []string, values []any) (*Question, error) {
+	out := *q
+	out.Vary = nil
+	for n, name := range names {
+		table, key, found := strings.Cut(name, ".")
+		if !found {
+			table, key = "core", name
+			if q.Mesh.Foragers > 0 {
+				table = "mesh"
+			}
+		}
+		raw, err := toml.Marshal(map[string]map[string]any{table: {key: values[n]}})
+		if err != nil {
+			return nil, Error.Wrap(err)
+		}
+		if err := toml.NewDecoder(strings.NewReader(string(raw))).DisallowUnknownFields().Decode(&out); err != nil {
+			return nil, Error.New("vary: %s = %v: %v", name, values[n], err)
+		}
+	}
+	return &out, nil
+}
+
+// Answer plays all rows of a question. progress is told after each, nil for nobody.
+func (q *Question) Answer(progress func(done, all int)) (names []string, rows []Row, err error) {
+	names, all := q.rows()
+	for n, values := range all {
+		one, err := q.with(names, values)
+		if err != nil {
+			return nil, nil, err
+		}
+		row := one.play()
+		for _, v := range values {
+			row.Values = append(row.Values, fmt.Sprint(v))
+		}
+		rows = append(rows, row)
+		if progress != nil {
+			progress(n+1, len(all))
+		}
+	}
+	return names, rows, nil
+}
+
+// Held reports whether the rows are as the question says they have to be.
+func (q *Question) Held(rows []Row) bool {
+	for _, r := range rows {
+		if (r.Broken == 0) != (q.Holds == "always") {
+			return false
+		}
+	}
+	return true
+}
+
+// play plays the days of one row, beside one another; what is shown doesn't depend on how many processors there are.
+func (q *Question) play() Row {
+	row := Row{Days: q.Seeds}
+	type played struct {
+		broken []string
+		shown  map[string]float64
+		took   []int64
+	}
+	days := make([]played, q.Seeds)
+	next := make(chan int)
+	var wait sync.WaitGroup
+	for range runtime.GOMAXPROCS(0) {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			for n := range next {
+				if q.Mesh.Foragers > 0 {
+					d := q.Mesh.mesh().Play(uint64(n + 1))
+					days[n] = played{d.Broken, d.shown(), nil}
+				} else {
+					d := q.Core.core().Play(uint64(n + 1))
+					days[n] = played{d.Broken, d.shown(), d.Took}
+				}
+			}
+		}()
+	}
+	for n := range q.Seeds {
+		next <- n
+	}
+	close(next)
+	wait.Wait()
+	sums, most := map[string]float64{}, map[string]float64{}
+	var took []int64
+	var names []string
+	for n, d := range days {
+		if len(d.broken) > 0 {
+			if row.Broken++; row.First == "" {
+				row.First = fmt.Sprintf("seed %d: %s", n+1, d.broken[0])
+			}
+		}
+		for name, v := range d.shown {
+			if _, is := sums[name]; !is {
+				names = append(names, name)
+			}
+			sums[name] += v
+			most[name] = math.Max(most[name], v)
+		}
+		took = append(took, d.took...)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		v := sums[name] / float64(q.Seeds)
+		if strings.HasPrefix(name, "most ") {
+			v = most[name]
+		}
+		row.Shown = append(row.Shown, Shown{name, fmt.Sprintf("%.4g", v)})
+	}
+	if len(took) > 0 {
+		slices.Sort(took)
+		row.Shown = append(row.Shown, Shown{"ack median", time.Duration(took[len(took)/2]).Round(10 * time.Microsecond).String()},
+			Shown{"ack worst", time.Duration(took[len(took)-1]).Round(10 * time.Microsecond).String()})
+	}
+	if len(q.Ask) > 0 {
+		row.Shown = slices.DeleteFunc(row.Shown, func(s Shown) bool { return !slices.Contains(q.Ask, s.Name) })
+	}
+	return row
+}
+
+func (d *CoreDay) shown() map[string]float64 {
+	return map[string]float64{"acked": float64(d.Acked), "stale": float64(d.Stale), "unclear": float64(d.Unclear), "reads": float64(d.Read),
+		"slots": float64(d.Decided), "adopted": float64(d.Adopted)}
+}
+
+// Print writes an answer as a table.
+func Print(w io.Writer, q *Question, names []string, rows []Row) {
+	fmt.Fprintf(w, "%s\n%d seeds a row, simulated\n\n", q.Title, q.Seeds)
+	t := tabwriter.NewWriter(w, 2, 8, 2, ' ', 0)
+	for _, name := range names {
+		fmt.Fprintf(t, "%s\t", name)
+	}
+	fmt.Fprint(t, "broken\t")
+	if len(rows) > 0 {
+		for _, s := range rows[0].Shown {
+			fmt.Fprintf(t, "%s\t", s.Name)
+		}
+	}
+	fmt.Fprintln(t)
+	for _, r := range rows {
+		for _, v := range r.Values {
+			fmt.Fprintf(t, "%s\t", v)
+		}
+		fmt.Fprintf(t, "%d of %d\t", r.Broken, r.Days)
+		for _, s := range r.Shown {
+			fmt.Fprintf(t, "%s\t", s.Value)
+		}
+		fmt.Fprintln(t)
+	}
+	t.Flush()
+	for _, r := range rows {
+		if r.First != "" {
+			fmt.Fprintf(w, "\n%s: %s\n", strings.Join(r.Values, ", "), r.First)
+		}
+	}
+}
+
+// Day plays one day of a question as it stands.
+func (q *Question) Day(seed uint64) any {
+	if q.Mesh.Foragers > 0 {
+		return q.Mesh.mesh().Play(seed)
+	}
+	return q.Core.core().Play(seed)
+}
--- a/internal/hive/comb/comb.go
+++ b/internal/hive/comb/comb.go
@@ -44,6 +44,7 @@
 	counts *hum.Counters
 	caller *buzz.Caller
 	keeper *keeper
+	wax    *wax.Wax
 	life   string
 	epoch  time.Time
 
@@ -104,6 +105,7 @@
 		return nil, err
 	}
 	log.Info("disk", "id", copied.ID, "fresh", fresh, "index", copied.Decided.Index, "edition", copied.Decided.Edition, "first", b.FirstStart)
+	c.wax = w
 	c.keeper = newKeeper(copied, w, c.caller, c.counts, self, c.life)
 	return c, nil
 }
@@ -140,6 +142,8 @@
 	mux.HandleFunc("/hive/mingle", buzz.Take(c.mingled))
 	mux.HandleFunc("/hive/ask", buzz.Take(c.asked))
 	mux.HandleFunc("/hive/draw", buzz.Take(c.drawn))
+	mux.HandleFunc("/hive/status", buzz.Take(c.status))
+	mux.HandleFunc("/hive/figures", c.figures)
 	servers := []*http.Server{
 		{Handler: http.HandlerFunc(c.office), ReadHeaderTimeout: 5 * time.Second, ErrorLog: slog.NewLogLogger(c.log.Handler(), slog.LevelDebug)},
 		{Handler: mux, ErrorLog: slog.NewLogLogger(c.log.Handler(), slog.LevelDebug)},
@@ -153,7 +157,8 @@
 	for _, s := range servers {
 		s.Shutdown(stop)
 	}
-	return nil
+	c.keeper.written.Lock() // nothing is written any more
+	return c.wax.Close()
 }
 
 // tend is the loop that keeps what is as it is wanted: copies current, the cell swept, the core whole.
--- a/internal/hive/comb/queen.go
+++ b/internal/hive/comb/queen.go
@@ -17,6 +17,9 @@
 	regency = fresh + 250*time.Millisecond
 )
 
+// Regency is the same for pages and checks.
+const Regency = regency
+
 // bank is the quotas' bank, while this process has the duty.
 type bank struct {
 	sync.Mutex
--- /dev/null
+++ b/internal/hive/comb/status.go
@@ -0,0 +1,103 @@
+package comb
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"runtime"
+	"slices"
+	"strings"
+	"time"
+
+	"ottershift/internal/hive/pollen"
+	"ottershift/internal/hive/swarm"
+	"ottershift/internal/hive/waggle"
+)
+
+// Look is what an operator asks for; Newest has the core make sure that what is agreed is shown as it is now.
+type Look struct{ Newest bool }
+
+// Status is what one process of the core knows, each part with its age.
+type Status struct {
+	Node, At, Zone string
+	Up             time.Duration
+	Current        bool // a majority has confirmed the state a moment ago
+	Confirmed      time.Duration
+	State          *swarm.State
+	Core           []CoreMember
+	Nests          []waggle.Told
+	Quotas         []pollen.Stand
+	Counts         map[string]int64
+}
+
+// CoreMember is a process of the core as this one hears of it.
+type CoreMember struct {
+	swarm.Member
+	Votes bool
+	Index uint64
+	Quiet time.Duration // since it was heard of; below 0 for never
+}
+
+// status answers operators.
+func (c *Comb) status(ctx context.Context, l *Look) (*Status, error) {
+	s, _ := c.keeper.state()
+	if l.Newest {
+		within, end := context.WithTimeout(ctx, answerWithin)
+		defer end()
+		var err error
+		if s, err = c.keeper.newest(within, c.others); err != nil {
+			return nil, err
+		}
+	}
+	out := &Status{Node: c.box.Node, At: c.box.Inner(), Zone: c.box.District, Up: time.Since(c.epoch), Current: c.keeper.current(),
+		Confirmed: time.Since(c.keeper.epoch) - time.Duration(c.keeper.confirmed.Load()), State: s, Counts: map[string]int64{}}
+	c.counts.Each(func(name string, n int64) { out.Counts[name] = n })
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out.Nests, _, _ = c.cell.Since(0, c.now())
+	for _, m := range s.Core {
+		member := CoreMember{Member: m, Votes: true, Quiet: -1}
+		if m.ID == c.keeper.id() {
+			member.Quiet, member.Index = 0, s.Index
+		} else if h, is := c.known[m.At]; is && h.ID == m.ID && c.heard[m.At] > 0 {
+			member.Quiet, member.Index = time.Duration(c.now()-c.heard[m.At]), h.Index
+		}
+		out.Core = append(out.Core, member)
+	}
+	for at, h := range c.known {
+		if h.ID != "" && !s.Has(h.ID) && c.heard[at] > 0 {
+			out.Core = append(out.Core, CoreMember{Member: swarm.Member{ID: h.ID, At: at, Zone: h.Zone}, Index: h.Index, Quiet: time.Duration(c.now() - c.heard[at])})
+		}
+	}
+	slices.SortFunc(out.Core, func(a, b CoreMember) int { return strings.Compare(a.At, b.At) })
+	c.bank.Lock()
+	defer c.bank.Unlock()
+	if c.bank.is != nil && s.Queen.Life == c.life {
+		out.Quotas = c.bank.is.Stands(c.now())
+	}
+	return out, nil
+}
+
+// figures are the counters as Prometheus reads them.
+func (c *Comb) figures(w http.ResponseWriter, _ *http.Request) {
+	s, _ := c.keeper.state()
+	c.mu.Lock()
+	known := c.cell.Known()
+	c.mu.Unlock()
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	gauge := func(name, help string, v any) {
+		fmt.Fprintf(w, "# HELP ottershift_comb_%s %s\n# TYPE ottershift_comb_%s gauge\nottershift_comb_%s %v\n", name, help, name, name, v)
+	}
+	current := 0
+	if c.keeper.current() {
+		current = 1
+	}
+	gauge("index", "Slot of the newest decision known here.", s.Index)
+	gauge("edition", "Version of the timetable known here.", s.Edition)
+	gauge("current", "1 while a majority has confirmed the copy a moment ago.", current)
+	gauge("core_members", "Members of the core.", len(s.Core))
+	gauge("balancers", "Balancers heard of.", known)
+	gauge("goroutines", "Goroutines.", runtime.NumGoroutine())
+	fmt.Fprint(w, "# HELP ottershift_comb_total Events since the start, by kind.\n# TYPE ottershift_comb_total counter\n")
+	c.counts.Each(func(name string, n int64) { fmt.Fprintf(w, "ottershift_comb_total{kind=%q} %d\n", name, n) })
+}
--- a/internal/hive/flight/forager.go
+++ b/internal/hive/flight/forager.go
@@ -26,10 +26,13 @@
 )
 
 const (
-	askWait   = 600 * time.Millisecond // that an ask hangs at the core
-	askMore   = 300 * time.Millisecond // beyond it, until another process of the core is asked
-	dialPeer  = 300 * time.Millisecond
-	dialApp   = 500 * time.Millisecond
+	askWait  = 600 * time.Millisecond // that an ask hangs at the core
+	askMore  = 300 * time.Millisecond // beyond it, until another process of the core is asked
+	dialPeer = 300 * time.Millisecond
+	dialApp  = 500 * time.Millisecond
+	// AskLongest is how long a process of the core that says nothing is waited for.
+	AskLongest = askWait + askMore
+
 	settle    = 400 * time.Millisecond // before Grace is over, by which all has to have its answer
 	idleFirst = 15 * time.Second       // before a configuration says how long clients may be idle
 )
--- a/internal/hive/hive_test.go
+++ b/internal/hive/hive_test.go
@@ -146,7 +146,9 @@
 
 func TestAMeshServesThroughTheLossOfACombAndAForager(t *testing.T) {
 	m := start(t, 3, 4, 0, 100)
-	status, _, w, _ := m.send(0, "GET", "/read/x")
+	var status int
+	var w *http.Response
+	m.until(func() bool { status, _, w, _ = m.send(0, "GET", "/read/x"); return status != 0 })
 	must.Eq(t, http.StatusServiceUnavailable, status) // no configuration yet: it has not run, come back
 	must.NotEq(t, "", w.Header.Get("Retry-After"))
 	m.put(3)
--- /dev/null
+++ b/internal/hive/imports_test.go
@@ -0,0 +1,22 @@
+package hive_test
+
+import (
+	"os/exec"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// Agreement, membership, discovery, forwarding and replication are this project's own work in the mesh.
+func TestTheMeshLinksNothingThatDoesItsWork(t *testing.T) {
+	out, err := exec.Command("go", "list", "-deps", "ottershift/cmd/forager", "ottershift/cmd/comb", "ottershift/cmd/beekeeper", "ottershift/cmd/apiary").Output()
+	must.NoError(t, err)
+	deps := strings.Fields(string(out))
+	must.Greater(t, 100, len(deps))
+	for _, dep := range deps {
+		for _, not := range []string{"hashicorp/memberlist", "hashicorp/raft", "etcd.io/raft", "net/http/httputil", "ottershift/internal/cluster"} {
+			must.StrNotContains(t, dep, not)
+		}
+	}
+}
--- a/internal/hive/pollen/quota.go
+++ b/internal/hive/pollen/quota.go
@@ -87,6 +87,7 @@
 type Want struct {
 	Held float64 `json:",omitempty"` // that it has
 	More float64 `json:",omitempty"` // that it wants beyond
+	Back float64 `json:",omitempty"` // that it had, has not spent and gives back
 }
 
 // Draw is a balancer's call to the bank.
@@ -203,6 +204,7 @@
 			continue
 		}
 		a.out[d.Node] = math.Max(w.Held, 0)
+		a.pool = math.Max(a.pool, math.Min(a.pool+math.Max(w.Back, 0), a.Reserve()-b.out(a, now)))
 		room := math.Min(a.pool, a.Reserve()*3/4-b.out(a, now))
 		give := math.Floor(math.Min(w.More, math.Max(math.Min(room, 1), room/2)))
 		if give > 0 {
@@ -223,6 +225,24 @@
 	return given
 }
 
+// Stand is a tenant's account as it is now, beside its bound.
+type Stand struct {
+	Tenant         string
+	Rate, Surge    float64
+	Pool, Out      float64 // tokens that lie in the pool, and that may be in wallets
+	Reserve, Bound float64 // the most that both may be, and that may pass in a window by the rule
+}
+
+// Stands are all accounts, by name.
+func (b *Bank) Stands(now int64) (all []Stand) {
+	for tenant, a := range b.accounts {
+		b.fill(a, now)
+		all = append(all, Stand{tenant, a.Rate, a.Surge, a.pool, b.out(a, now), a.Reserve(), a.Bound()})
+	}
+	slices.SortFunc(all, func(x, y Stand) int { return cmp.Compare(x.Tenant, y.Tenant) })
+	return all
+}
+
 // Passes is how a request within a quota, or beyond it, goes on.
 type Passes uint8
 
@@ -336,8 +356,9 @@
 	d := &Draw{Node: node, Life: life, Seq: w.seq, Standing: w.alone(now), Wants: map[string]Want{}}
 	for tenant, p := range w.by {
 		wish := p.wish(now)
-		p.tokens = math.Min(p.tokens, 2*wish)
-		want := Want{Held: p.tokens}
+		keep := math.Min(p.tokens, 2*wish+float64(p.waiting))
+		want := Want{Held: keep, Back: p.tokens - keep}
+		p.tokens = keep
 		if now >= p.dry {
 			want.More = math.Max(0, wish-p.tokens) + float64(p.waiting)
 		}
--- a/internal/hive/wax/wax.go
+++ b/internal/hive/wax/wax.go
@@ -217,3 +217,72 @@
 	}
 	return json.Unmarshal(raw[5:], to)
 }
+
+// Backup is an agreed state out of a core, to begin another one with.
+type Backup struct {
+	Format int
+	State  *swarm.State
+	Sum    uint32 // of the state
+}
+
+// Seal makes a backup of a state.
+func Seal(s *swarm.State) ([]byte, error) {
+	raw, err := json.Marshal(s)
+	if err != nil {
+		return nil, err
+	}
+	return json.MarshalIndent(&Backup{format, s, crc32.ChecksumIEEE(raw)}, "", " ")
+}
+
+// Unseal reads a backup; one that is not whole is refused.
+func Unseal(raw []byte) (*swarm.State, error) {
+	b := &Backup{}
+	if err := json.Unmarshal(raw, b); err != nil {
+		return nil, Error.New("the backup can't be read: %v", err)
+	}
+	if b.Format != format || b.State == nil {
+		return nil, Error.New("format %d is not known here", b.Format)
+	}
+	again, err := json.Marshal(b.State)
+	if err != nil || crc32.ChecksumIEEE(again) != b.Sum {
+		return nil, Error.New("the backup's checksum is wrong")
+	}
+	return b.State, nil
+}
+
+// Restore lays a state on an empty disk, as that of a core of one, whose identity is new: no disk of the core that was
+// counts there any more. Others join it as strangers do.
+func Restore(dir string, s *swarm.State, at, zone string) (id string, err error) {
+	if _, err := os.Stat(filepath.Join(dir, "wax")); err == nil {
+		return "", Error.New("%s holds a copy already: restore lays one on an empty disk only", dir)
+	}
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return "", Error.Wrap(err)
+	}
+	id = Draw()
+	next := *s
+	next.Index += 1 << 20 // beyond whatever the lost core may have decided
+	next.Core, next.Queen = []swarm.Member{{ID: id, At: at, Zone: zone}}, swarm.Queen{}
+	w, _, fresh, err := Open(dir, func() (string, *swarm.State) { return id, &next })
+	if err != nil {
+		return "", err
+	}
+	if fresh == nil {
+		w.Close()
+		return "", Error.New("%s was not empty", dir)
+	}
+	return id, w.Close()
+}
+
+// Peek reads the copy of a disk that no process uses.
+func Peek(dir string) (*swarm.Copy, error) {
+	if _, err := os.Stat(filepath.Join(dir, "wax")); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	w, c, fresh, err := Open(dir, func() (string, *swarm.State) { return "", nil })
+	if err != nil {
+		return nil, err
+	}
+	defer w.Close()
+	return c, fresh
+}
