--- a/internal/hive/flight/forager.go
+++ b/internal/hive/flight/forager.go
@@ -85,7 +85,7 @@
 func New(b *box.Box, log *slog.Logger) *Forager {
 	f := &Forager{
 		box: b, log: log, counts: hum.NewCounters(), caller: buzz.NewCaller(), life: wax.Draw(), epoch: time.Now(),
-		brood: newBrood(b.Bounds.Drain, b.App), end: make(chan struct{}), crossing: 0.1,
+		brood: newBrood(b.Bounds.Drain, b.App), end: make(chan struct{}), crossing: 0.4,
 		pools: map[string]*pool{}, nests: map[string]*seen{}, members: 1,
 	}
 	f.pace = newPacer(b.LineMbps)
--- a/internal/hive/hive.go
+++ b/internal/hive/hive.go
@@ -54,6 +54,7 @@
 func run(b *box.Box, path string, make func(*box.Box, *slog.Logger) (Process, error)) error {
 	runtime.GOMAXPROCS(1) // a part of one core: threads beside one another only wait
 	debug.SetMemoryLimit(b.MemoryMb << 20 / 2)
+	debug.SetGCPercent(50) // memory is scarcer here than time
 	log := hum.New(os.Stderr, b.Node)
 	hangUp := watch(syscall.SIGHUP)
 	ctx, end := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
