Slots by who is due first; a balancer that leaves refuses in the second half of Grace; duty's opening

(3) Where the duty had just been opened a tenant was refused for 40 ms to 250 ms: whoever comes back from its standing rate draws again at once and waits for it.

--- a/internal/hive/flight/brood.go
+++ b/internal/hive/flight/brood.go
@@ -1,9 +1,11 @@
 package flight
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -40,6 +42,7 @@
 	closing time.Time // when that was acknowledged
 	dead    bool      // its address refuses connections
 	open    int       // requests at it
+	line    []*turn   // those that wait, who is due first in front
 	seq     uint64
 	changed chan struct{} // has room for one
 }
@@ -116,6 +119,13 @@
 	}
 }
 
+// poke has the core told again.
+func (b *brood) poke() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tell()
+}
+
 // nest is what the core is told.
 func (b *brood) nest() (up *waggle.Upstream, seq uint64) {
 	b.mu.Lock()
@@ -130,10 +140,65 @@
 	return &copied, b.seq
 }
 
-// admit lets a request through to the life that it is meant for, or says why not; leave ends what was let through.
-func (b *brood) admit(id string, now time.Time) (address string, kind sting.Kind) {
+// turn is a request that waits for a slot.
+type turn struct {
+	id    string
+	due   time.Time // when it is of full worth no more: whoever is due first goes first
+	leave chan bool // has room for one: whether it has the slot
+}
+
+// admit lets a request through to the life that it is meant for, or says why not; leave ends what was let through. Where
+// all slots are taken it waits for a quarter of its aim, behind those that are due sooner. Danger: first come, first served,
+// the short calls of work that is under way elsewhere stand behind long ones, and fail all that they are a part of.
+func (b *brood) admit(ctx context.Context, s *sending, now time.Time) (address string, kind sting.Kind) {
 	b.mu.Lock()
-	defer b.mu.Unlock()
+	if address, kind = b.way(s.to, now); kind != sting.None {
+		b.mu.Unlock()
+		return address, kind
+	}
+	if b.id == "" || b.up.Capacity <= 0 || b.open < b.slots() {
+		b.open++
+		b.mu.Unlock()
+		return address, sting.None
+	}
+	due := now.Add(s.aim)
+	at, _ := slices.BinarySearchFunc(b.line, due, func(t *turn, due time.Time) int { return t.due.Compare(due) })
+	if at >= 2*b.up.Capacity {
+		b.mu.Unlock()
+		return "", sting.NoRoom
+	}
+	t := &turn{s.to, due, make(chan bool, 1)}
+	b.line = slices.Insert(b.line, at, t)
+	b.mu.Unlock()
+	late := time.NewTimer(min(s.aim/4, time.Until(s.until)/4))
+	defer late.Stop()
+	select {
+	case ok := <-t.leave:
+		if ok {
+			return address, sting.None
+		}
+		return "", sting.NoRoom
+	case <-late.C:
+	case <-ctx.Done():
+	}
+	b.mu.Lock()
+	at = slices.Index(b.line, t)
+	if at >= 0 {
+		b.line = slices.Delete(b.line, at, at+1)
+	}
+	b.mu.Unlock()
+	if at < 0 && <-t.leave { // it was its turn meanwhile
+		if ctx.Err() != nil {
+			b.leave(s.to)
+			return "", sting.NoRoom
+		}
+		return address, sting.None
+	}
+	return "", sting.NoRoom
+}
+
+// way is where a request would go, whether there is room or not. Under mu.
+func (b *brood) way(id string, now time.Time) (address string, kind sting.Kind) {
 	switch {
 	case b.id != "" && id != b.id:
 		return "", sting.NotHere
@@ -143,21 +208,28 @@
 		return "", sting.NotHere
 	case b.dead:
 		return "", sting.NoRoom
-	case b.id != "" && b.up.Capacity > 0 && b.open >= b.most():
-		return "", sting.NoRoom
 	}
-	b.open++
 	return b.address, sting.None
 }
 
-// most is how many requests may be at the upstream: those that it works on, and a few that it need not wait for.
-func (b *brood) most() int { return b.up.Capacity + b.up.Capacity/2 + 1 }
+// slots is how many requests may be at the upstream: those that it works on, and few that it need not wait for.
+func (b *brood) slots() int { return b.up.Capacity + b.up.Capacity/8 + 1 }
 
+// leave ends a request at the upstream; the first that waits has its slot.
 func (b *brood) leave(id string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if id == b.id || b.id == "" {
-		b.open = max(0, b.open-1)
+	if id != b.id && b.id != "" {
+		return // of a life that has ended
+	}
+	b.open = max(0, b.open-1)
+	for len(b.line) > 0 && b.open < b.slots() {
+		t := b.line[0]
+		b.line = slices.Delete(b.line, 0, 1)
+		_, kind := b.way(t.id, time.Now())
+		if t.leave <- kind == sting.None; kind == sting.None {
+			b.open++
+		}
 	}
 }
 
--- a/internal/hive/flight/forager.go
+++ b/internal/hive/flight/forager.go
@@ -33,6 +33,9 @@
 	// AskLongest is how long a process of the core that says nothing is waited for.
 	AskLongest = askWait + askMore
 
+	leaveStep  = 100 * time.Millisecond // between two looks at what is open once this process leaves
+	leaveQuiet = 25                     // looks in a row that found nothing
+
 	settle    = 400 * time.Millisecond // before Grace is over, by which all has to have its answer
 	idleFirst = 15 * time.Second       // before a configuration says how long clients may be idle
 )
@@ -57,7 +60,8 @@
 	end    chan struct{}
 
 	view       atomic.Pointer[view]
-	leaving    atomic.Bool
+	leaving    atomic.Bool // not ready any more, serves what comes
+	closed     atomic.Bool // serves what it has, and nothing new
 	open       atomic.Int64
 	membersNow atomic.Int64
 	requests   *atomic.Int64
@@ -143,16 +147,27 @@
 	<-ctx.Done()
 
 	f.leaving.Store(true)
+	f.brood.poke() // others hear of it at once
 	f.log.Info("leaving", "open", f.open.Load())
-	until := time.Now().Add(f.box.Bounds.Grace - settle)
-	// Two answers to Ready in a row have to fail before nobody sends here any more.
-	for idle := 0; time.Now().Before(until) && idle < 25; {
-		time.Sleep(100 * time.Millisecond)
-		if idle++; f.open.Load() > 0 {
-			idle = 0
+	// Two answers to Ready in a row have to fail before nobody sends here any more, and where too few balancers are left
+	// everybody goes on. So the first half of Grace serves all that comes, the second ends it and refuses what is new.
+	began := time.Now()
+	until := began.Add(f.box.Bounds.Grace - settle)
+	for quiet := 0; time.Now().Before(until); {
+		time.Sleep(leaveStep)
+		now := time.Now()
+		if now.Sub(began) > f.box.Bounds.Grace/2 {
+			f.closed.Store(true)
+		}
+		if quiet++; f.open.Load() > 0 {
+			quiet = 0
+		}
+		f.clients.sweep(now, true)
+		if quiet >= leaveQuiet || f.closed.Load() && quiet >= 3 {
+			break
 		}
-		f.clients.sweep(time.Now(), true)
 	}
+	f.closed.Store(true)
 	stop()
 	close(f.end)
 	last, done := context.WithDeadline(context.Background(), until.Add(settle/2))
--- a/internal/hive/flight/headers.go
+++ b/internal/hive/flight/headers.go
@@ -16,12 +16,13 @@
 	keyName     = textproto.CanonicalMIMEHeaderKey("X-Key")
 	postmark    = textproto.CanonicalMIMEHeaderKey("X-Postmark")
 	notDelivrd  = textproto.CanonicalMIMEHeaderKey("X-Not-Delivered")
-	hiveOnly    = textproto.CanonicalMIMEHeaderKey("X-Hive")     // between two balancers: who says it, and what it means
-	hiveAim     = textproto.CanonicalMIMEHeaderKey("X-Hive-Aim") // on a push whose answer is long: milliseconds within which it is of full worth
-	hiveBroke   = "broke"                                        // the push may have run
-	hiveTurned  = "turned"                                       // it has not run and never will
+	hiveOnly    = textproto.CanonicalMIMEHeaderKey("X-Hive")      // between two balancers: who says it, and what it means
+	hiveAim     = textproto.CanonicalMIMEHeaderKey("X-Hive-Aim")  // milliseconds within which an answer is of full worth
+	hiveLong    = textproto.CanonicalMIMEHeaderKey("X-Hive-Long") // the answer is a long one
+	hiveBroke   = "broke"                                         // the push may have run
+	hiveTurned  = "turned"                                        // it has not run and never will
 	ofOneHop    = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length"}
-	setByTheHub = []string{addressee, returnTo, senderName, keyName, timeLeft, hiveOnly, hiveAim}
+	setByTheHub = []string{addressee, returnTo, senderName, keyName, timeLeft, hiveOnly, hiveAim, hiveLong}
 )
 
 // onward copies the headers that concern more than one connection.
--- a/internal/hive/flight/inbound.go
+++ b/internal/hive/flight/inbound.go
@@ -26,10 +26,20 @@
 	f.open.Add(1)
 	defer f.open.Add(-1)
 	f.inbounds.Add(1)
+	if f.closed.Load() {
+		w.Header()["Connection"] = []string{"close"}
+		f.turn(w, r, sting.NotHere)
+		return
+	}
 	header := onward(r.Header)
 	delete(header, hiveAim)
-	if aim, err := strconv.ParseInt(r.Header.Get(hiveAim), 10, 64); err == nil {
-		if !f.pace.admit(time.Duration(aim) * time.Millisecond) {
+	delete(header, hiveLong)
+	aim := aimUnsaid
+	if ms, err := strconv.ParseInt(r.Header.Get(hiveAim), 10, 64); err == nil && ms >= 0 {
+		aim = time.Duration(min(ms, 1e6)) * time.Millisecond
+	}
+	if r.Header[hiveLong] != nil {
+		if !f.pace.admit(aim) {
 			f.counts.Add("turned_line_full")
 			f.turn(w, r, sting.NoRoom)
 			return
@@ -43,7 +53,7 @@
 	}
 	s := &sending{
 		id: r.Header.Get(attemptID), to: r.Header.Get(addressee), method: r.Method, target: r.RequestURI, host: r.Host, header: header,
-		length: max(r.ContentLength, 0), until: time.Now().Add(time.Duration(left * float64(time.Millisecond))),
+		aim: aim, length: max(r.ContentLength, 0), until: time.Now().Add(time.Duration(left * float64(time.Millisecond))),
 	}
 	if r.ContentLength > 0 {
 		if s.body, err = io.ReadAll(io.LimitReader(r.Body, heldBody)); err != nil {
@@ -123,4 +133,6 @@
 
 const hiveWell = "well"
 
+const aimUnsaid = 200 * time.Millisecond
+
 const lateBy = 30 * time.Millisecond // beyond its time that an upstream's own word for it is waited for
--- a/internal/hive/flight/outbound.go
+++ b/internal/hive/flight/outbound.go
@@ -33,7 +33,8 @@
 	body    []byte
 	rest    io.Reader // behind body, nil if that is all
 	length  int64
-	aim     string // in milliseconds, where the answer is long
+	aim     time.Duration // within which its answer is of full worth
+	long    bool          // its answer is
 	stop    time.Time
 	started time.Time
 
@@ -105,6 +106,11 @@
 	f.open.Add(1)
 	defer f.open.Add(-1)
 	v := f.view.Load()
+	if f.closed.Load() {
+		w.Header()["Connection"] = []string{"close"}
+		f.refuse(w, r, sting.NoRoom, 0)
+		return
+	}
 	if v == nil {
 		f.refuse(w, r, sting.Unready, 0)
 		return
@@ -195,9 +201,7 @@
 			q.length = int64(len(q.body))
 		}
 	}
-	if rule.MailClass == dance.Freight {
-		q.aim = strconv.FormatInt(time.Duration(cmp.Or(rule.Target, rule.Dispatch.Deadline)).Milliseconds(), 10)
-	}
+	q.aim, q.long = time.Duration(cmp.Or(rule.Target, rule.Dispatch.Deadline)), rule.MailClass == dance.Freight
 	t = v.pick(rule)
 	q.pool = t.pool
 	return q, t, sting.None, 0
--- a/internal/hive/flight/push.go
+++ b/internal/hive/flight/push.go
@@ -50,11 +50,14 @@
 		header[name] = values
 	}
 	header[addressee] = []string{o.Name}
-	if q.aim != "" && o.Place.Address != f.box.Inbound {
-		header[hiveAim] = []string{q.aim}
+	if o.Place.Address != f.box.Inbound {
+		header[hiveAim] = []string{strconv.FormatInt(q.aim.Milliseconds(), 10)}
+		if q.long {
+			header[hiveLong] = []string{"1"}
+		}
 	}
 	s := &sending{id: q.id, to: o.Name, method: q.method, target: q.target, host: q.host, header: header, body: q.body,
-		rest: q.rest, length: q.length, until: o.Until}
+		rest: q.rest, length: q.length, until: o.Until, aim: q.aim}
 	if q.rest != nil { // its time begins with its last byte
 		s.until = time.Now().Add(time.Until(q.stop) + time.Minute)
 		s.rest = &lastByte{q.rest, func() { q.pool.desk.Whole(c, time.Until(q.stop)) }}
@@ -165,6 +168,7 @@
 	rest                  io.Reader
 	length                int64
 	until                 time.Time
+	aim                   time.Duration // within which its answer is of full worth
 	onlyFresh, upstreamed bool
 }
 
@@ -238,7 +242,7 @@
 
 // give hands a request to the upstream on this machine, if it is the one that is meant and has room.
 func (f *Forager) give(ctx context.Context, s *sending) *coming {
-	address, kind := f.brood.admit(s.to, time.Now())
+	address, kind := f.brood.admit(ctx, s, time.Now())
 	if kind != sting.None {
 		f.counts.Add("turned_" + kind.String())
 		return &coming{kind: kind}
--- a/internal/hive/flight/wallet.go
+++ b/internal/hive/flight/wallet.go
@@ -12,7 +12,8 @@
 	drawEvery  = 350 * time.Millisecond // where nothing is needed: the bank leaves who is silent a standing rate
 	drawPause  = 12 * time.Millisecond  // between two draws
 	drawWithin = 300 * time.Millisecond
-	drawWait   = 60 * time.Millisecond // that a request without a token waits for a draw, twice at most
+	drawWait   = 60 * time.Millisecond // that a request without a token waits for a draw
+	drawRounds = 3                     // draws that it waits for: one under way knew nothing of it, a bank just opened has nothing yet
 )
 
 // wallet is this balancer's tokens of tenants' quotas, and where more are drawn.
@@ -47,7 +48,7 @@
 	w := &f.wallet
 	for round := 0; ; round++ {
 		w.Lock()
-		verdict, wait := w.is.Take(tenant, f.now(), round == 2)
+		verdict, wait := w.is.Take(tenant, f.now(), round == drawRounds)
 		drawn := w.drawn
 		wants := verdict == pollen.Ask || w.is.Wants(f.now())
 		w.Unlock()
@@ -91,10 +92,16 @@
 		call, end := context.WithTimeout(ctx, drawWithin)
 		given := map[string]pollen.Given{}
 		err := f.caller.Call(call, at, "/hive/draw", d, &given)
+		refused := err != nil && call.Err() == nil
 		end()
 		w.Lock()
 		if err == nil {
 			w.is.Given(given, sent, f.now())
+			if w.is.Wants(f.now()) {
+				w.want()
+			}
+		} else if refused {
+			w.is.Refused(f.now())
 		}
 		close(w.drawn)
 		w.drawn = make(chan struct{})
--- a/internal/hive/pollen/quota.go
+++ b/internal/hive/pollen/quota.go
@@ -178,7 +178,8 @@
 			delete(a.out, d.Node)
 		}
 	}
-	for _, a := range b.accounts { // with who was there until now
+	m.standing = m.standing && d.Standing // it has not stood alone since it was answered last
+	for _, a := range b.accounts {        // with who was there until now
 		b.fill(a, now)
 	}
 	m.seq, m.heard, m.standing = d.Seq, now, d.Standing
@@ -214,11 +215,13 @@
 		g := Given{Tokens: math.Max(give, 0)}
 		if give < 1 && w.More >= 1 {
 			least := dryLeast
-			if now-a.dried > int64(s/2) {
+			if d.Standing || now-a.dried > int64(s/2) {
 				least = dryFirst
 			}
-			a.dried = now
-			g.Dry = max(least, min(int64(s/4), int64((1-math.Min(room, 1))/math.Max(a.Rate*b.present(now), 1e-3)*s)))
+			if !d.Standing {
+				a.dried = now
+			}
+			g.Dry = max(least, min(int64(s/4), int64((1-math.Min(room, 1))/(a.Rate*math.Max(b.present(now), 1/float64(max(b.count, 1))))*s)))
 		}
 		given[tenant] = g
 	}
@@ -269,6 +272,7 @@
 	members int
 	by      map[string]*purse
 	seq     uint64
+	again   bool  // the bank has answered one that stood alone: it counts as there from its next draw on
 	heard   int64 // when the last draw was sent that was answered
 }
 
@@ -342,6 +346,9 @@
 
 // Wants reports whether a draw would be of use before the next regular one.
 func (w *Wallet) Wants(now int64) bool {
+	if w.again {
+		return true
+	}
 	for _, p := range w.by {
 		if now >= p.dry && p.tokens < p.wish(now)/3 {
 			return true
@@ -353,6 +360,7 @@
 // Draw is the call to the bank as things stand. What is held beyond need goes back with it.
 func (w *Wallet) Draw(node, life string, now int64) *Draw {
 	w.seq++
+	w.again = false
 	d := &Draw{Node: node, Life: life, Seq: w.seq, Standing: w.alone(now), Wants: map[string]Want{}}
 	for tenant, p := range w.by {
 		wish := p.wish(now)
@@ -369,11 +377,16 @@
 	return d
 }
 
+// Refused takes that whoever was asked does not keep the bank, or not yet, or is not there: nothing is drawn meanwhile, and
+// the standing rate holds at once.
+func (w *Wallet) Refused(now int64) { w.heard = min(w.heard, now-Standing-1) }
+
 // Given takes the answer to a draw that was sent at a time.
 func (w *Wallet) Given(given map[string]Given, sent, now int64) {
 	if sent < w.heard {
 		return
 	}
+	w.again = w.alone(now)
 	w.heard = sent
 	for tenant, g := range given {
 		if p := w.by[tenant]; p != nil {
