The module is split by concern, a pure move

logic.go keeps the way of a transaction from arrival to answer; rotation, copies, verdicts, room and what peers say have a file each, bookkeeping went to types.go.

--- a/logic/types.go
+++ b/logic/types.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"errors"
+	"slices"
 )
 
 // Repeat tells whether the transactions of a tariff may run again.
@@ -431,3 +432,44 @@
 	b.carry = (b.carry&0xffffffff)*4294957665 + b.carry>>32
 	return float64(uint32(b.carry)) / (1 << 32)
 }
+
+func (b *Balancer) touch(t *Transaction) {
+	if !t.queued {
+		t.queued = true
+		b.touched = append(b.touched, t)
+	}
+}
+
+// close ends a transaction; from here on nothing may go out for it.
+func (b *Balancer) close(t *Transaction) {
+	t.over = true
+	if t.held {
+		t.held = false
+		b.open--
+		if t.stuck {
+			b.stuckAll--
+		} else {
+			b.inHand -= t.load
+			b.ends++
+		}
+	}
+}
+
+// hold takes a transaction into what is in hand, once all of it is there.
+func (b *Balancer) hold(t *Transaction) {
+	if !t.held && !t.Unwhole {
+		t.held = true
+		b.open++
+		b.inHand += t.load
+	}
+}
+
+// tried reports whether a transaction went to an upstream already.
+func (t *Transaction) tried(i int) bool {
+	return slices.ContainsFunc(t.pushes, func(p Push) bool { return p.upstream == i })
+}
+
+// recall finds the first push that may have run: pushes that provably never ran bind nothing.
+func (t *Transaction) recall() {
+	t.anchor = slices.IndexFunc(t.pushes, func(p Push) bool { return p.out || !p.result.NeverRan() })
+}
