--- a/internal/hive/flight/brood.go
+++ b/internal/hive/flight/brood.go
@@ -33,8 +33,8 @@
 type brood struct {
 	mu      sync.Mutex
 	drain   time.Duration
-	id      string // of the present life, "" for none
-	ended   string // the life before it
+	id      string   // of the present life, "" for none
+	ended   []string // the lives before it, the last few
 	address string
 	up      waggle.Upstream
 	number  int64
@@ -55,7 +55,7 @@
 func (b *brood) beatOf(id string, c *checkIn, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if id == b.ended || id == b.id && c.Status.PostmarkNo <= b.number {
+	if slices.Contains(b.ended, id) || id == b.id && c.Status.PostmarkNo <= b.number {
 		return
 	}
 	cold, _ := box.Span(c.Status.Cold_time)
@@ -64,7 +64,8 @@
 		Closing: c.Status.Condition == "closing", Cold: int64(cold),
 	}
 	if id != b.id {
-		b.ended, b.id, b.closing, b.open = b.id, id, time.Time{}, 0
+		b.end()
+		b.id, b.closing, b.open = id, time.Time{}, 0
 	}
 	if up.Closing && b.closing.IsZero() {
 		b.closing = now
@@ -86,11 +87,20 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if id == b.id {
-		b.ended, b.id, b.up = id, "", waggle.Upstream{}
+		b.end()
 		b.tell()
 	}
 }
 
+// end notes that the present life is over: what comes of it later is late. Under mu.
+func (b *brood) end() {
+	if b.id != "" {
+		b.ended = append(b.ended, b.id)
+		b.ended = b.ended[max(0, len(b.ended)-8):]
+	}
+	b.id, b.up = "", waggle.Upstream{}
+}
+
 // refused notes that nobody listens at the upstream's address.
 func (b *brood) refused(id string) {
 	b.mu.Lock()
@@ -202,7 +212,7 @@
 	switch {
 	case b.id != "" && id != b.id:
 		return "", sting.NotHere
-	case b.id == "" && id == b.ended:
+	case b.id == "" && slices.Contains(b.ended, id):
 		return "", sting.NotHere
 	case !b.closing.IsZero() && now.Sub(b.closing) > b.drain*3/4: // the rest is for what is under way
 		return "", sting.NotHere
--- /dev/null
+++ b/internal/hive/flight/flight_test.go
@@ -0,0 +1,119 @@
+package flight
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"ottershift/internal/hive/sting"
+)
+
+// beat is a beat of an upstream's life.
+func beat(number int64, capacity int, condition string) *checkIn {
+	c := &checkIn{Address: "127.0.0.1:1"}
+	c.Notice.Destination, c.Notice.Capacity = "s", capacity
+	c.Status.Condition, c.Status.PostmarkNo, c.Status.Cold_time = condition, number, "0ms"
+	return c
+}
+
+func asks(id string, aim time.Duration) *sending {
+	return &sending{to: id, aim: aim, until: time.Now().Add(time.Hour)}
+}
+
+// A trace of beats: late ones, a closing, the next life at the same address.
+func TestBeatsOfALifeAndWhatPassesToIt(t *testing.T) {
+	b := newBrood(2500*time.Millisecond, "127.0.0.1:1")
+	now := time.Now()
+	ctx := context.Background()
+	pass := func(id string, at time.Time) sting.Kind {
+		_, kind := b.admit(ctx, asks(id, time.Second), at)
+		return kind
+	}
+	b.beatOf("i1", beat(2, 6, "accepting"), now)
+	must.Eq(t, sting.None, pass("i1", now))
+	must.Eq(t, sting.NotHere, pass("i0", now)) // another life is meant
+	b.beatOf("i1", beat(3, 6, "closing"), now)
+	b.beatOf("i1", beat(1, 6, "accepting"), now) // late: it stays closing
+	must.Eq(t, sting.None, pass("i1", now.Add(1800*time.Millisecond)))
+	must.Eq(t, sting.NotHere, pass("i1", now.Add(1900*time.Millisecond))) // 3/4 of Drain
+	b.signOff("i1")
+	must.Eq(t, sting.NotHere, pass("i1", now))
+	b.beatOf("i2", beat(1, 6, "accepting"), now)
+	b.beatOf("i1", beat(9, 6, "accepting"), now) // of a life that has ended
+	must.Eq(t, sting.None, pass("i2", now.Add(time.Hour)))
+	b.refused("i2")
+	must.Eq(t, sting.NoRoom, pass("i2", now))
+	up, _ := b.nest()
+	must.Nil(t, up) // nothing is there, as others are told
+	b.beatOf("i2", beat(2, 6, "accepting"), now)
+	must.Eq(t, sting.None, pass("i2", now))
+}
+
+func TestWhoIsDueFirstHasTheNextSlot(t *testing.T) {
+	b := newBrood(time.Second, "127.0.0.1:1")
+	now := time.Now()
+	b.beatOf("i", beat(1, 1, "accepting"), now)
+	for range b.slots() {
+		_, kind := b.admit(context.Background(), asks("i", time.Hour), now)
+		must.Eq(t, sting.None, kind)
+	}
+	order := make(chan string, 2)
+	wait := func(name string, aim time.Duration, before int) {
+		go func() {
+			if _, kind := b.admit(context.Background(), asks("i", aim), now); kind == sting.None {
+				order <- name
+			}
+		}()
+		for {
+			b.mu.Lock()
+			n := len(b.line)
+			b.mu.Unlock()
+			if n == before+1 {
+				return
+			}
+		}
+	}
+	wait("long", 2*time.Hour, 0)
+	wait("short", time.Hour, 1)
+	_, kind := b.admit(context.Background(), asks("i", 3*time.Hour), now) // the line is full, and it is due last
+	must.Eq(t, sting.NoRoom, kind)
+	b.leave("i")
+	must.Eq(t, "short", <-order)
+	b.leave("i")
+	must.Eq(t, "long", <-order)
+	_, kind = b.admit(context.Background(), asks("i", time.Nanosecond), now) // a quarter of its aim is over at once
+	must.Eq(t, sting.NoRoom, kind)
+}
+
+func TestALongAnswerThatWouldBeLateIsTurnedAwayBeforeItsWork(t *testing.T) {
+	p := newPacer(8) // a million bytes a second, of which long answers have 880,000
+	p.mean = 88_000  // a tenth of a second each
+	in := 0
+	for p.admit(time.Second) {
+		in++
+	}
+	must.Eq(t, 6, in) // those in front take half of the aim
+	p.leave()
+	must.True(t, p.admit(time.Second))
+	now := time.Now()
+	p.at, p.level = now, paceBurst
+	must.Eq(t, 0, p.spend(paceBurst, now))
+	must.Eq(t, 100*time.Millisecond, p.spend(88_000, now))
+	wide := newPacer(1000)
+	for range 1000 {
+		must.True(t, wide.admit(time.Millisecond)) // a wide line turns nothing away
+	}
+}
+
+// A push that was ordered before an answer that promises that nothing has run does not leave after it.
+func TestNothingLeavesAfterTheAnswer(t *testing.T) {
+	q := &request{replies: map[int]*reply{}}
+	must.True(t, q.begin())
+	q.ended(5, nil) // broken: it may have run
+	ran, out, _ := q.close()
+	must.Eq(t, 1, ran)
+	must.Eq(t, 0, out)
+	must.False(t, q.begin())
+}
