--- a/internal/hive/flight/forager.go
+++ b/internal/hive/flight/forager.go
@@ -66,7 +66,6 @@
 	membersNow atomic.Int64
 	requests   *atomic.Int64
 	inbounds   *atomic.Int64
-	crossing   float64
 	zones      []string
 
 	wallet wallet
@@ -89,7 +88,7 @@
 func New(b *box.Box, log *slog.Logger) *Forager {
 	f := &Forager{
 		box: b, log: log, counts: hum.NewCounters(), caller: buzz.NewCaller(), life: wax.Draw(), epoch: time.Now(),
-		brood: newBrood(b.Bounds.Drain, b.App), end: make(chan struct{}), crossing: 0.4,
+		brood: newBrood(b.Bounds.Drain, b.App), end: make(chan struct{}),
 		pools: map[string]*pool{}, nests: map[string]*seen{}, members: 1,
 	}
 	f.pace = newPacer(b.LineMbps)
--- a/internal/hive/flight/view.go
+++ b/internal/hive/flight/view.go
@@ -20,6 +20,9 @@
 )
 
 const (
+	crossing     = 0.4 // the price of another zone: its turns are a fifth
+	longCrossing = 2.0 // the same where answers are long: a twentieth, so that one in flight stays in its zone
+
 	coldShare = 0.5             // of its slots that a cold upstream is sent work for
 	asideMost = 2 * time.Second // for a probe of an upstream that is aside
 )
@@ -121,11 +124,14 @@
 	most := 1
 	t := &logic.Terms{
 		Seed: rand.Uint64(), Balancers: n, Index: place, Layer: 1, SecondCopies: true, Cancelling: true, Probing: true,
-		AdviseBackoff: true, MaxBackoff: int64(250 * time.Millisecond), CrossZonePrice: f.crossing,
+		AdviseBackoff: true, MaxBackoff: int64(250 * time.Millisecond), CrossZonePrice: crossing,
 		ColdShare: 1, FallMultiple: 1, FallSpan: int64(time.Second), BeyondShare: 1, // nothing here falls over: see weight
 	}
 	b := &terms.Book{Terms: t, Tariffs: map[string]int{}, Customers: map[string]int{}, Default: -1}
 	for _, r := range rules {
+		if r.MailClass == dance.Freight {
+			t.CrossZonePrice = longCrossing
+		}
 		if _, twice := b.Tariffs[r.Name]; twice {
 			continue
 		}
