--- a/internal/hive/flight/outbound.go
+++ b/internal/hive/flight/outbound.go
@@ -24,19 +24,18 @@
 
 // request is one try of a client on its way.
 type request struct {
-	pool    *pool
-	method  string
-	target  string // as it came
-	host    string
-	id      string
-	header  http.Header
-	body    []byte
-	rest    io.Reader // behind body, nil if that is all
-	length  int64
-	aim     time.Duration // within which its answer is of full worth
-	long    bool          // its answer is
-	stop    time.Time
-	started time.Time
+	pool   *pool
+	method string
+	target string // as it came
+	host   string
+	id     string
+	header http.Header
+	body   []byte
+	rest   io.Reader // behind body, nil if that is all
+	length int64
+	aim    time.Duration // within which its answer is of full worth
+	long   bool          // its answer is
+	stop   time.Time
 
 	mu      sync.Mutex
 	closed  bool // it has its answer: nothing more goes out
@@ -175,7 +174,7 @@
 	}
 	now := time.Now()
 	q = &request{
-		method: r.Method, target: target, host: r.Host, id: r.Header.Get(attemptID), header: header, started: now,
+		method: r.Method, target: target, host: r.Host, id: r.Header.Get(attemptID), header: header,
 		stop: now.Add(left), replies: map[int]*reply{}, length: r.ContentLength,
 	}
 	if r.ContentLength != 0 {
--- a/internal/hive/flight/push.go
+++ b/internal/hive/flight/push.go
@@ -161,15 +161,14 @@
 
 // sending is a request as it goes over one connection.
 type sending struct {
-	id, to                string
-	method, target, host  string
-	header                http.Header
-	body                  []byte
-	rest                  io.Reader
-	length                int64
-	until                 time.Time
-	aim                   time.Duration // within which its answer is of full worth
-	onlyFresh, upstreamed bool
+	id, to               string
+	method, target, host string
+	header               http.Header
+	body                 []byte
+	rest                 io.Reader
+	length               int64
+	until                time.Time
+	aim                  time.Duration // within which its answer is of full worth
 }
 
 // coming is what comes back of it. kind Unready says that it never left, Broke that it may have run.
@@ -214,7 +213,7 @@
 // send carries a request over a connection of a set.
 func (f *Forager) send(ctx context.Context, s *sending, ls *lines, at roster.Place) *coming {
 	for again := false; ; again = true {
-		l, err := ls.take(ctx, at.Host, at.Address, again || s.onlyFresh, at.Kept)
+		l, err := ls.take(ctx, at.Host, at.Address, again, at.Kept)
 		if err != nil {
 			return &coming{kind: sting.Unready, err: err}
 		}
