Small answers in chunks never wait for the line; refusals before an upstream are no tries

Second: a push that the balancer before an upstream turns away never came to an upstream, yet it counted among a route's tries and drew on the budget of repeats; two such are free now (module: FreeRefusals, 0 in service, so nothing changes there). Tests: the pacer with all turns taken; what leaves for an upstream; the module's refusals.

--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -145,7 +145,7 @@
 		log: log, counts: counts, book: book, epoch: time.Now(), follow: make(chan struct{}, 1), probes: make(chan Probe, 256),
 		open: map[*Case]struct{}{},
 	}
-	d.room.Store(int64(min(book.Terms.MaxPushes, 64)))
+	d.room.Store(min(pushes(book.Terms), 64))
 	var b Module
 	var err error
 	if book.Watch {
@@ -412,7 +412,7 @@
 		if err = b.Retune(book.Terms, now); err == nil {
 			d.show(book)
 			d.book = book
-			d.room.Store(min(max(int64(book.Terms.MaxPushes), d.room.Load()), 64))
+			d.room.Store(min(max(pushes(book.Terms), d.room.Load()), 64))
 		}
 	})
 	if !ok {
@@ -621,3 +621,6 @@
 }
 
 func (w writer) Note(text string) { w.log.Info("note", "text", text) }
+
+// pushes is how many a transaction may have at most.
+func pushes(t *logic.Terms) int64 { return int64(t.MaxPushes + t.FreeRefusals) }
--- a/internal/hive/flight/inbound.go
+++ b/internal/hive/flight/inbound.go
@@ -80,6 +80,12 @@
 	defer back.done(false)
 	into := &reply{status: back.answer.StatusCode, header: onward(back.answer.Header), length: back.answer.ContentLength,
 		flow: back.answer.Body, ended: make(chan bool, 1), pace: f.pace, context: r.Context()}
+	if err := into.measure(); err != nil {
+		f.counts.Add("app_" + cut(err))
+		w.Header()[hiveOnly] = []string{hiveBroke}
+		f.refuse(w, r, sting.Broke, 0)
+		return
+	}
 	f.write(w, into)
 	back.done(true)
 }
--- a/internal/hive/flight/outbound.go
+++ b/internal/hive/flight/outbound.go
@@ -1,6 +1,7 @@
 package flight
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"io"
@@ -39,7 +40,9 @@
 
 	mu      sync.Mutex
 	closed  bool // it has its answer: nothing more goes out
-	ran     int  // pushes that may have run
+	tries   int  // upstreams that it may be sent to
+	sent    int  // pushes that have reached one, or may have
+	ran     int  // and of them, those that may have run
 	out     int  // and of them, those without an outcome
 	failed  *reply
 	replies map[int]*reply // by push
@@ -58,24 +61,29 @@
 	context context.Context
 }
 
-// begin lets a push out, unless its request has been answered. Danger: without it a push ordered before an answer that
-// promises that nothing runs would go out after it.
-func (q *request) begin() bool {
+// begin lets a push out, unless its request has been answered or has been sent to as many upstreams as it may be; what was
+// turned away before it came to one doesn't count. One beyond the first has to be paid for. Danger: without a look at the
+// answer a push ordered before one that promises that nothing runs would go out after it.
+func (q *request) begin(paid func() bool) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.closed {
+	if q.closed || q.sent >= q.tries || q.sent > 0 && !paid() {
 		return false
 	}
+	q.sent++
 	q.ran++
 	q.out++
 	return true
 }
 
-// ended takes a push's outcome.
-func (q *request) ended(r logic.Result, failed *reply) {
+// ended takes a push's outcome; early says that it never came to an upstream.
+func (q *request) ended(r logic.Result, early bool, failed *reply) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.out--
+	if early {
+		q.sent--
+	}
 	if r.NeverRan() {
 		q.ran--
 	}
@@ -202,7 +210,7 @@
 	}
 	q.aim, q.long = time.Duration(cmp.Or(rule.Target, rule.Dispatch.Deadline)), rule.MailClass == dance.Freight
 	t = v.pick(rule)
-	q.pool = t.pool
+	q.pool, q.tries = t.pool, rule.Dispatch.DeliveryTries
 	return q, t, sting.None, 0
 }
 
@@ -282,6 +290,23 @@
 	}
 }
 
+// measure reads as much of an answer of no stated length as tells whether it is a long one. Danger: taken for long, a small
+// one waits for its turn behind all long ones, while whoever called for it runs out of time.
+func (r *reply) measure() error {
+	if r.length >= 0 || r.pace == nil || r.pace.rate == 0 {
+		return nil
+	}
+	first, err := io.ReadAll(io.LimitReader(r.flow, longFrom+1))
+	if err != nil {
+		return err
+	}
+	if len(first) <= longFrom {
+		r.length = int64(len(first))
+	}
+	r.flow = io.MultiReader(bytes.NewReader(first), r.flow)
+	return nil
+}
+
 // write passes an upstream's answer on. Danger: one that breaks off must not look whole.
 func (f *Forager) write(w http.ResponseWriter, r *reply) {
 	h := w.Header()
--- a/internal/hive/flight/push.go
+++ b/internal/hive/flight/push.go
@@ -28,23 +28,27 @@
 			q.pool.desk.Outcome(c, o, result)
 		}
 	}()
-	if o.Number > 0 && !q.pool.more(f.now(), int(f.membersNow.Load())) {
+	paid := func() bool {
+		if q.pool.more(f.now(), int(f.membersNow.Load())) {
+			return true
+		}
 		f.counts.Add("budget_spent")
-		return
+		return false
 	}
-	if !q.begin() {
+	if !q.begin(paid) {
 		return
 	}
-	var failed *reply
-	result, flowed, failed = f.carry(q, c, o)
-	q.ended(result, failed)
+	early, failed := false, (*reply)(nil)
+	result, flowed, early, failed = f.carry(q, c, o)
+	q.ended(result, early, failed)
 	if result != logic.Settled {
 		f.counts.Add("push_" + result.String())
 	}
 }
 
-// carry sends a request to the balancer beside an upstream, or to the upstream if it is here, and takes what comes back.
-func (f *Forager) carry(q *request, c *desk.Case, o *desk.Push) (result logic.Result, flowed bool, failed *reply) {
+// carry sends a request to the balancer beside an upstream, or to the upstream if it is here, and takes what comes back;
+// early says that it never came to the upstream.
+func (f *Forager) carry(q *request, c *desk.Case, o *desk.Push) (result logic.Result, flowed, early bool, failed *reply) {
 	header := make(http.Header, len(q.header)+2)
 	for name, values := range q.header {
 		header[name] = values
@@ -75,30 +79,31 @@
 	}()
 	switch {
 	case back.kind == sting.NoRoom || back.kind == sting.NotHere:
-		return logic.TurnedAway, false, nil
+		return logic.TurnedAway, false, true, nil
 	case back.kind != sting.None:
-		return f.broken(o.Context, back), false, nil
+		result = f.broken(o.Context, back)
+		return result, false, result.NeverRan(), nil
 	}
 	answer := back.answer
 	h := answer.Header
 	switch said := h.Get(hiveOnly); {
 	case said == hiveTurned, h[notDelivrd] != nil, answer.StatusCode == http.StatusMisdirectedRequest:
 		back.finish()
-		return logic.TurnedAway, false, nil
+		return logic.TurnedAway, false, said == hiveTurned, nil
 	case said == hiveBroke:
 		back.finish()
-		return logic.Broken, false, nil
+		return logic.Broken, false, false, nil
 	}
 	good := answer.StatusCode < 300
 	if good && h[postmark] == nil {
 		f.counts.Add("answers_unstamped")
-		return logic.Broken, false, nil
+		return logic.Broken, false, false, nil
 	}
 	into := &reply{status: answer.StatusCode, header: onward(h), length: answer.ContentLength}
 	body, err := io.ReadAll(io.LimitReader(answer.Body, heldAnswer+1))
 	into.body = body
 	if err != nil {
-		return f.broken(o.Context, &coming{kind: sting.Broke, err: err}), false, nil
+		return f.broken(o.Context, &coming{kind: sting.Broke, err: err}), false, false, nil
 	}
 	if len(body) <= heldAnswer {
 		into.length = int64(len(body))
@@ -106,25 +111,25 @@
 		q.keep(o.Number, into)
 		switch {
 		case good:
-			return logic.Settled, false, nil
+			return logic.Settled, false, false, nil
 		case answer.StatusCode < 500:
-			return logic.Rejected, false, nil
+			return logic.Rejected, false, false, nil
 		}
-		return logic.Errored, false, into
+		return logic.Errored, false, false, into
 	}
 	if !good {
-		return logic.Errored, false, nil
+		return logic.Errored, false, false, nil
 	}
 	into.flow, into.ended = answer.Body, make(chan bool, 1)
 	q.keep(o.Number, into)
 	if !q.pool.desk.Flow(c, o) {
-		return logic.Cancelled, false, nil
+		return logic.Cancelled, false, false, nil
 	}
 	back.line.SetReadDeadline(q.stop.Add(time.Second)) // its client waits no longer
 	whole := <-into.ended
 	back.done(whole)
 	q.pool.desk.Flowed(c, o, whole)
-	return logic.Settled, true, nil
+	return logic.Settled, true, false, nil
 }
 
 // broken names the outcome of a push without a whole answer.
--- a/internal/hive/flight/view.go
+++ b/internal/hive/flight/view.go
@@ -25,6 +25,8 @@
 
 	coldShare = 0.5             // of its slots that a cold upstream is sent work for
 	asideMost = 2 * time.Second // for a probe of an upstream that is aside
+
+	freeRefusals = 2 // balancers before an upstream that may turn a request away, beside the tries that its route has
 )
 
 // view is what a balancer goes by: one version of the timetable, whole.
@@ -123,7 +125,7 @@
 	n, place := f.rank()
 	most := 1
 	t := &logic.Terms{
-		Seed: rand.Uint64(), Balancers: n, Index: place, Layer: 1, SecondCopies: true, Cancelling: true, Probing: true,
+		Seed: rand.Uint64(), FreeRefusals: freeRefusals, Balancers: n, Index: place, Layer: 1, SecondCopies: true, Cancelling: true, Probing: true,
 		AdviseBackoff: true, MaxBackoff: int64(250 * time.Millisecond), CrossZonePrice: crossing,
 		ColdShare: 1, FallMultiple: 1, FallSpan: int64(time.Second), BeyondShare: 1, // nothing here falls over: see weight
 	}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -200,6 +200,9 @@
 	b.now = now
 	p.out, p.result = false, r
 	t.out--
+	if r == TurnedAway {
+		t.refused++
+	}
 	b.flying[p.upstream]--
 	b.news()
 	if p.lost {
@@ -415,7 +418,7 @@
 
 // repeatable reports whether another push is allowed now. Danger: an effect that happens twice.
 func (b *Balancer) repeatable(t *Transaction) bool {
-	if t.Single || len(t.pushes) >= t.Under.MaxPushes {
+	if t.Single || len(t.pushes)-min(t.refused, t.Under.FreeRefusals) >= t.Under.MaxPushes {
 		return false
 	}
 	t.recall()
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -202,6 +202,25 @@
 	}
 }
 
+// A push that was turned away before an upstream is free where terms say so, and as many as they say.
+func TestRefusalsThatDoNotCount(t *testing.T) {
+	for free, want := range map[int]int{0: 1, 2: 3} {
+		one := terms(tariff(Repeatable, Everywhere))
+		one.MaxPushes, one.FreeRefusals = 1, free
+		w := newWorld(t, one, 6, 1)
+		w.b.bucket = 9
+		o := w.arrive(0, s)
+		w.round(ms)
+		for n := 0; n < len(o.pushes); n++ {
+			w.result(o, n, TurnedAway)
+			w.round(ms)
+		}
+		if len(o.pushes) != want || !o.final {
+			t.Errorf("%d pushes of 1 and %d free, want %d", len(o.pushes), free, want)
+		}
+	}
+}
+
 func TestGateBucketAndWinRate(t *testing.T) {
 	w := newWorld(t, terms(tariff(Repeatable, Everywhere)), 4, 1)
 	b := w.b
--- a/logic/types.go
+++ b/logic/types.go
@@ -66,6 +66,7 @@
 	Customers []*Customer
 
 	MaxPushes      int
+	FreeRefusals   int // pushes that may be turned away, beyond MaxPushes, by who stands before an upstream
 	SecondCopies   bool
 	Cancelling     bool
 	Probing        bool
@@ -179,6 +180,7 @@
 	slot     int     // place among the due times, -1 if none
 	pushes   []Push
 	out      int     // pushes without a result
+	refused  int     // pushes that were turned away
 	anchor   int     // first push that may have run, -1 if none
 	queued   bool    // among those to look at in this round
 	again    bool    // a try repeated by its client
