--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -208,9 +208,9 @@
 		one := terms(tariff(Repeatable, Everywhere))
 		one.MaxPushes, one.FreeRefusals = 1, free
 		w := newWorld(t, one, 6, 1)
-		w.b.bucket = 9
 		o := w.arrive(0, s)
 		w.round(ms)
+		w.b.bucket = 9
 		for n := 0; n < len(o.pushes); n++ {
 			w.result(o, n, TurnedAway)
 			w.round(ms)
