Upstreams that fail in part are told of by the balancer beside them

Need: evidence of upstreams was each caller's own, a few requests a second. The balancer beside an upstream is the only way to it and sees all that comes of it: nurse keeps that evidence, its level (0 to 3) goes round with the nest, and lists give an ill one a lesser weight, held against the service's median, 0.4 of its slots at most, an end by time. An upstream that is dark refuses no connection: two in a row unanswered count as gone until its next beat (before: 4 Beat). Found on the way: an ask that had been answered could take the word of a change that came with it, and the next ask slept on it for up to 0.6 s; the word is now a channel that closes. The mesh's test took for granted that both upstreams are known at once.

--- a/internal/hive/flight/brood.go
+++ b/internal/hive/flight/brood.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"ottershift/internal/hive/box"
+	"ottershift/internal/hive/nurse"
 	"ottershift/internal/hive/sting"
 	"ottershift/internal/hive/waggle"
 )
@@ -43,12 +44,15 @@
 	dead    bool      // its address refuses connections
 	open    int       // requests at it
 	line    []*turn   // those that wait, who is due first in front
+	ward    nurse.Ward
+	epoch   time.Time
+	mute    int // connections to it in a row that nobody answered
 	seq     uint64
-	changed chan struct{} // has room for one
+	changed chan struct{} // closed at the next change
 }
 
 func newBrood(drain time.Duration, app string) *brood {
-	return &brood{drain: drain, address: app, changed: make(chan struct{}, 1)}
+	return &brood{drain: drain, address: app, changed: make(chan struct{}), epoch: time.Now()}
 }
 
 // beatOf takes a beat; what is late changes nothing.
@@ -65,15 +69,16 @@
 	}
 	if id != b.id {
 		b.end()
-		b.id, b.closing, b.open = id, time.Time{}, 0
+		b.id, b.closing, b.open, b.ward = id, time.Time{}, 0, nurse.Ward{}
 	}
+	up.Ill = b.ward.Level()
 	if up.Closing && b.closing.IsZero() {
 		b.closing = now
 	}
 	same := up
 	same.Cold = b.up.Cold
 	news := same != b.up || b.dead
-	b.up, b.number, b.beat, b.dead = up, c.Status.PostmarkNo, now, false
+	b.up, b.number, b.beat, b.dead, b.mute = up, c.Status.PostmarkNo, now, false, 0
 	if c.Address != "" {
 		b.address = c.Address
 	}
@@ -101,6 +106,40 @@
 	b.id, b.up = "", waggle.Upstream{}
 }
 
+// saw takes what came of a request at the upstream.
+func (b *brood) saw(id string, failed bool, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if id != b.id || id == "" {
+		return
+	}
+	b.mute = 0
+	b.heed(b.ward.Saw(failed, int64(now.Sub(b.epoch))))
+}
+
+// heed has others told of a level that has changed. Under mu.
+func (b *brood) heed(changed bool) {
+	if changed && b.up.Ill != b.ward.Level() {
+		b.up.Ill = b.ward.Level()
+		b.tell()
+	}
+}
+
+// silent notes that a connection to the upstream was not answered: an upstream that is dark refuses nothing.
+func (b *brood) silent(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if id != b.id || b.dead {
+		return
+	}
+	if b.mute++; b.mute >= muteMost {
+		b.dead = true // until its next beat
+		b.tell()
+	}
+}
+
+const muteMost = 2
+
 // refused notes that nobody listens at the upstream's address.
 func (b *brood) refused(id string) {
 	b.mu.Lock()
@@ -119,14 +158,13 @@
 		b.dead = true
 		b.tell()
 	}
+	b.heed(b.ward.Look(int64(now.Sub(b.epoch))))
 }
 
 func (b *brood) tell() {
 	b.seq++
-	select {
-	case b.changed <- struct{}{}:
-	default:
-	}
+	close(b.changed)
+	b.changed = make(chan struct{})
 }
 
 // poke has the core told again.
@@ -136,18 +174,18 @@
 	b.tell()
 }
 
-// nest is what the core is told.
-func (b *brood) nest() (up *waggle.Upstream, seq uint64) {
+// nest is what the core is told, and ends changed once there is more to tell.
+func (b *brood) nest() (up *waggle.Upstream, seq uint64, changed <-chan struct{}) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.id == "" || b.dead {
-		return nil, b.seq
+		return nil, b.seq, b.changed
 	}
 	copied := b.up
 	if past := int64(time.Since(b.beat)); copied.Cold > 0 {
 		copied.Cold = max(0, copied.Cold-past)
 	}
-	return &copied, b.seq
+	return &copied, b.seq, b.changed
 }
 
 // turn is a request that waits for a slot.
--- a/internal/hive/flight/flight_test.go
+++ b/internal/hive/flight/flight_test.go
@@ -47,10 +47,31 @@
 	must.Eq(t, sting.None, pass("i2", now.Add(time.Hour)))
 	b.refused("i2")
 	must.Eq(t, sting.NoRoom, pass("i2", now))
-	up, _ := b.nest()
+	up, _, changed := b.nest()
 	must.Nil(t, up) // nothing is there, as others are told
 	b.beatOf("i2", beat(2, 6, "accepting"), now)
+	<-changed // whoever took the word of before is told that there is more
 	must.Eq(t, sting.None, pass("i2", now))
+	b.silent("i2")
+	must.Eq(t, sting.None, pass("i2", now))
+	b.silent("i2") // dark: connections are not even refused
+	must.Eq(t, sting.NoRoom, pass("i2", now))
+	b.beatOf("i2", beat(3, 6, "accepting"), now)
+	must.Eq(t, sting.None, pass("i2", now))
+	for range 6 {
+		b.saw("i1", true, now) // of a life that has ended
+	}
+	up, _, changed = b.nest()
+	must.Eq(t, 0, up.Ill)
+	for n := range 6 {
+		b.saw("i2", true, now.Add(time.Duration(n)*time.Millisecond))
+	}
+	<-changed
+	up, _, _ = b.nest()
+	must.Eq(t, 3, up.Ill)
+	b.beatOf("i2", beat(4, 6, "accepting"), now) // its own word changes nothing of that
+	up, _, _ = b.nest()
+	must.Eq(t, 3, up.Ill)
 }
 
 // An answer in chunks says nothing of its length; only one that is long takes the line's turns.
--- a/internal/hive/flight/forager.go
+++ b/internal/hive/flight/forager.go
@@ -220,7 +220,7 @@
 		f.mu.Lock()
 		a := &waggle.Ask{Have: f.have, Wait: int64(askWait)}
 		f.mu.Unlock()
-		up, seq := f.brood.nest()
+		up, seq, changed := f.brood.nest()
 		a.Nest = waggle.Nest{Node: f.box.Node, Inbound: f.box.Inbound, District: f.box.District, Life: f.life, Seq: seq, Up: up,
 			Leaving: f.leaving.Load()}
 		if f.leaving.Load() {
@@ -229,7 +229,7 @@
 		call, end := context.WithTimeout(ctx, askWait+askMore)
 		go func() {
 			select {
-			case <-f.brood.changed: // what is new here is told at once
+			case <-changed: // what is new here is told at once
 				end()
 			case <-call.Done():
 			}
--- a/internal/hive/flight/inbound.go
+++ b/internal/hive/flight/inbound.go
@@ -16,7 +16,7 @@
 // inbound is the second hop: a request from another balancer, for the upstream on this machine.
 func (f *Forager) inbound(w http.ResponseWriter, r *http.Request) {
 	if r.Header.Get(hiveOnly) == hiveWell {
-		if up, _ := f.brood.nest(); up != nil && !up.Closing && up.ID == r.Header.Get(addressee) {
+		if up, _, _ := f.brood.nest(); up != nil && !up.Closing && up.ID == r.Header.Get(addressee) {
 			w.WriteHeader(http.StatusOK)
 		} else {
 			sting.Write(w, sting.NotHere, 0, "")
@@ -125,7 +125,7 @@
 	s := &sending{method: http.MethodGet, target: "/", host: "hive", until: time.Now().Add(asideMost),
 		header: http.Header{hiveOnly: {hiveWell}, addressee: {name}}}
 	if at.Address == f.box.Inbound {
-		up, _ := f.brood.nest()
+		up, _, _ := f.brood.nest()
 		return up != nil && up.ID == name
 	}
 	back := f.send(ctx, s, p.peers, at)
--- a/internal/hive/flight/push.go
+++ b/internal/hive/flight/push.go
@@ -6,14 +6,16 @@
 	"errors"
 	"io"
 	"net/http"
-	"ottershift/internal/desk"
-	"ottershift/internal/hive/sting"
-	"ottershift/internal/roster"
-	"ottershift/logic"
+	"os"
 	"runtime/debug"
 	"strconv"
 	"syscall"
 	"time"
+
+	"ottershift/internal/desk"
+	"ottershift/internal/hive/sting"
+	"ottershift/internal/roster"
+	"ottershift/logic"
 )
 
 // push carries one order out.
@@ -251,10 +253,17 @@
 		f.counts.Add("turned_" + kind.String())
 		return &coming{kind: kind}
 	}
+	began := time.Now()
 	back := f.send(ctx, s, f.apps, roster.Place{Host: s.to, Address: address})
+	if failed, known := verdict(ctx, s, back, time.Since(began)); known {
+		f.brood.saw(s.to, failed, time.Now())
+	}
 	if back.kind == sting.Unready {
-		if errors.Is(back.err, syscall.ECONNREFUSED) {
+		switch {
+		case errors.Is(back.err, syscall.ECONNREFUSED):
 			f.brood.refused(s.to)
+		case ctx.Err() == nil && errors.Is(back.err, os.ErrDeadlineExceeded):
+			f.brood.silent(s.to)
 		}
 		f.brood.leave(s.to)
 		if ctx.Err() == nil {
@@ -270,3 +279,18 @@
 	f.brood.leave(s.to) // its work is done: what is left is bytes
 	return back
 }
+
+// verdict is what one request says of the upstream beside: one that failed, or took twice the time within which it would have
+// been of full worth. What its caller called off before tells nothing.
+func verdict(ctx context.Context, s *sending, back *coming, took time.Duration) (failed, known bool) {
+	slow := s.aim > 0 && took > 2*s.aim
+	switch {
+	case back.kind == sting.Unready:
+		return true, ctx.Err() == nil
+	case back.kind != sting.None:
+		return true, slow || !errors.Is(context.Cause(ctx), context.Canceled)
+	case back.answer.StatusCode == http.StatusMisdirectedRequest:
+		return false, false
+	}
+	return slow || back.answer.StatusCode >= 500, true
+}
--- a/internal/hive/flight/view.go
+++ b/internal/hive/flight/view.go
@@ -12,6 +12,7 @@
 	"ottershift/internal/desk"
 	"ottershift/internal/figures"
 	"ottershift/internal/hive/dance"
+	"ottershift/internal/hive/nurse"
 	"ottershift/internal/hive/pollen"
 	"ottershift/internal/hive/waggle"
 	"ottershift/internal/roster"
@@ -189,7 +190,7 @@
 
 // relist hands every module the list of its upstreams as it stands. Under mu.
 func (f *Forager) relist() {
-	by := map[string][]roster.Entry[string]{}
+	by := map[string][]*seen{}
 	now := time.Now()
 	f.warms = time.Time{}
 	for _, n := range f.nests {
@@ -199,13 +200,10 @@
 		if n.Up == nil || n.Up.ID == "" {
 			continue
 		}
-		by[n.Up.Service] = append(by[n.Up.Service], roster.Entry[string]{
-			Name: n.Up.ID, Zone: n.District, Address: n.Inbound, Ends: n.Up.Closing || n.Leaving,
-			Up: logic.Upstream{Number: roster.Number(n.Up.ID), Weight: n.weight(now)},
-		})
+		by[n.Up.Service] = append(by[n.Up.Service], n)
 	}
 	for service, p := range f.pools {
-		list := by[service]
+		list := entries(by[service], now)
 		slices.SortFunc(list, func(a, b roster.Entry[string]) int { return strings.Compare(a.Name, b.Name) })
 		change := p.desk.List(list, true)
 		for _, host := range change.Left {
@@ -217,6 +215,22 @@
 	}
 }
 
+// entries are a service's upstreams as its module is told of them, those that are ill with a lesser weight.
+func entries(all []*seen, now time.Time) (list []roster.Entry[string]) {
+	levels, slots := make([]int, len(all)), make([]float64, len(all))
+	for k, n := range all {
+		levels[k], slots[k] = n.Up.Ill, float64(max(n.Up.Capacity, 1))
+	}
+	for k, share := range nurse.Shares(levels, slots) {
+		n := all[k]
+		list = append(list, roster.Entry[string]{
+			Name: n.Up.ID, Zone: n.District, Address: n.Inbound, Ends: n.Up.Closing || n.Leaving,
+			Up: logic.Upstream{Number: roster.Number(n.Up.ID), Weight: n.weight(now) * share},
+		})
+	}
+	return list
+}
+
 // weight is the part of a service's work that an upstream is sent: its slots, fewer while it is slow from its start. The
 // module's purses for cold upstreams, made for those that fall over, stay unused: the balancer beside an upstream lets in
 // what it has room for, and after a start of everything they would turn away nearly all there is to serve.
--- a/internal/hive/hive_test.go
+++ b/internal/hive/hive_test.go
@@ -181,6 +181,12 @@
 func TestAnswersOfUpstreamsThatGoWrong(t *testing.T) {
 	m := start(t, 1, 2, 0, 4000)
 	m.put(1)
+	m.until(func() bool { // both are known at both
+		for n := range m.plan.Foragers {
+			m.send(n, "GET", "/read/")
+		}
+		return m.apps[0].Total() > 1 && m.apps[1].Total() > 1
+	})
 	all := func(f stand.Fault) {
 		for _, a := range m.apps {
 			a.Next(f)
--- a/internal/hive/waggle/waggle.go
+++ b/internal/hive/waggle/waggle.go
@@ -28,6 +28,7 @@
 	Capacity int
 	Closing  bool  `json:",omitempty"`
 	Cold     int64 `json:",omitempty"` // nanoseconds for which it is still slow
+	Ill      int   `json:",omitempty"` // level, by what the balancer beside it sees of it (nurse)
 }
 
 // Nest is a balancer and its machine, as it tells of itself.
