apiary run and demo: meshes of real processes on loopback, judged from outside

Need: what-if questions ended at state machines; nothing of ours played the programs as they are but one test in one process. run starts combs and foragers with settings files of their own, stand-in upstreams, clients and an operator; kills, freezes, wipes and asks them to leave; and holds what clients were told against what upstreams ran (TWICE, REFUSED, UNASKED, MIXED, DENIED, CONFIG, LOST, RECOVER). The judge is tested on records of each broken rule.

--- a/cmd/apiary/main.go
+++ b/cmd/apiary/main.go
@@ -2,13 +2,19 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 
 	"ottershift/internal/hive/apiary"
+	"ottershift/internal/hive/apiary/live"
 )
 
 func main() {
@@ -26,7 +32,44 @@
 	days := hunt.Flag("days", "Days to play at most.").Default("5000").Int()
 	huntSeed := hunt.Flag("seed", "Of the hunt.").Default("1").Uint64()
 	out := hunt.Flag("out", "Where to write the day.").Default("found.toml").String()
+	run := app.Command("run", "Play a question's mesh as real processes on loopback, and judge it by what clients, upstreams and operators saw.")
+	runFile := run.Arg("file", "Question, TOML: its table [run].").Required().ExistingFile()
+	runSeed := run.Flag("seed", "Of the clients.").Uint64()
+	short := run.Flag("short", "Its short form.").Bool()
+	demo := app.Command("demo", "Show a mesh for 20 seconds: three combs, six foragers, one of each killed on the way.")
+	programs := app.Flag("programs", "Folder with comb and forager; where this program is, if not given.").String()
+	beside := app.Flag("beside", "Folder with another version's comb and forager: every second process is started from it.").String()
+	logs := app.Flag("logs", "Folder for what the processes of run and demo write.").String()
 	command := kingpin.MustParse(app.Parse(os.Args[1:]))
+	if command == run.FullCommand() || command == demo.FullCommand() {
+		q := apiary.Demo()
+		if command == run.FullCommand() {
+			q = read(app, *runFile)
+		}
+		if *runSeed > 0 {
+			q.Seed = *runSeed
+		}
+		if *programs == "" {
+			own, err := os.Executable()
+			app.FatalIfError(err, "")
+			*programs = filepath.Dir(own)
+		}
+		ctx, end := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+		defer end()
+		began := time.Now()
+		fmt.Println(q.Title)
+		m := q.Live(*programs, *logs, *short)
+		m.Beside = *beside
+		seen, err := live.Play(ctx, m, func(format string, args ...any) {
+			fmt.Printf("%6.2fs  %s\n", time.Since(began).Seconds(), fmt.Sprintf(format, args...))
+		})
+		app.FatalIfError(err, "")
+		seen.Print(os.Stdout)
+		if len(seen.Broken) > 0 {
+			os.Exit(1)
+		}
+		return
+	}
 	if command == hunt.FullCommand() {
 		q := read(app, *huntFile)
 		found, played := q.Hunt(*huntSeed, *days, func(played int, near float64) {
--- a/internal/hive/apiary/ask.go
+++ b/internal/hive/apiary/ask.go
@@ -43,6 +43,7 @@
 	Seed  uint64           // of the first of them
 	Core  coreFile         // a day of a core
 	Mesh  meshFile         // or of a whole mesh
+	Run   runFile          // and the mesh of real processes that run plays
 	Vary  map[string][]any // a row for each value, or for each pair of values of two
 	Holds string           // "always": no rule breaks on any row; "never": on each row one does
 	Ask   []string         // what to show, all where left out
@@ -73,7 +74,7 @@
 // ReadQuestion reads a question and names what is wrong with it.
 func ReadQuestion(text []byte) (*Question, error) {
 	q := &Question{Seeds: 50, Seed: 1, Holds: "always", Core: coreFile{Combs: 4, Founders: 3, Tolerate: 1, Length: span(30 * S), CatchUp: span(4 * S),
-		Delay: span(Ms / 2), Jitter: span(Ms), Sync: span(2 * Ms), Puts: 20, Reads: 20}, Mesh: plainMesh()}
+		Delay: span(Ms / 2), Jitter: span(Ms), Sync: span(2 * Ms), Puts: 20, Reads: 20}, Mesh: plainMesh(), Run: plainRun()}
 	d := toml.NewDecoder(strings.NewReader(string(text))).DisallowUnknownFields()
 	if err := d.Decode(q); err != nil {
 		if strict, is := err.(*toml.StrictMissingError); is {
@@ -99,6 +100,7 @@
 	check("mesh.foragers", q.Mesh.Foragers, validation.Min(0), validation.Max(5000))
 	faults.Add(checkFaults("core", q.Core.Faults, coreKinds, q.Core.Length))
 	faults.Add(checkFaults("mesh", q.Mesh.Faults, meshKinds, q.Mesh.Length))
+	faults.Add(q.Run.check(check))
 	if len(q.Vary) > 2 {
 		faults.Add(Error.New("vary: two things at most"))
 	}
--- a/internal/hive/apiary/hunt.go
+++ b/internal/hive/apiary/hunt.go
@@ -222,7 +222,7 @@
 func (f *Found) File(q *Question) ([]byte, error) {
 	out := *q
 	out.Title = fmt.Sprintf("Found by a hunt: %s (%d of %d faults are left)", f.Broken, len(f.Faults), f.Met)
-	out.Seed, out.Seeds, out.Holds, out.Vary, out.Ask = f.Seed, 1, "always", nil, nil
+	out.Run.Faults, out.Seed, out.Seeds, out.Holds, out.Vary, out.Ask = nil, f.Seed, 1, "always", nil, nil
 	if q.Mesh.Foragers > 0 {
 		out.Mesh.Faults = f.Faults
 	} else {
--- /dev/null
+++ b/internal/hive/apiary/live/live_test.go
@@ -0,0 +1,42 @@
+package live
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"ottershift/internal/hive/stand"
+)
+
+// The judge convicts each rule on what clients were told and upstreams ran, and nothing else.
+func TestTheJudge(t *testing.T) {
+	for _, c := range []struct {
+		rule string
+		sent map[string]*try
+		ran  map[string]int
+		tail [2]int
+	}{
+		{"", map[string]*try{"a": {true, 200}, "b": {false, 200}, "c": {true, 503}, "d": {true, 0}, "e": {false, 503}}, map[string]int{"a": 1, "b": 3, "d": 1, "e": 1}, [2]int{10, 9}},
+		{"TWICE", map[string]*try{"a": {true, 200}}, map[string]int{"a": 2}, [2]int{}},
+		{"REFUSED", map[string]*try{"a": {true, 503}}, map[string]int{"a": 1}, [2]int{}},
+		{"UNASKED", map[string]*try{}, map[string]int{"a": 1}, [2]int{}},
+		{"MIXED", map[string]*try{"a": {false, -1}}, map[string]int{"a": 1}, [2]int{}},
+		{"MIXED", map[string]*try{"a": {false, 200}}, nil, [2]int{}},
+		{"DENIED", map[string]*try{"a": {false, 404}}, nil, [2]int{}},
+		{"RECOVER", nil, nil, [2]int{10, 8}},
+	} {
+		a := stand.Ran(c.ran)
+		w := &world{sent: c.sent, apps: []*stand.App{a}, tail: c.tail, out: Outcome{By: make([]Served, 1)}}
+		w.judge()
+		if c.rule == "" {
+			must.SliceEmpty(t, w.out.Broken)
+			continue
+		}
+		must.SliceLen(t, 1, w.out.Broken, must.Sprint(c.rule, w.out.Broken))
+		must.True(t, strings.HasPrefix(w.out.Broken[0], c.rule), must.Sprint(w.out.Broken))
+		var out strings.Builder
+		w.out.Print(&out)
+		must.StrContains(t, out.String(), "verdict=broken")
+	}
+}
--- /dev/null
+++ b/internal/hive/apiary/run.go
@@ -0,0 +1,61 @@
+package apiary
+
+import (
+	"time"
+
+	validation "github.com/go-ozzo/ozzo-validation/v4"
+
+	"ottershift/internal/hive/apiary/live"
+)
+
+// runFile is a mesh of real processes on loopback.
+type runFile struct {
+	Combs, Foragers, Size int
+	Zones, Services       []string
+	Length, Short, Work   span // Short: its length in the short form, 0 for as it is
+	Rate                  float64
+	Faults                []Fault
+}
+
+func plainRun() runFile {
+	return runFile{Combs: 3, Foragers: 6, Size: 2000, Zones: []string{"east", "west"}, Services: []string{"album", "album", "archive"},
+		Length: span(20 * S), Work: span(20 * Ms), Rate: 150}
+}
+
+// check names what is wrong with it.
+func (r *runFile) check(fault func(key string, v any, rules ...validation.Rule)) error {
+	fault("run.combs", r.Combs, validation.Required, validation.Min(1), validation.Max(9))
+	fault("run.foragers", r.Foragers, validation.Required, validation.Min(1), validation.Max(60))
+	fault("run.zones", r.Zones, validation.Required)
+	fault("run.services", r.Services, validation.Required)
+	fault("run.length", int64(r.Length), validation.Min(3*S), validation.Max(600*S))
+	fault("run.rate", r.Rate, validation.Required, validation.Min(1.0), validation.Max(5000.0))
+	fault("run.size", r.Size, validation.Min(0), validation.Max(8<<20))
+	return checkFaults("run", r.Faults, live.Kinds, r.Length)
+}
+
+// Live is the mesh of real processes that a question asks for.
+func (q *Question) Live(programs, logs string, short bool) live.Mesh {
+	r := q.Run
+	m := live.Mesh{Programs: programs, Logs: logs, Combs: r.Combs, Foragers: r.Foragers, Zones: r.Zones, Services: r.Services,
+		Length: time.Duration(r.Length), Rate: r.Rate, Work: time.Duration(r.Work), Size: r.Size, Seed: q.Seed}
+	if short && r.Short > 0 {
+		m.Length = time.Duration(r.Short)
+	}
+	for _, f := range r.Faults {
+		if time.Duration(f.At) < m.Length {
+			m.Faults = append(m.Faults, live.Fault{Kind: f.Kind, At: time.Duration(f.At), For: time.Duration(f.For), Who: f.Who})
+		}
+	}
+	return m
+}
+
+// Demo is what `apiary demo` plays: one process of each plane is killed on the way.
+func Demo() *Question {
+	q := &Question{Title: "Three combs and six foragers; one of each is killed on the way", Seed: 1, Run: plainRun()}
+	q.Run.Faults = []Fault{
+		{Kind: live.KillComb, At: span(5 * S), For: span(4 * S), Who: 1},
+		{Kind: live.KillForager, At: span(8 * S), For: span(3 * S), Who: 2},
+	}
+	return q
+}
--- a/internal/hive/stand/stand.go
+++ b/internal/hive/stand/stand.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -82,6 +83,13 @@
 	return a.runs[id]
 }
 
+// All is how often each attempt ran.
+func (a *App) All() map[string]int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return maps.Clone(a.runs)
+}
+
 // Total is how many requests ran.
 func (a *App) Total() (n int) {
 	a.mu.Lock()
@@ -290,3 +298,6 @@
 		a.faults = a.faults[1:]
 	}
 }
+
+// Ran is an upstream that serves nobody and has run so many of each attempt, for those who test a judge.
+func Ran(runs map[string]int) *App { return &App{runs: maps.Clone(runs)} }
