Nectar: burst credit saved in quiet times, drawn once, wherever the rush lands

Need: the users save credit in quiet weeks and spend it in rushes; a retried page must not draw twice, an upload be charged once. Book is the accounts, for the core to agree on; Crop what a balancer holds in escrow. Weighed: a central counter (each request waits for the core), counters that merge (overdrawn in a cut), escrow by demand (as it is): an escrow once given is gone from the account. Found on the way: what a balancer held that was silent for Strand went back to the account while it might have been spent: it now counts as spent until the balancer is heard again.

--- /dev/null
+++ b/internal/hive/nectar/book.go
@@ -0,0 +1,456 @@
+package nectar
+
+import (
+	"cmp"
+	"encoding/binary"
+	"encoding/json"
+	"maps"
+	"math"
+	"slices"
+
+	"github.com/zeebo/errs"
+)
+
+// Lot is what was saved on one day.
+type Lot struct {
+	Day  int64   // of the book's time
+	Left float64 // tokens
+}
+
+// Entry is a line of an account's history.
+type Entry struct {
+	At        int64 // of the book's time
+	What, Who string
+	Why       string `json:",omitempty"`
+	Tokens    float64
+}
+
+// Account is one tenant's credit. Earned + Granted = balance + out + Spent + Expired, always.
+type Account struct {
+	Earned, Granted, Spent, Expired float64 // since it was opened
+	Lots                            []Lot   `json:",omitempty"` // the oldest in front
+	Frozen                          bool    `json:",omitempty"`
+	Purse                           float64 // of Extra, that may be given out now
+	History                         []Entry `json:",omitempty"` // the last few
+}
+
+// Balance is what may be given out.
+func (a *Account) Balance() (all float64) {
+	for _, l := range a.Lots {
+		all += l.Left
+	}
+	return all
+}
+
+// teller is a balancer as the book knows it.
+type teller struct {
+	Life string
+	Seq  uint64
+	At   int64              // of its last report
+	Out  map[string]float64 `json:",omitempty"` // tokens in escrow there, by tenant
+	Open []Mark             `json:",omitempty"`
+	Lost map[string]float64 `json:",omitempty"` // what it held when it had been silent for Strand: it counts as spent
+	Last *Grant             `json:",omitempty"` // the answer to Seq, for when it was not heard
+}
+
+// slot is the identities that were settled in one part of the window, eight bytes each.
+type slot struct {
+	From int64
+	IDs  []byte
+}
+
+const (
+	slots   = 6 // of Window
+	history = 40
+)
+
+// Book is all accounts. Its time runs while somebody keeps it: a core that was away makes nothing expire.
+type Book struct {
+	Now      int64
+	Accounts map[string]*Account
+	Tellers  map[string]*teller
+	Seen     []slot `json:",omitempty"`
+
+	index map[uint64]bool
+
+	// Guards left out, to show that what they guard against is seen without them.
+	perTry bool // a settlement is charged whether its identity is known or not
+	noEnd  bool // a balancer whose escrow was closed is not told
+	alike  bool // calls of services are given what clients' requests are
+}
+
+// Names of guards that may be left out, to see that what they guard against comes without them.
+const (
+	PerTry       = "draw-per-try"
+	NoEnd        = "escrow-without-end"
+	NoPrecedence = "no-precedence"
+)
+
+// Without leaves a guard out.
+func (b *Book) Without(guard string) {
+	b.perTry, b.noEnd, b.alike = guard == PerTry, guard == NoEnd, guard == NoPrecedence
+}
+
+// Without leaves a guard out.
+func (c *Crop) Without(guard string) {
+	c.perTry, c.noEnd, c.noPrecedence = guard == PerTry, guard == NoEnd, guard == NoPrecedence
+}
+
+// NewBook makes an empty one.
+func NewBook() *Book { return &Book{Accounts: map[string]*Account{}, Tellers: map[string]*teller{}} }
+
+// Read reads a book as the core keeps it; nothing is an empty one.
+func Read(raw json.RawMessage) (*Book, error) {
+	b := NewBook()
+	if len(raw) == 0 {
+		return b, nil
+	}
+	if err := json.Unmarshal(raw, b); err != nil {
+		return nil, err
+	}
+	if b.Accounts == nil || b.Tellers == nil {
+		return nil, errs.New("credit: no accounts or no balancers")
+	}
+	maps.DeleteFunc(b.Accounts, func(_ string, a *Account) bool { return a == nil })
+	maps.DeleteFunc(b.Tellers, func(_ string, t *teller) bool { return t == nil })
+	return b, nil
+}
+
+// Write lays it out.
+func (b *Book) Write() (json.RawMessage, error) { return json.Marshal(b) }
+
+func (b *Book) account(tenant string) *Account {
+	a := b.Accounts[tenant]
+	if a == nil {
+		a = &Account{}
+		b.Accounts[tenant] = a
+	}
+	return a
+}
+
+// Pass lets time go by: what was saved grows old, the window of identities moves, purses of Extra fill, and balancers that have
+// been silent for Strand are closed.
+func (b *Book) Pass(elapsed int64, terms map[string]Terms) {
+	if elapsed <= 0 {
+		return
+	}
+	b.Now += elapsed
+	for _, tenant := range slices.Sorted(maps.Keys(b.Accounts)) {
+		a, t := b.Accounts[tenant], terms[tenant]
+		if t.Keep > 0 {
+			for len(a.Lots) > 0 && a.Lots[0].Day*day+day+t.Keep < b.Now {
+				a.Expired += a.Lots[0].Left
+				b.note(a, "expired", "", "", a.Lots[0].Left)
+				a.Lots = a.Lots[1:]
+			}
+		}
+		a.Purse = math.Min(t.Extra*float64(Ahead)/float64(s), a.Purse+t.Extra*float64(elapsed)/float64(s))
+	}
+	for len(b.Seen) > 0 && b.Seen[0].From+Window+Window/slots < b.Now {
+		b.Seen, b.index = b.Seen[1:], nil
+	}
+	for _, node := range slices.Sorted(maps.Keys(b.Tellers)) {
+		if t := b.Tellers[node]; b.Now-t.At > Strand && t.Lost == nil {
+			t.Lost, t.Out = t.Out, nil
+			for tenant, n := range t.Lost {
+				b.account(tenant).Spent += n
+				b.note(b.account(tenant), "written off, its balancer is silent", node, "", n)
+			}
+		}
+	}
+}
+
+func (b *Book) note(a *Account, what, who, why string, tokens float64) {
+	a.History = append(a.History, Entry{b.Now, what, who, why, tokens})
+	a.History = a.History[max(0, len(a.History)-history):]
+}
+
+// save puts tokens into today's lot, up to the cap; it says how many there was room for.
+func (b *Book) save(a *Account, tokens, most float64) float64 {
+	tokens = math.Max(0, math.Min(tokens, most-a.Balance()))
+	if tokens == 0 {
+		return 0
+	}
+	if n := len(a.Lots); n == 0 || a.Lots[n-1].Day < b.Now/day {
+		a.Lots = append(a.Lots, Lot{Day: b.Now / day})
+	}
+	a.Lots[len(a.Lots)-1].Left += tokens
+	return tokens
+}
+
+// Earn saves a part of what tenants left of their rates.
+func (b *Book) Earn(unused map[string]float64, terms map[string]Terms) {
+	for _, tenant := range slices.Sorted(maps.Keys(unused)) {
+		t := terms[tenant]
+		if t.Earn <= 0 || unused[tenant] <= 0 {
+			continue
+		}
+		a := b.account(tenant)
+		if !a.Frozen {
+			a.Earned += b.save(a, unused[tenant]*t.Earn, t.Cap-b.out(tenant))
+		}
+	}
+}
+
+// out is what balancers hold of a tenant's.
+func (b *Book) out(tenant string) (all float64) {
+	for _, t := range b.Tellers {
+		all += t.Out[tenant]
+	}
+	return all
+}
+
+// take takes tokens out of the oldest lots.
+func (a *Account) take(tokens float64) float64 {
+	left := tokens
+	for len(a.Lots) > 0 && left > 0 {
+		part := math.Min(left, a.Lots[0].Left)
+		a.Lots[0].Left -= part
+		if left -= part; a.Lots[0].Left <= 0 {
+			a.Lots = a.Lots[1:]
+		}
+	}
+	return tokens - left
+}
+
+// Take takes reports in the order in which they came, and answers each. Wants of all of them are weighed together: what is there
+// goes to requests that began at clients first, in parts by what each balancer wants.
+func (b *Book) Take(reports []*Report, terms map[string]Terms) []*Grant {
+	out := make([]*Grant, len(reports))
+	live := make([]bool, len(reports))
+	for n, r := range reports {
+		t := b.Tellers[r.Node]
+		switch {
+		case t != nil && t.Life == r.Life && r.Seq == t.Seq && t.Lost == nil:
+			out[n] = t.Last // its answer was lost
+			t.At = b.Now
+			continue
+		case t != nil && t.Life == r.Life && r.Seq < t.Seq:
+			continue // late: it has been answered, and more since
+		case t != nil && t.Life != r.Life:
+			b.Close(r.Node) // that life has ended: it spends nothing any more
+			t = nil
+		}
+		reset := t != nil && t.Lost != nil // it was silent for so long that what it held is closed
+		if t == nil {
+			t = &teller{Life: r.Life, Out: map[string]float64{}}
+			b.Tellers[r.Node] = t
+		}
+		t.Seq, t.At, t.Open = r.Seq, b.Now, r.Open
+		if t.Out == nil {
+			t.Out = map[string]float64{}
+		}
+		g := &Grant{Seq: r.Seq, Tokens: map[string]float64{}, Refunds: map[string]float64{}, Reset: reset && !b.noEnd}
+		t.Last, out[n], live[n] = g, g, true
+		for _, m := range r.Settled {
+			a := b.account(m.Tenant)
+			switch {
+			case b.known(m) && !b.perTry:
+				if !reset {
+					g.Refunds[m.Tenant]++ // charged at another balancer; the token stays in escrow there
+				}
+				continue
+			case t.Lost[m.Tenant] >= 1:
+				t.Lost[m.Tenant]-- // it counts as spent already
+			case t.Out[m.Tenant] >= 1:
+				t.Out[m.Tenant]--
+				a.Spent++
+			default:
+				a.Spent += a.take(1)
+			}
+			b.learn(m)
+		}
+		if reset {
+			b.found(t)
+		}
+		for _, tenant := range slices.Sorted(maps.Keys(r.Asks)) {
+			back := math.Min(math.Max(r.Asks[tenant].Return, 0), t.Out[tenant])
+			t.Out[tenant] -= back
+			b.back(b.account(tenant), back)
+		}
+	}
+	for _, tenant := range tenants(reports, live) {
+		b.share(tenant, reports, out, live, terms[tenant])
+	}
+	for _, t := range b.Tellers {
+		maps.DeleteFunc(t.Out, func(_ string, n float64) bool { return n < 1e-9 })
+	}
+	return out
+}
+
+func tenants(reports []*Report, live []bool) []string {
+	all := map[string]bool{}
+	for n, r := range reports {
+		for tenant := range r.Asks {
+			all[tenant] = all[tenant] || live[n]
+		}
+	}
+	return slices.Sorted(maps.Keys(all))
+}
+
+// share gives out what there is of one tenant's credit.
+func (b *Book) share(tenant string, reports []*Report, out []*Grant, live []bool, t Terms) {
+	a := b.Accounts[tenant]
+	if a == nil || a.Frozen || t.Extra <= 0 {
+		return
+	}
+	for class, want := range []func(Ask) float64{func(k Ask) float64 { return k.Want }, func(k Ask) float64 { return k.Inner }} {
+		all := 0.0
+		for n, r := range reports {
+			if live[n] {
+				all += math.Max(0, want(r.Asks[tenant]))
+			}
+		}
+		there := whole(math.Min(a.Balance(), a.Purse))
+		if class == 1 && !b.alike { // half of what may go out is kept for clients that are not among these reports
+			there = whole(math.Min(a.Balance(), a.Purse-t.Extra*float64(Ahead)/float64(s)/2))
+		}
+		if all <= 0 || there <= 0 {
+			continue
+		}
+		order := make([]int, 0, len(reports))
+		for n, r := range reports {
+			if live[n] && want(r.Asks[tenant]) > 0 {
+				order = append(order, n)
+			}
+		}
+		slices.SortStableFunc(order, func(x, y int) int { return cmp.Compare(reports[x].Node, reports[y].Node) })
+		part := math.Min(1, there/all)
+		carry := 0.0 // of a token, from one balancer to the next: nobody's part is lost to rounding
+		for _, n := range order {
+			carry += want(reports[n].Asks[tenant]) * part
+			give := math.Min(whole(carry), there)
+			if give <= 0 {
+				continue
+			}
+			carry -= give
+			there -= give
+			a.take(give)
+			a.Purse -= give
+			b.Tellers[reports[n].Node].Out[tenant] += give
+			out[n].Tokens[tenant] += give
+		}
+	}
+}
+
+// back puts tokens that were out into the account again; whatever the cap is by now, they were in it.
+func (b *Book) back(a *Account, tokens float64) { b.save(a, tokens, math.Inf(1)) }
+
+// found takes back what counted as spent of a balancer that was silent, and was not.
+func (b *Book) found(t *teller) {
+	for _, tenant := range slices.Sorted(maps.Keys(t.Lost)) {
+		a := b.account(tenant)
+		a.Spent -= t.Lost[tenant]
+		b.back(a, t.Lost[tenant])
+	}
+	t.Lost = nil
+}
+
+// Close ends what a balancer of a life that is over held. Effects that may have run are charged; the rest goes back.
+func (b *Book) Close(node string) {
+	t := b.Tellers[node]
+	if t == nil {
+		return
+	}
+	if t.Lost != nil {
+		t.Out = map[string]float64{}
+		for tenant, n := range t.Lost {
+			b.account(tenant).Spent -= n
+			t.Out[tenant] = n
+		}
+		t.Lost = nil
+	}
+	for _, m := range t.Open {
+		if b.known(m) || t.Out[m.Tenant] < 1 {
+			continue
+		}
+		b.learn(m)
+		a := b.account(m.Tenant)
+		t.Out[m.Tenant]--
+		a.Spent++
+		b.note(a, "charged, its balancer is lost", node, "", 1)
+	}
+	for _, tenant := range slices.Sorted(maps.Keys(t.Out)) {
+		b.back(b.account(tenant), t.Out[tenant])
+	}
+	delete(b.Tellers, node)
+}
+
+// Grant is an operator's gift, or with less than nothing a taking away of what is there.
+func (b *Book) Grant(tenant string, tokens float64, who, why string) float64 {
+	a := b.account(tenant)
+	if tokens < 0 {
+		tokens = -a.take(math.Min(-tokens, a.Balance()))
+		a.Granted += tokens
+	} else {
+		b.back(a, tokens)
+		a.Granted += tokens
+	}
+	b.note(a, "granted", who, why, tokens)
+	return tokens
+}
+
+// Freeze stops what an account earns and gives out, or lets it go on.
+func (b *Book) Freeze(tenant string, frozen bool, who, why string) {
+	a := b.account(tenant)
+	what := "thawed"
+	if a.Frozen = frozen; frozen {
+		what = "frozen"
+	}
+	b.note(a, what, who, why, 0)
+}
+
+// Gap is what an account does not add up to: 0.
+func (b *Book) Gap(tenant string) float64 {
+	a := b.Accounts[tenant]
+	if a == nil {
+		return 0
+	}
+	return a.Earned + a.Granted - a.Balance() - b.out(tenant) - a.Spent - a.Expired
+}
+
+// Stand is an account as operators see it.
+type Stand struct {
+	Tenant                          string
+	Balance, Out                    float64
+	Earned, Granted, Spent, Expired float64
+	Gap                             float64
+	Frozen                          bool
+	History                         []Entry
+}
+
+// Stands are all accounts, by name.
+func (b *Book) Stands() (all []Stand) {
+	for _, tenant := range slices.Sorted(maps.Keys(b.Accounts)) {
+		a := b.Accounts[tenant]
+		all = append(all, Stand{tenant, a.Balance(), b.out(tenant), a.Earned, a.Granted, a.Spent, a.Expired, b.Gap(tenant), a.Frozen, a.History})
+	}
+	return all
+}
+
+// known reports whether an identity has been charged within the window.
+func (b *Book) known(m Mark) bool {
+	if b.index == nil {
+		b.index = map[uint64]bool{}
+		for _, part := range b.Seen {
+			for at := 0; at+8 <= len(part.IDs); at += 8 {
+				b.index[binary.LittleEndian.Uint64(part.IDs[at:])] = true
+			}
+		}
+	}
+	return b.index[m.key()]
+}
+
+func (b *Book) learn(m Mark) {
+	if b.known(m) {
+		return
+	}
+	if n := len(b.Seen); n == 0 || b.Now >= b.Seen[n-1].From+Window/slots {
+		b.Seen = append(b.Seen, slot{From: b.Now})
+	}
+	last := &b.Seen[len(b.Seen)-1]
+	last.IDs = binary.LittleEndian.AppendUint64(last.IDs, m.key())
+	b.index[m.key()] = true
+}
+
+func (m Mark) key() uint64 { return Identity(m.Tenant) ^ m.ID }
