Nectar in service: escrows at balancers, accounts agreed at the core, operators' commands

The queen gathers balancers' reports for 50 ms, settles them in one agreed change that a later reign refuses, and answers. What a tenant leaves of its rate is what its pool at the bank had no room for. A request beyond the rate draws under the client's Idempotency-Key, its own attempt (effects) or its page, waits 0.3 s at most, and is settled by what its client had. Senders take Nectar (Earn, Cap, Keep, Extra), Depots NectarPerS; without them nothing runs. beekeeper credit show, history, grant, freeze. Seen: the mesh's test serves over 60 of 120 pages asked for at two balancers at 4 a second by rate, charges each page once, and the account stands after the core's restart.

--- a/internal/hive/comb/comb.go
+++ b/internal/hive/comb/comb.go
@@ -60,11 +60,11 @@
 
 	parsed struct {
 		sync.Mutex
-		index uint64
 		table *dance.Timetable
 	}
 	prod chan struct{}
 	bank bank
+	till till
 
 	acting atomic.Bool // on what the core's first process has to do
 }
@@ -142,6 +142,8 @@
 	mux.HandleFunc("/hive/mingle", buzz.Take(c.mingled))
 	mux.HandleFunc("/hive/ask", buzz.Take(c.asked))
 	mux.HandleFunc("/hive/draw", buzz.Take(c.drawn))
+	mux.HandleFunc("/hive/nectar", buzz.Take(c.credited))
+	mux.HandleFunc("/hive/credit", buzz.Take(c.ordered))
 	mux.HandleFunc("/hive/status", buzz.Take(c.status))
 	mux.HandleFunc("/hive/figures", c.figures)
 	servers := []*http.Server{
@@ -240,6 +242,7 @@
 		c.adopt(ctx, s)
 		c.census(ctx, s)
 		c.reign(ctx, s)
+		c.earn(s)
 	}
 }
 
--- a/internal/hive/comb/office.go
+++ b/internal/hive/comb/office.go
@@ -149,12 +149,12 @@
 	}
 	c.parsed.Lock()
 	defer c.parsed.Unlock()
-	if c.parsed.table == nil || c.parsed.index != s.Index {
+	if c.parsed.table == nil || c.parsed.table.Edition != s.Edition {
 		t, err := dance.Parse(s.Timetable)
 		if err != nil {
 			return nil, sting.New(sting.Unclear, "what is agreed can't be read: %v", err)
 		}
-		c.parsed.table, c.parsed.index = t, s.Index
+		c.parsed.table = t
 	}
 	return c.parsed.table, nil
 }
--- a/internal/hive/dance/dance.go
+++ b/internal/hive/dance/dance.go
@@ -83,10 +83,31 @@
 	Precedence int
 	RatePerS   float64
 	Surge      float64
+	Nectar     *Nectar // burst credit, nil for none
 
 	raw json.RawMessage
 }
 
+// Nectar is a tenant's burst credit.
+type Nectar struct {
+	Earn  float64 // part of what it leaves of its rate that is saved
+	Cap   float64 // requests saved at most
+	Keep  Span    // for which they are
+	Extra float64 // requests a second beyond its rate, at most
+}
+
+// check names what is wrong with it.
+func (n *Nectar) check() error {
+	if n == nil {
+		return nil
+	}
+	return validation.ValidateStruct(n,
+		validation.Field(&n.Earn, validation.Required, validation.Min(0.0), validation.Max(1.0)),
+		validation.Field(&n.Cap, validation.Required, validation.Min(1.0)),
+		validation.Field(&n.Keep, validation.Required, validation.Min(Span(time.Second))),
+		validation.Field(&n.Extra, validation.Required, validation.Min(1.0)))
+}
+
 // Depot is a service.
 type Depot struct {
 	Name       string
@@ -94,6 +115,7 @@
 	LineCap    int
 	Protocol   string
 	Sealed     bool
+	NectarPerS float64 // the most that all tenants' burst credit adds here, a second; 0 for no bound
 
 	raw json.RawMessage
 }
@@ -238,12 +260,19 @@
 		if err := validation.Validate(d.Name, validation.Required); err != nil {
 			faults.Add(Error.New("Depots: Name: %v", err))
 		}
+		if d.NectarPerS < 0 {
+			faults.Add(Error.New("Depots %s: NectarPerS: is below 0", d.Name))
+		}
 		t.depots[d.Name] = d
 	}
 	for _, s := range t.Senders {
 		faults.Add(checked("Senders "+s.Name, validation.ValidateStruct(s,
 			validation.Field(&s.Name, validation.Required),
 			validation.Field(&s.RatePerS, validation.Min(0.0)), validation.Field(&s.Surge, validation.Min(0.0)))))
+		faults.Add(checked("Senders "+s.Name+": Nectar", s.Nectar.check()))
+		if s.Nectar != nil && s.RatePerS <= 0 {
+			faults.Add(Error.New("Senders %s: Nectar: without RatePerS nothing is left to save", s.Name))
+		}
 		for _, key := range s.ApiKeys {
 			t.keys[key] = s
 		}
--- a/internal/hive/flight/forager.go
+++ b/internal/hive/flight/forager.go
@@ -20,6 +20,7 @@
 	"ottershift/internal/hive/buzz"
 	"ottershift/internal/hive/dance"
 	"ottershift/internal/hive/hum"
+	"ottershift/internal/hive/nectar"
 	"ottershift/internal/hive/pollen"
 	"ottershift/internal/hive/waggle"
 	"ottershift/internal/hive/wax"
@@ -69,6 +70,7 @@
 	zones      []string
 
 	wallet wallet
+	credit credit
 
 	mu      sync.Mutex // never taken under a module's lock
 	pools   map[string]*pool
@@ -95,6 +97,7 @@
 	f.apps = newLines(dialApp, f.counts, "app")
 	f.requests, f.inbounds = f.counts.Of("requests"), f.counts.Of("inbound")
 	f.wallet = wallet{is: pollen.NewWallet(0), need: make(chan struct{}, 1), drawn: make(chan struct{})}
+	f.credit.crop, f.credit.need = nectar.NewCrop(b.Node, f.life), make(chan struct{}, 1)
 	f.seeds = inner(b)
 	for zone := range b.Districts {
 		f.zones = append(f.zones, zone)
@@ -142,6 +145,7 @@
 	asking, stop := context.WithCancel(context.Background())
 	go f.ask(asking)
 	go f.draw(asking)
+	go f.report(asking)
 	go f.tidy()
 	<-ctx.Done()
 
--- a/internal/hive/flight/outbound.go
+++ b/internal/hive/flight/outbound.go
@@ -13,6 +13,7 @@
 
 	"ottershift/internal/desk"
 	"ottershift/internal/hive/dance"
+	"ottershift/internal/hive/nectar"
 	"ottershift/internal/hive/sting"
 	"ottershift/logic"
 )
@@ -37,15 +38,17 @@
 	aim    time.Duration // within which its answer is of full worth
 	long   bool          // its answer is
 	stop   time.Time
+	claim  *nectar.Claim // that it has drawn burst credit for, nil for none
 
-	mu      sync.Mutex
-	closed  bool // it has its answer: nothing more goes out
-	tries   int  // upstreams that it may be sent to
-	sent    int  // pushes that have reached one, or may have
-	ran     int  // and of them, those that may have run
-	out     int  // and of them, those without an outcome
-	failed  *reply
-	replies map[int]*reply // by push
+	mu        sync.Mutex
+	delivered bool // its client has all of an answer that is of use
+	closed    bool // it has its answer: nothing more goes out
+	tries     int  // upstreams that it may be sent to
+	sent      int  // pushes that have reached one, or may have
+	ran       int  // and of them, those that may have run
+	out       int  // and of them, those without an outcome
+	failed    *reply
+	replies   map[int]*reply // by push
 }
 
 // reply is an answer of an upstream, held whole or flowing.
@@ -132,6 +135,7 @@
 		f.refuse(w, r, kind, again)
 		return
 	}
+	defer f.settles(q)
 	now := f.now()
 	t.pool.first(now)
 	c := t.pool.desk.Arrive(desk.Arrival{
@@ -153,6 +157,7 @@
 	if rule == nil {
 		return nil, t, sting.NoRoute, 0
 	}
+	var drawn *nectar.Claim
 	header := onward(r.Header)
 	for _, name := range setByTheHub {
 		delete(header, name)
@@ -164,7 +169,19 @@
 		}
 		header[senderName] = []string{owner.Name}
 		if ok, again := f.within(r.Context(), owner.Name); !ok {
-			return nil, t, sting.Beyond, again
+			if !f.credit.on.Load() {
+				return nil, t, sting.Beyond, again
+			}
+			k := f.claim(r, rule, owner)
+			if !f.draws(r.Context(), k) {
+				return nil, t, sting.Beyond, again
+			}
+			drawn = &k
+			defer func() {
+				if kind != sting.None { // it goes no further
+					f.drawn(k, nectar.NeverRan)
+				}
+			}()
 		}
 	}
 	header[returnTo] = []string{f.box.Destination}
@@ -183,7 +200,7 @@
 	now := time.Now()
 	q = &request{
 		method: r.Method, target: target, host: r.Host, id: r.Header.Get(attemptID), header: header,
-		stop: now.Add(left), replies: map[int]*reply{}, length: r.ContentLength,
+		claim: drawn, stop: now.Add(left), replies: map[int]*reply{}, length: r.ContentLength,
 	}
 	if r.ContentLength != 0 {
 		body, err := io.ReadAll(io.LimitReader(r.Body, heldBody+1))
@@ -276,6 +293,11 @@
 		back := q.replies[a.Push]
 		q.mu.Unlock()
 		f.write(w, back)
+		if q.claim != nil && back.status < 300 {
+			q.mu.Lock()
+			q.delivered = true
+			q.mu.Unlock()
+		}
 		return
 	}
 	switch {
--- a/internal/hive/flight/view.go
+++ b/internal/hive/flight/view.go
@@ -319,6 +319,7 @@
 		f.wallet.limited = f.wallet.limited || l.Rate > 0
 	}
 	f.wallet.is.Set(limits, f.members, f.now())
+	f.creditTerms(t)
 }
 
 // probe carries out a module's probes: a question to the balancer beside the upstream, which knows it best.
--- a/internal/hive/hive_test.go
+++ b/internal/hive/hive_test.go
@@ -16,8 +16,10 @@
 	"github.com/shoenig/test/wait"
 
 	"ottershift/internal/hive/box"
+	"ottershift/internal/hive/buzz"
 	"ottershift/internal/hive/comb"
 	"ottershift/internal/hive/flight"
+	"ottershift/internal/hive/nectar"
 	"ottershift/internal/hive/stand"
 )
 
@@ -304,3 +306,69 @@
 	status, _ = m.call(2, "timetable.fetch", "", "")
 	must.Eq(t, 503, status)
 }
+
+// Burst credit through whole processes: a rush of pages beyond the tenant's rate is served out of what an operator granted, asked
+// for at two balancers; a page that is asked again draws no second time, and the account adds up, also after the core's restart.
+func TestARushOnBurstCredit(t *testing.T) {
+	m := start(t, 1, 3, 0, 100)
+	table := strings.Replace(config, `"RatePerS":10000,"Surge":10000`, `"RatePerS":4,"Surge":0,"Nectar":{"Earn":0.5,"Cap":500,"Keep":"1209600s","Extra":100}`, 1)
+	m.until(func() bool {
+		status, _ := m.call(0, "timetable.replace", "0", fmt.Sprintf(table, 1))
+		return status == http.StatusOK
+	})
+	var served sync.Map
+	page := func(n, at int) bool {
+		status, _, _, _ := m.send(at, "GET", fmt.Sprintf("/read/p%d", n))
+		if status == http.StatusOK {
+			served.Store(n, true)
+		}
+		return status == http.StatusOK
+	}
+	m.until(func() bool { return page(0, 0) && page(0, 1) })
+	c := buzz.NewCaller()
+	defer c.Close()
+	at := m.plan.Combs[0].Inner()
+	stand := &nectar.Stand{}
+	must.NoError(t, c.Call(context.Background(), at, "/hive/credit", &comb.Order{Tenant: "acme", Tokens: 150, Who: "me", Why: "a rush"}, stand))
+	must.Eq(t, 150, stand.Balance)
+	must.Error(t, c.Call(context.Background(), at, "/hive/credit", &comb.Order{Tenant: "acme", Tokens: 150}, stand)) // nobody says why
+	rush := func(from, to int) (ok int) {
+		for n := from; n < to; n++ {
+			for _, at := range []int{0, 1} {
+				if page(n, at) {
+					ok++
+				}
+			}
+		}
+		return ok
+	}
+	m.until(func() bool { return rush(1, 3) == 4 }) // the first tokens are drawn
+	ok := rush(100, 160)
+	must.Greater(t, 60, ok) // 4 a second alone would have served a few
+	account := func() *nectar.Stand {
+		s := &comb.Status{}
+		must.NoError(t, c.Call(context.Background(), at, "/hive/status", &comb.Look{}, s))
+		a, err := comb.Account(s.State.Credit, "acme")
+		must.NoError(t, err)
+		return a
+	}
+	pages := 0
+	served.Range(func(any, any) bool { pages++; return true })
+	last := -1.0
+	m.until(func() bool { // all has been told
+		a := account()
+		settled := a.Spent == last && a.Spent > 10
+		last = a.Spent
+		return settled
+	})
+	a := account()
+	must.LessEq(t, float64(pages), a.Spent) // asked for twice each, drawn once
+	must.Less(t, 1e-6, max(a.Gap, -a.Gap))
+	m.stops["comb-0"]()
+	m.comb(m.plan.Combs[0])
+	m.until(func() bool {
+		s := &comb.Status{}
+		return c.Call(context.Background(), at, "/hive/status", &comb.Look{}, s) == nil && len(s.State.Credit) > 0
+	})
+	must.GreaterEq(t, a.Spent, account().Spent)
+}
--- a/internal/hive/keeper/bounds.go
+++ b/internal/hive/keeper/bounds.go
@@ -7,6 +7,7 @@
 	"ottershift/internal/hive/box"
 	"ottershift/internal/hive/comb"
 	"ottershift/internal/hive/flight"
+	"ottershift/internal/hive/nectar"
 	"ottershift/internal/hive/pollen"
 	"ottershift/internal/hive/swarm"
 	"ottershift/internal/hive/waggle"
@@ -27,6 +28,9 @@
 	say("duties: another process has them after %v of silence, and acts after %v more", time.Duration(swarm.DutyAfter), comb.Regency)
 	l := pollen.Limit{Rate: 100, Surge: 100, Window: int64(b.Bounds.QuotaWindow), Over: b.Bounds.QuotaOver, Slack: b.Bounds.QuotaSlack}
 	say("quota, for 100 a second and a surge of 100: R·W + Reserve = %.0f in %v, allowed (R·W + S)·(1 + over) + slack = %.0f", l.Rate*b.Bounds.QuotaWindow.Seconds()+l.Reserve(), b.Bounds.QuotaWindow, l.Bound())
+	n2 := nectar.Terms{Extra: 100}
+	spent, stranded, known := n2.Bounds(int64(b.Bounds.QuotaWindow))
+	say("burst credit, for 100 a second beyond the rate: Extra·W + Extra·Ahead = %.0f in %v; stranded by balancers cut off Extra·Ahead = %.0f, for %v at most; identities kept Extra·Window = %.0f", spent, b.Bounds.QuotaWindow, stranded, time.Duration(nectar.Strand), known)
 	say("repeats: of n balancers each sends %.3g of its first sends and %.3g/n beyond them in %v; allowed %.3g and %.3g over all", b.Bounds.RetryRatio/2, b.Bounds.RetrySlack/2, b.Bounds.RetryWindow, b.Bounds.RetryRatio, b.Bounds.RetrySlack)
 	return lines
 }
--- /dev/null
+++ b/internal/hive/keeper/credit.go
@@ -0,0 +1,100 @@
+package keeper
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"ottershift/internal/hive/box"
+	"ottershift/internal/hive/buzz"
+	"ottershift/internal/hive/comb"
+	"ottershift/internal/hive/nectar"
+)
+
+// accounts are all tenants' burst credit, as the core has agreed on it.
+func (k *keeper) accounts() ([]nectar.Stand, *comb.Status, error) {
+	s, err := k.ask()
+	if err != nil {
+		return nil, nil, err
+	}
+	b, err := nectar.Read(s.State.Credit)
+	if err != nil {
+		return nil, nil, Error.Wrap(err)
+	}
+	return b.Stands(), s, nil
+}
+
+// credit shows accounts, of one tenant where it is named.
+func (k *keeper) credit(tenant string) error {
+	all, s, err := k.accounts()
+	if err != nil {
+		return err
+	}
+	shown := all[:0]
+	for _, a := range all {
+		if tenant == "" || a.Tenant == tenant {
+			shown = append(shown, a)
+		}
+	}
+	if tenant != "" && len(shown) == 0 {
+		return &coded{Error.New("%q has no account", tenant), Refused}
+	}
+	if k.json {
+		return k.raw(shown)
+	}
+	k.seen(s)
+	return k.table("TENANT\tBALANCE\tOUT\tEARNED\tGRANTED\tSPENT\tEXPIRED\tGAP\tSTATE", func(w io.Writer) {
+		for _, a := range shown {
+			state := "open"
+			if a.Frozen {
+				state = "frozen"
+			}
+			fmt.Fprintf(w, "%s\t%.1f\t%.1f\t%.1f\t%.1f\t%.0f\t%.1f\t%.3g\t%s\n", a.Tenant, a.Balance, a.Out, a.Earned, a.Granted, a.Spent, a.Expired, a.Gap, state)
+		}
+	})
+}
+
+// history is the last lines of an account; their times are of the book, which runs while somebody keeps it.
+func (k *keeper) history(tenant string) error {
+	all, s, err := k.accounts()
+	if err != nil {
+		return err
+	}
+	for _, a := range all {
+		if a.Tenant != tenant {
+			continue
+		}
+		if k.json {
+			return k.raw(a.History)
+		}
+		k.seen(s)
+		return k.table("AT\tWHAT\tTOKENS\tWHO\tWHY", func(w io.Writer) {
+			for _, e := range a.History {
+				fmt.Fprintf(w, "%s\t%s\t%.1f\t%s\t%s\n", time.Duration(e.At).Round(time.Second), e.What, e.Tokens, e.Who, e.Why)
+			}
+		})
+	}
+	return &coded{Error.New("%q has no account", tenant), Refused}
+}
+
+// order has the core carry out an operator's word on an account.
+func (k *keeper) order(o *comb.Order) error {
+	if err := k.need(); err != nil {
+		return err
+	}
+	if k.inner == 0 {
+		return &coded{Error.New("the inner port is not known: --inner PORT, or a settings file for --core"), Usage}
+	}
+	c := buzz.NewCaller()
+	defer c.Close()
+	ctx, end := context.WithTimeout(context.Background(), 2*k.wait)
+	defer end()
+	a := &nectar.Stand{}
+	// Danger: asked again elsewhere, a grant of which nobody knows whether it was agreed would count twice.
+	if err := c.Call(ctx, box.InnerOf(box.Host(k.seeds[0]), k.inner), "/hive/credit", o, a); err != nil {
+		return &coded{Error.New("%v; look at the account's history before it is ordered again", err), Unclear}
+	}
+	_, err := fmt.Fprintf(k.out, "%s: balance %.1f, out %.1f, spent %.0f\n", a.Tenant, a.Balance, a.Out, a.Spent)
+	return err
+}
--- a/internal/hive/keeper/keeper.go
+++ b/internal/hive/keeper/keeper.go
@@ -72,6 +72,22 @@
 	upstreams := app.Command("upstreams", "Upstreams by service.")
 	duties := app.Command("duties", "Who has the duties, and since which reign.")
 	quotas := app.Command("quotas", "Tenants' accounts at the bank, beside their bounds.")
+	credit := app.Command("credit", "Tenants' burst credit.")
+	creditShow := credit.Command("show", "Accounts, each with what it does not add up to.").Default()
+	creditOf := creditShow.Arg("tenant", "Of this one alone.").String()
+	creditHistory := credit.Command("history", "The last lines of an account.")
+	historyOf := creditHistory.Arg("tenant", "Whose.").Required().String()
+	order := &comb.Order{}
+	creditGrant := credit.Command("grant", "Give a tenant credit, or with a number below 0 take some away.")
+	creditGrant.Arg("tenant", "Whom.").Required().StringVar(&order.Tenant)
+	creditGrant.Arg("tokens", "Requests.").Required().Float64Var(&order.Tokens)
+	creditFreeze := credit.Command("freeze", "Stop what an account earns and gives out.")
+	creditFreeze.Arg("tenant", "Whose.").Required().StringVar(&order.Tenant)
+	creditFreeze.Flag("thaw", "Let it go on.").BoolVar(&order.Thaw)
+	for _, c := range []*kingpin.CmdClause{creditGrant, creditFreeze} {
+		c.Flag("who", "Who orders it.").Required().StringVar(&order.Who)
+		c.Flag("why", "Why.").Required().StringVar(&order.Why)
+	}
 	watch := app.Command("watch", "Tell changes of version, core, duties and balancers as they come.")
 	watchFor := watch.Flag("for", "How long.").Default("1h").Duration()
 	table := app.Command("timetable", "The configuration.")
@@ -119,6 +135,15 @@
 			err = k.show((*keeper).duties)
 		case quotas.FullCommand():
 			err = k.quotas()
+		case creditShow.FullCommand():
+			err = k.credit(*creditOf)
+		case creditHistory.FullCommand():
+			err = k.history(*historyOf)
+		case creditGrant.FullCommand():
+			err = k.order(order)
+		case creditFreeze.FullCommand():
+			order.Freeze = !order.Thaw
+			err = k.order(order)
 		case watch.FullCommand():
 			err = k.watch(*watchFor)
 		case fetch.FullCommand():
--- a/internal/hive/keeper/keeper_test.go
+++ b/internal/hive/keeper/keeper_test.go
@@ -120,3 +120,42 @@
 	must.Eq(t, Usage, code)
 	must.StrContains(t, faults, "burn")
 }
+
+// Credit by an operator's hand: who and why are asked for, each word is in the history, an account that is frozen says so.
+func TestCreditByHand(t *testing.T) {
+	plan, err := stand.Plan(1, 0, []string{"east"}, nil, t.TempDir())
+	must.NoError(t, err)
+	b := plan.Combs[0]
+	b.Tolerate.Machines = 0
+	must.NoError(t, os.MkdirAll(b.DataDir, 0o755))
+	c, err := comb.Open(b, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	must.NoError(t, err)
+	ctx, end := context.WithCancel(context.Background())
+	over := make(chan struct{})
+	go func() { defer close(over); c.Run(ctx) }()
+	defer func() { end(); <-over }()
+	do := func(args ...string) (int, string, string) {
+		return run(append([]string{"--core", b.Control, "--inner", fmt.Sprint(b.InnerFirst)}, args...)...)
+	}
+	grant := []string{"credit", "grant", "acme", "120", "--who", "ann", "--why", "the fair"}
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { code, _, _ := do(grant...); return code == OK }), wait.Timeout(5*time.Second), wait.Gap(20*time.Millisecond)))
+	for _, step := range []struct {
+		args []string
+		code int
+		says string
+	}{
+		{[]string{"credit", "grant", "acme", "5", "--who", "ann"}, Usage, ""},
+		{[]string{"credit", "grant", "acme", "--who", "ann", "--why", "back", "--", "-20"}, OK, "balance 100.0"},
+		{[]string{"credit", "freeze", "acme", "--who", "bo", "--why", "a bill"}, OK, "balance 100.0"},
+		{[]string{"credit"}, OK, "frozen"},
+		{[]string{"credit", "show", "acme"}, OK, "100.0"},
+		{[]string{"credit", "show", "nobody"}, Refused, ""},
+		{[]string{"credit", "history", "acme"}, OK, "a bill"},
+		{[]string{"credit", "freeze", "acme", "--thaw", "--who", "bo", "--why", "paid"}, OK, ""},
+		{[]string{"credit", "show", "acme"}, OK, "open"},
+	} {
+		code, out, faults := do(step.args...)
+		must.Eq(t, step.code, code, must.Sprint(step.args, out, faults))
+		must.StrContains(t, out, step.says)
+	}
+}
--- a/internal/hive/pollen/quota.go
+++ b/internal/hive/pollen/quota.go
@@ -66,6 +66,8 @@
 	at    int64
 	out   map[string]float64 // tokens by balancer
 	dried int64              // when it was dry last
+
+	unused float64 // that the pool had no room for
 }
 
 type member struct {
@@ -146,7 +148,20 @@
 func (b *Bank) fill(a *account, now int64) {
 	a.pool += a.Rate * b.present(now) * float64(max(0, now-a.at)) / s
 	a.at = now
-	a.pool = math.Max(0, math.Min(a.pool, a.Reserve()-b.out(a, now)))
+	room := math.Max(0, a.Reserve()-b.out(a, now))
+	a.unused += math.Max(0, a.pool-room)
+	a.pool = math.Min(a.pool, room)
+}
+
+// Unused is what tenants have left of their rates since it was asked last.
+func (b *Bank) Unused() map[string]float64 {
+	all := map[string]float64{}
+	for tenant, a := range b.accounts {
+		if a.unused > 0 {
+			all[tenant], a.unused = a.unused, 0
+		}
+	}
+	return all
 }
 
 // out is what may be in wallets.
--- a/internal/hive/swarm/swarm.go
+++ b/internal/hive/swarm/swarm.go
@@ -50,7 +50,8 @@
 	Taken     []Taken
 	Members   int // balancers, by which what all may spend is shared out
 	Queen     Queen
-	Reign     uint64 // its number
+	Reign     uint64          // its number
+	Credit    json.RawMessage `json:",omitempty"` // tenants' accounts (nectar)
 }
 
 // Majority is how many of the core meet any quorum.
@@ -96,6 +97,13 @@
 	return next
 }
 
+// Save is the state after the accounts have changed.
+func (s *State) Save(credit json.RawMessage) *State {
+	next := s.next()
+	next.Credit = credit
+	return next
+}
+
 // Count is the state after a census of the balancers.
 func (s *State) Count(members int) *State {
 	next := s.next()
