Propolis: partners' tables, doors under leaves, narrowings that are done when nobody can act on before

Need: nothing is ever sent toward what a partner keeps to itself, and narrowed exports are dropped by all together. Tables are read whole or not at all, faults with their place; Door decides where a request begins and again where it leaves, under a leave that words of current processes of the core renew for 2 s; Book is what is agreed; Taker says when a narrowing is done: (LeaveFor + Fresh)(1 + Drift) = 2.63 s after it was agreed. Weighed: versions alone (a balancer cut off never hears), two steps by confirmations (who must confirm is hearsay), the gateway alone (what waits behind its check leaves late; it has to hear, too), leaves (as it is).

--- a/internal/hive/apiary/ask.go
+++ b/internal/hive/apiary/ask.go
@@ -17,6 +17,7 @@
 	"github.com/zeebo/errs"
 
 	"ottershift/internal/hive/nectar"
+	"ottershift/internal/hive/propolis"
 )
 
 // Error is the class of faults in questions.
@@ -40,16 +41,17 @@
 
 // Question is a file that asks what would be.
 type Question struct {
-	Title  string
-	Seeds  int              // days for each row
-	Seed   uint64           // of the first of them
-	Core   coreFile         // a day of a core
-	Mesh   meshFile         // or of a whole mesh
-	Credit creditFile       // or of burst credit
-	Run    runFile          // and the mesh of real processes that run plays
-	Vary   map[string][]any // a row for each value, or for each pair of values of two
-	Holds  string           // "always": no rule breaks on any row; "never": on each row one does
-	Ask    []string         // what to show, all where left out
+	Title   string
+	Seeds   int              // days for each row
+	Seed    uint64           // of the first of them
+	Core    coreFile         // a day of a core
+	Mesh    meshFile         // or of a whole mesh
+	Partner partnerFile      // or of a partner's narrowings
+	Credit  creditFile       // or of burst credit
+	Run     runFile          // and the mesh of real processes that run plays
+	Vary    map[string][]any // a row for each value, or for each pair of values of two
+	Holds   string           // "always": no rule breaks on any row; "never": on each row one does
+	Ask     []string         // what to show, all where left out
 }
 
 type coreFile struct {
@@ -77,7 +79,7 @@
 // ReadQuestion reads a question and names what is wrong with it.
 func ReadQuestion(text []byte) (*Question, error) {
 	q := &Question{Seeds: 50, Seed: 1, Holds: "always", Core: coreFile{Combs: 4, Founders: 3, Tolerate: 1, Length: span(30 * S), CatchUp: span(4 * S),
-		Delay: span(Ms / 2), Jitter: span(Ms), Sync: span(2 * Ms), Puts: 20, Reads: 20}, Mesh: plainMesh(), Run: plainRun(), Credit: plainCredit()}
+		Delay: span(Ms / 2), Jitter: span(Ms), Sync: span(2 * Ms), Puts: 20, Reads: 20}, Mesh: plainMesh(), Run: plainRun(), Credit: plainCredit(), Partner: plainPartner()}
 	d := toml.NewDecoder(strings.NewReader(string(text))).DisallowUnknownFields()
 	if err := d.Decode(q); err != nil {
 		if strict, is := err.(*toml.StrictMissingError); is {
@@ -100,6 +102,10 @@
 	check("core.founders", q.Core.Founders, validation.Required, validation.Min(1), validation.Max(q.Core.Combs))
 	check("core.length", int64(q.Core.Length), validation.Min(8*S))
 	check("holds", q.Holds, validation.In("always", "never"))
+	check("partner.foragers", q.Partner.Foragers, validation.Min(0), validation.Max(2000))
+	check("partner.combs", q.Partner.Combs, validation.Required, validation.Min(1), validation.Max(9))
+	check("partner.length", int64(q.Partner.Length), validation.Min(30*S))
+	check("partner.guard", q.Partner.Guard, validation.In("", propolis.WithoutLeave, propolis.OneDoor, propolis.OpenByDefault, propolis.RetryAfter))
 	check("credit.foragers", q.Credit.Foragers, validation.Min(0), validation.Max(2000))
 	check("credit.regions", q.Credit.Regions, validation.Required, validation.Min(1), validation.Max(100))
 	check("credit.guard", q.Credit.Guard, validation.In("", nectar.PerTry, nectar.NoEnd, nectar.NoPrecedence))
@@ -158,6 +164,9 @@
 			if q.Credit.Foragers > 0 {
 				table = "credit"
 			}
+			if q.Partner.Foragers > 0 {
+				table = "partner"
+			}
 		}
 		raw, err := toml.Marshal(map[string]map[string]any{table: {key: values[n]}})
 		if err != nil {
@@ -216,7 +225,10 @@
 		go func() {
 			defer wait.Done()
 			for n := range next {
-				if q.Credit.Foragers > 0 {
+				if q.Partner.Foragers > 0 {
+					d := q.Partner.partner().Play(q.Seed + uint64(n))
+					days[n] = played{d.Broken, d.shown(), nil}
+				} else if q.Credit.Foragers > 0 {
 					d := q.Credit.credit().Play(q.Seed + uint64(n))
 					days[n] = played{d.Broken, d.shown(), nil}
 				} else if q.Mesh.Foragers > 0 {
@@ -310,6 +322,9 @@
 
 // Day plays one day of a question as it stands.
 func (q *Question) Day(seed uint64) any {
+	if q.Partner.Foragers > 0 {
+		return q.Partner.partner().Play(seed)
+	}
 	if q.Credit.Foragers > 0 {
 		return q.Credit.credit().Play(seed)
 	}
