Propolis in service: partners' tables taken by the duty, two doors, narrowings told

The timetable names partners (Mesh, Partners). The queen asks each gateway with the edition it has, has its table agreed, and tells it when a narrowing is done. A request that no route of ours takes goes by way of another balancer to the partner's gateway, decided before each push and again where it leaves; the module chooses as for our own services. Leaves are renewed only by processes that a majority has told that nothing later is decided or could be: current alone is not enough, since a majority may have accepted what it has not heard is decided.

--- a/internal/hive/comb/comb.go
+++ b/internal/hive/comb/comb.go
@@ -62,9 +62,10 @@
 		sync.Mutex
 		table *dance.Timetable
 	}
-	prod chan struct{}
-	bank bank
-	till till
+	prod   chan struct{}
+	bank   bank
+	till   till
+	border border
 
 	acting atomic.Bool // on what the core's first process has to do
 }
@@ -74,7 +75,8 @@
 	c := &Comb{
 		box: b, log: log, counts: hum.NewCounters(), caller: buzz.NewCaller(), life: wax.Draw(), epoch: time.Now(),
 		cell: waggle.NewCell(), news: make(chan struct{}), known: map[string]Hello{}, heard: map[string]int64{},
-		sent: map[string]uint64{}, prod: make(chan struct{}, 1),
+		border: border{asking: map[string]bool{}, heard: map[string]int64{}, faults: map[string]string{}, told: map[string]int64{}},
+		sent:   map[string]uint64{}, prod: make(chan struct{}, 1),
 	}
 	self := b.Inner()
 	c.seeds = inner(b, b.Seeds)
@@ -142,6 +144,7 @@
 	mux.HandleFunc("/hive/mingle", buzz.Take(c.mingled))
 	mux.HandleFunc("/hive/ask", buzz.Take(c.asked))
 	mux.HandleFunc("/hive/draw", buzz.Take(c.drawn))
+	mux.HandleFunc("/hive/partner", buzz.Take(c.partnered))
 	mux.HandleFunc("/hive/nectar", buzz.Take(c.credited))
 	mux.HandleFunc("/hive/credit", buzz.Take(c.ordered))
 	mux.HandleFunc("/hive/status", buzz.Take(c.status))
@@ -243,6 +246,7 @@
 		c.census(ctx, s)
 		c.reign(ctx, s)
 		c.earn(s)
+		c.partners(ctx, s)
 	}
 }
 
@@ -326,6 +330,7 @@
 	Nests []waggle.Told `json:",omitempty"`
 	Seq   uint64        // of the teller's cell, that Nests bring the hearer to
 	Comb  string
+	Ages  map[string]int64 `json:",omitempty"` // since partners confirmed their words
 }
 
 // Mingled is what comes back.
@@ -342,7 +347,7 @@
 
 // mingle tells one other process what it has not been told yet.
 func (c *Comb) mingle(ctx context.Context, at string) {
-	m := &Mingle{Hello: c.hello(), Comb: c.life}
+	m := &Mingle{Hello: c.hello(), Comb: c.life, Ages: c.ages()}
 	c.mu.Lock()
 	now := c.now()
 	seq := c.sent[at]
@@ -391,6 +396,7 @@
 
 // mingled takes what another process of the core tells.
 func (c *Comb) mingled(_ context.Context, m *Mingle) (*Mingled, error) {
+	c.aged(m.Ages)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.now()
@@ -456,6 +462,12 @@
 // tidings is what a balancer has not got yet.
 func (c *Comb) tidings(a *waggle.Ask, s *swarm.State) *waggle.News {
 	out := &waggle.News{Have: waggle.Have{Comb: c.life, Index: s.Index, Edition: s.Edition}, Current: c.keeper.current(), Members: s.Members}
+	if imports := c.imports(s); imports.No > 0 {
+		out.ImportsNo, out.Ages, out.Calm = imports.No, c.ages(), c.keeper.calm()
+		if a.Have.Imports != imports.No {
+			out.Imports = s.Imports
+		}
+	}
 	out.Young, out.Queen, out.Reign = c.now() < waggle.Lease, s.Queen.At, s.Reign
 	if s.Index > a.Have.Index && s.Edition != a.Have.Edition {
 		out.Timetable = s.Timetable
--- a/internal/hive/comb/keeper.go
+++ b/internal/hive/comb/keeper.go
@@ -9,6 +9,7 @@
 
 	"ottershift/internal/hive/buzz"
 	"ottershift/internal/hive/hum"
+	"ottershift/internal/hive/propolis"
 	"ottershift/internal/hive/sting"
 	"ottershift/internal/hive/swarm"
 )
@@ -16,7 +17,7 @@
 const (
 	stepWithin = 900 * time.Millisecond // for one step of an attempt at one member; a disk may take its time
 	lookWithin = 400 * time.Millisecond
-	fresh      = 600 * time.Millisecond // for which a majority's word that this copy is current holds
+	fresh      = time.Duration(propolis.Fresh) // for which a majority's word that this copy is current holds
 )
 
 // disk is where a copy is kept: wax, or what a test sets in its place.
@@ -37,6 +38,7 @@
 	round   uint64
 	news    chan struct{} // closed when something is decided
 
+	calmed    atomic.Int64 // the same where nothing stood accepted beyond it either: nothing had been decided that is not known here
 	confirmed atomic.Int64 // when a majority was asked that said that this copy is current, in steady nanoseconds
 	epoch     time.Time
 	changing  sync.Mutex // one attempt at a time from here
@@ -45,6 +47,7 @@
 func newKeeper(c *swarm.Copy, d disk, caller *buzz.Caller, counts *hum.Counters, self, by string) *keeper {
 	k := &keeper{disk: d, caller: caller, counts: counts, self: self, by: by, copy: *c, news: make(chan struct{}), epoch: time.Now()}
 	k.confirmed.Store(-int64(time.Hour))
+	k.calmed.Store(-int64(time.Hour))
 	return k
 }
 
@@ -171,6 +174,9 @@
 		return s, false, false
 	}
 	k.confirmed.Store(int64(asked))
+	if reading.Newest() {
+		k.calmed.Store(int64(asked))
+	}
 	return s, true, reading.Pending()
 }
 
@@ -179,6 +185,12 @@
 	return time.Since(k.epoch)-time.Duration(k.confirmed.Load()) < fresh
 }
 
+// calm reports whether a majority has said of late that nothing beyond this copy is decided, or could be. Danger: a copy is
+// current in the eyes of a majority that has accepted what comes after it and not heard yet that it is decided.
+func (k *keeper) calm() bool {
+	return time.Since(k.epoch)-time.Duration(k.calmed.Load()) < fresh
+}
+
 // change has the core agree on what a function makes of the newest state. The function may be called several times, each
 // time with what is the newest beyond doubt; an error of it ends the change. A nil state asks for nothing but that it is
 // the newest.
--- /dev/null
+++ b/internal/hive/comb/propolis.go
@@ -0,0 +1,280 @@
+package comb
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"ottershift/internal/hive/dance"
+	"ottershift/internal/hive/propolis"
+	"ottershift/internal/hive/sting"
+	"ottershift/internal/hive/swarm"
+)
+
+const (
+	partnerWait   = 2 * time.Second // that a partner may hold an ask until there is news
+	partnerWithin = partnerWait + time.Second
+	partnerPause  = time.Second // after one that failed
+	partnerBytes  = 4<<20 + 1
+)
+
+// border is what this process knows of partners; it takes their word while it has the duty.
+type border struct {
+	sync.Mutex
+	reign  uint64
+	taker  *propolis.Taker
+	asking map[string]bool
+	heard  map[string]int64  // when a partner has confirmed its word, by this process's clock
+	faults map[string]string // what was wrong with a partner's last word, or why there is none
+	told   map[string]int64  // the last edition that a partner has been told is done
+
+	book *propolis.Book // as agreed
+	raw  []byte
+}
+
+// imports is what is agreed about partners.
+func (c *Comb) imports(s *swarm.State) *propolis.Book {
+	b := &c.border
+	b.Lock()
+	defer b.Unlock()
+	if b.book == nil || !bytes.Equal(b.raw, s.Imports) {
+		book, err := propolis.Read(s.Imports)
+		if err != nil {
+			c.log.Error("partners", "err", err)
+			book = propolis.NewBook()
+		}
+		b.book, b.raw = book, s.Imports
+	}
+	return b.book
+}
+
+// ages are how long ago partners confirmed their words, as far as is known here.
+func (c *Comb) ages() map[string]int64 {
+	b := &c.border
+	b.Lock()
+	defer b.Unlock()
+	if len(b.heard) == 0 {
+		return nil
+	}
+	all := map[string]int64{}
+	for partner, at := range b.heard {
+		all[partner] = c.now() - at
+	}
+	return all
+}
+
+// aged takes what another process knows of that.
+func (c *Comb) aged(ages map[string]int64) {
+	b := &c.border
+	b.Lock()
+	defer b.Unlock()
+	for partner, age := range ages {
+		if at := c.now() - age; b.heard[partner] == 0 || at > b.heard[partner] {
+			b.heard[partner] = at
+		}
+	}
+}
+
+// partners does what the duty asks for: it has each partner asked, finishes narrowings, and tells partners so.
+func (c *Comb) partners(ctx context.Context, s *swarm.State) {
+	t, err := c.table(s)
+	if err != nil || t == nil || s.Queen.Life != c.life || !c.keeper.current() {
+		return
+	}
+	book := c.imports(s)
+	if len(t.Partners) == 0 && len(book.Partners) == 0 {
+		return
+	}
+	b := &c.border
+	b.Lock()
+	if b.reign != s.Reign || b.taker == nil {
+		b.reign, b.taker, b.told = s.Reign, propolis.NewTaker(), map[string]int64{}
+	}
+	due := b.taker.Due(book, c.now())
+	b.Unlock()
+	var names []string
+	for _, p := range t.Partners {
+		names = append(names, p.Name)
+		b.Lock()
+		idle := !b.asking[p.Name]
+		b.asking[p.Name] = true
+		told := b.told[p.Name]
+		b.Unlock()
+		i := book.Partners[p.Name]
+		if idle {
+			edition := int64(0)
+			if i != nil && i.Table != nil {
+				edition = i.Table.Edition
+			}
+			go c.askPartner(p, t.Mesh, edition, s.Reign)
+		}
+		if i != nil && i.Told > told {
+			b.Lock()
+			b.told[p.Name] = i.Told
+			b.Unlock()
+			go c.tellPartner(p, i.Told)
+		}
+	}
+	gone := propolis.NewBook()
+	if raw, err := book.Write(); err == nil {
+		gone, _ = propolis.Read(raw)
+	}
+	if len(due) > 0 || gone != nil && gone.Only(names) {
+		c.bordered(ctx, s.Reign, func(book *propolis.Book) error {
+			book.Only(names)
+			for partner, no := range due {
+				if book.Finish(partner, no) {
+					c.log.Info("partner", "name", partner, "narrowed", no, "done", true)
+				}
+			}
+			return nil
+		})
+	}
+}
+
+// bordered changes what is agreed about partners, under a reign that later ones refuse.
+func (c *Comb) bordered(ctx context.Context, reign uint64, do func(*propolis.Book) error) error {
+	ctx, end := context.WithTimeout(ctx, answerWithin)
+	defer end()
+	_, err := c.keeper.change(ctx, c.others, func(newest *swarm.State) (*swarm.State, error) {
+		if reign > 0 && (newest.Reign != reign || newest.Queen.Life != c.life) {
+			return nil, sting.New(sting.Unclear, "the duty is another's")
+		}
+		book, err := propolis.Read(newest.Imports)
+		if err != nil {
+			return nil, err
+		}
+		if err := do(book); err != nil {
+			return nil, err
+		}
+		raw, err := book.Write()
+		if err != nil {
+			return nil, err
+		}
+		if bytes.Equal(raw, newest.Imports) {
+			return nil, nil
+		}
+		return newest.Import(raw), nil
+	})
+	return err
+}
+
+var outside = &http.Client{Timeout: partnerWithin, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+
+// askPartner asks one partner with the version at hand; it answers when there is news, or confirms that there is none.
+func (c *Comb) askPartner(p *dance.Partner, own string, have int64, reign uint64) {
+	err := c.askOnce(p, own, have, reign)
+	b := &c.border
+	b.Lock()
+	text := ""
+	if err != nil {
+		text = err.Error()
+	}
+	if b.faults[p.Name] != text {
+		c.log.Info("partner", "name", p.Name, "fault", text)
+	}
+	b.faults[p.Name] = text
+	b.Unlock()
+	if err != nil {
+		time.Sleep(partnerPause)
+	}
+	b.Lock()
+	b.asking[p.Name] = false
+	b.Unlock()
+}
+
+func (c *Comb) askOnce(p *dance.Partner, own string, have int64, reign uint64) error {
+	began := c.now()
+	w, err := outside.Get(fmt.Sprintf("http://%s/-/exports?have=%d&wait=%d&mesh=%s", p.Gateway, have, partnerWait.Milliseconds(), url.QueryEscape(own)))
+	if err != nil {
+		return propolis.Error.New("no answer: %v", err)
+	}
+	defer w.Body.Close()
+	if w.StatusCode == http.StatusNotModified {
+		c.confirm(p.Name, began)
+		return nil
+	}
+	raw, err := io.ReadAll(io.LimitReader(w.Body, partnerBytes))
+	if err != nil || w.StatusCode != http.StatusOK {
+		return propolis.Error.New("answers %d: %v", w.StatusCode, err)
+	}
+	t, err := propolis.Parse(raw, p.Name, own)
+	if err != nil {
+		return err
+	}
+	changed := false
+	err = c.bordered(context.Background(), reign, func(book *propolis.Book) (err error) {
+		changed, err = book.Take(t, dance.Digest("exports", raw))
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	if changed {
+		c.log.Info("partner", "name", p.Name, "edition", t.Edition, "exports", len(t.Exports))
+	}
+	c.confirm(p.Name, began)
+	return nil
+}
+
+func (c *Comb) confirm(partner string, at int64) {
+	b := &c.border
+	b.Lock()
+	defer b.Unlock()
+	b.heard[partner] = max(b.heard[partner], at)
+}
+
+// tellPartner reports that nothing goes any more where its edition forbids it.
+func (c *Comb) tellPartner(p *dance.Partner, edition int64) {
+	raw, _ := json.Marshal(map[string]any{"Edition": edition})
+	w, err := outside.Post("http://"+p.Gateway+"/-/narrowed", "application/json", bytes.NewReader(raw))
+	if err == nil {
+		w.Body.Close()
+		if w.StatusCode/100 == 2 {
+			return
+		}
+		err = fmt.Errorf("answers %d", w.StatusCode)
+	}
+	c.log.Warn("partner", "name", p.Name, "told", edition, "err", err)
+	time.Sleep(partnerPause)
+	b := &c.border
+	b.Lock()
+	defer b.Unlock()
+	if b.told[p.Name] == edition {
+		b.told[p.Name] = edition - 1 // again
+	}
+}
+
+// PartnerOrder is an operator's word on a partner.
+type PartnerOrder struct {
+	Partner, Who, Why   string
+	Hold, Release, Drop bool
+}
+
+// partnered carries it out, by agreement.
+func (c *Comb) partnered(ctx context.Context, o *PartnerOrder) (*propolis.Import, error) {
+	if o.Partner == "" || o.Who == "" || o.Why == "" {
+		return nil, sting.New(sting.Invalid, "a partner, who orders it and why have to be said")
+	}
+	out := &propolis.Import{}
+	err := c.bordered(ctx, 0, func(book *propolis.Book) error {
+		switch {
+		case book.Partners[o.Partner] == nil:
+			return sting.New(sting.Invalid, "no partner is known as %q", o.Partner)
+		case o.Drop:
+			book.Drop(o.Partner, o.Who, o.Why)
+		default:
+			book.Close(o.Partner, o.Hold, o.Who, o.Why)
+		}
+		*out = *book.Partners[o.Partner]
+		return nil
+	})
+	c.log.Info("partner", "name", o.Partner, "hold", o.Hold, "release", o.Release, "drop", o.Drop, "who", o.Who, "why", o.Why, "err", err)
+	return out, err
+}
--- a/internal/hive/dance/dance.go
+++ b/internal/hive/dance/dance.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net/netip"
 	"strings"
 	"time"
 
@@ -120,6 +121,48 @@
 	raw json.RawMessage
 }
 
+// Partner is another mesh whose exports we use.
+type Partner struct {
+	Name       string
+	Gateway    string // address of its gateway: it gives its table, and takes requests
+	Target     Span   // within which an answer is of full worth
+	Deadline   Span
+	Tries      int
+	ReadsStale bool // reads go on when it has been silent beyond its lease
+}
+
+// partners reads the meshes beside ours.
+func (t *Timetable) partners() error {
+	t.Mesh, t.Partners = "", nil
+	if raw := t.other["Mesh"]; len(raw) > 0 {
+		if err := json.Unmarshal(raw, &t.Mesh); err != nil {
+			return Error.New("Mesh: %v", err)
+		}
+	}
+	var faults errs.Group
+	seen := map[string]bool{}
+	faults.Add(named(t.other["Partners"], "Partners", func(p *Partner, _ json.RawMessage) {
+		faults.Add(checked("Partners "+p.Name, validation.ValidateStruct(p,
+			validation.Field(&p.Name, validation.Required), validation.Field(&p.Deadline, validation.Required, validation.Max(Span(longest))),
+			validation.Field(&p.Tries, validation.Min(0), validation.Max(16)), validation.Field(&p.Gateway, validation.Required, validation.By(func(v any) error {
+				_, err := netip.ParseAddrPort(v.(string))
+				return err
+			})))))
+		switch {
+		case strings.ContainsAny(p.Name, "@,"):
+			faults.Add(Error.New("Partners %q: Name: has an @ or a comma in it", p.Name))
+		case seen[p.Name]:
+			faults.Add(Error.New("Partners %s: Name: stands twice", p.Name))
+		}
+		seen[p.Name] = true
+		t.Partners = append(t.Partners, p)
+	}))
+	if len(t.Partners) > 0 && t.Mesh == "" {
+		faults.Add(Error.New("Mesh: partners have to know us by a name"))
+	}
+	return faults.Err()
+}
+
 // Limits bound what a client may send.
 type Limits struct {
 	EnvelopeBytes, ContentsBytes int64
@@ -139,6 +182,9 @@
 	Depots  []*Depot
 	Rules   []*Rule
 
+	Mesh     string     // our own name, as partners know us
+	Partners []*Partner // in the order in which they are turned to
+
 	offices []*office
 	other   map[string]json.RawMessage // top-level fields kept as they are
 	doc     json.RawMessage
@@ -253,6 +299,7 @@
 	var faults errs.Group
 	t.towns, t.keys, t.depots = map[string]map[string]*Rule{}, map[string]*Sender{}, map[string]*Depot{}
 	t.Rules = t.Rules[:0]
+	faults.Add(t.partners())
 	if err := validation.Validate(t.Edition, validation.Required, validation.Min(int64(1))); err != nil {
 		faults.Add(Error.New("Edition: %v", err))
 	}
@@ -378,6 +425,11 @@
 			next.other["SizeLimits"] = raw
 		}
 	}
+	for _, name := range []string{"Mesh", "Partners"} { // whole
+		if raw := a.Deliver[name]; len(raw) > 0 {
+			next.other[name] = raw
+		}
+	}
 	next.Senders = merge(t.Senders, add.Senders, gone("Senders"), func(s *Sender) string { return s.Name })
 	next.Depots = merge(t.Depots, add.Depots, gone("Depots", "Destinations"), func(d *Depot) string { return d.Name })
 
--- a/internal/hive/flight/forager.go
+++ b/internal/hive/flight/forager.go
@@ -49,16 +49,17 @@
 
 // Forager is one balancer.
 type Forager struct {
-	box    *box.Box
-	log    *slog.Logger
-	counts *hum.Counters
-	caller *buzz.Caller
-	life   string
-	epoch  time.Time
-	brood  *brood
-	apps   *lines
-	pace   *pacer
-	end    chan struct{}
+	box     *box.Box
+	log     *slog.Logger
+	counts  *hum.Counters
+	caller  *buzz.Caller
+	life    string
+	epoch   time.Time
+	brood   *brood
+	apps    *lines
+	outside *lines // to partners' gateways
+	pace    *pacer
+	end     chan struct{}
 
 	view       atomic.Pointer[view]
 	leaving    atomic.Bool // not ready any more, serves what comes
@@ -71,6 +72,7 @@
 
 	wallet wallet
 	credit credit
+	doors  doors
 
 	mu      sync.Mutex // never taken under a module's lock
 	pools   map[string]*pool
@@ -95,6 +97,8 @@
 	}
 	f.pace = newPacer(b.LineMbps)
 	f.apps = newLines(dialApp, f.counts, "app")
+	f.outside = newLines(dialApp, f.counts, "outside")
+	f.newDoors()
 	f.requests, f.inbounds = f.counts.Of("requests"), f.counts.Of("inbound")
 	f.wallet = wallet{is: pollen.NewWallet(0), need: make(chan struct{}, 1), drawn: make(chan struct{})}
 	f.credit.crop, f.credit.need = nectar.NewCrop(b.Node, f.life), make(chan struct{}, 1)
@@ -207,6 +211,7 @@
 			}
 			f.mu.Unlock()
 			f.apps.sweep(now)
+			f.outside.sweep(now)
 			f.clients.sweep(now, false)
 			f.brood.quiet(now, 4*f.box.Beat)
 		case <-f.end:
@@ -224,6 +229,9 @@
 		f.mu.Lock()
 		a := &waggle.Ask{Have: f.have, Wait: int64(askWait)}
 		f.mu.Unlock()
+		f.doors.Lock()
+		a.Have.Imports = f.doors.book.No
+		f.doors.Unlock()
 		up, seq, changed := f.brood.nest()
 		a.Nest = waggle.Nest{Node: f.box.Node, Inbound: f.box.Inbound, District: f.box.District, Life: f.life, Seq: seq, Up: up,
 			Leaving: f.leaving.Load()}
@@ -238,12 +246,14 @@
 			case <-call.Done():
 			}
 		}()
-		news := &waggle.News{}
+		news, asked := &waggle.News{}, f.now()
 		err := f.caller.Call(call, at, "/hive/ask", a, news)
 		interrupted := errors.Is(call.Err(), context.Canceled)
 		end()
 		if err == nil {
-			err = f.take(news)
+			if err = f.take(news); err == nil {
+				f.hear(news, asked)
+			}
 			f.membersNow.Store(int64(f.memberCount()))
 		}
 		switch {
--- a/internal/hive/flight/headers.go
+++ b/internal/hive/flight/headers.go
@@ -8,21 +8,23 @@
 
 // Names of the headers that the mesh reads or sets, as http.Header has them.
 var (
-	attemptID   = textproto.CanonicalMIMEHeaderKey("X-Attempt-Id")
-	timeLeft    = textproto.CanonicalMIMEHeaderKey("X-Time-Left-Ms")
-	addressee   = textproto.CanonicalMIMEHeaderKey("X-Addressee")
-	returnTo    = textproto.CanonicalMIMEHeaderKey("X-Return-Address")
-	senderName  = textproto.CanonicalMIMEHeaderKey("X-Sender")
-	keyName     = textproto.CanonicalMIMEHeaderKey("X-Key")
-	postmark    = textproto.CanonicalMIMEHeaderKey("X-Postmark")
-	notDelivrd  = textproto.CanonicalMIMEHeaderKey("X-Not-Delivered")
-	hiveOnly    = textproto.CanonicalMIMEHeaderKey("X-Hive")      // between two balancers: who says it, and what it means
-	hiveAim     = textproto.CanonicalMIMEHeaderKey("X-Hive-Aim")  // milliseconds within which an answer is of full worth
-	hiveLong    = textproto.CanonicalMIMEHeaderKey("X-Hive-Long") // the answer is a long one
-	hiveBroke   = "broke"                                         // the push may have run
-	hiveTurned  = "turned"                                        // it has not run and never will
-	ofOneHop    = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length"}
-	setByTheHub = []string{addressee, returnTo, senderName, keyName, timeLeft, hiveOnly, hiveAim, hiveLong}
+	attemptID     = textproto.CanonicalMIMEHeaderKey("X-Attempt-Id")
+	timeLeft      = textproto.CanonicalMIMEHeaderKey("X-Time-Left-Ms")
+	addressee     = textproto.CanonicalMIMEHeaderKey("X-Addressee")
+	returnTo      = textproto.CanonicalMIMEHeaderKey("X-Return-Address")
+	senderName    = textproto.CanonicalMIMEHeaderKey("X-Sender")
+	keyName       = textproto.CanonicalMIMEHeaderKey("X-Key")
+	postmark      = textproto.CanonicalMIMEHeaderKey("X-Postmark")
+	notDelivrd    = textproto.CanonicalMIMEHeaderKey("X-Not-Delivered")
+	hiveOnly      = textproto.CanonicalMIMEHeaderKey("X-Hive")           // between two balancers: who says it, and what it means
+	hiveAim       = textproto.CanonicalMIMEHeaderKey("X-Hive-Aim")       // milliseconds within which an answer is of full worth
+	hiveLong      = textproto.CanonicalMIMEHeaderKey("X-Hive-Long")      // the answer is a long one
+	hiveGate      = textproto.CanonicalMIMEHeaderKey("X-Hive-Gate")      // a partner to which the balancer that is asked sends it on
+	importEdition = textproto.CanonicalMIMEHeaderKey("X-Import-Edition") // of the table under which it was sent to a partner
+	hiveBroke     = "broke"                                              // the push may have run
+	hiveTurned    = "turned"                                             // it has not run and never will
+	ofOneHop      = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length"}
+	setByTheHub   = []string{addressee, returnTo, senderName, keyName, timeLeft, hiveOnly, hiveAim, hiveLong, hiveGate, importEdition}
 )
 
 // onward copies the headers that concern more than one connection.
--- a/internal/hive/flight/inbound.go
+++ b/internal/hive/flight/inbound.go
@@ -32,6 +32,8 @@
 		return
 	}
 	header := onward(r.Header)
+	gate := r.Header.Get(hiveGate)
+	delete(header, hiveGate)
 	delete(header, hiveAim)
 	delete(header, hiveLong)
 	aim := aimUnsaid
@@ -66,7 +68,12 @@
 	}
 	ctx, end := context.WithDeadline(r.Context(), s.until.Add(lateBy))
 	defer end()
-	back := f.give(ctx, s)
+	var back *coming
+	if gate != "" {
+		back = f.leave(ctx, s, gate)
+	} else {
+		back = f.give(ctx, s)
+	}
 	switch {
 	case back.kind == sting.NoRoom || back.kind == sting.NotHere || back.kind == sting.Unready:
 		f.turn(w, r, back.kind)
--- a/internal/hive/flight/outbound.go
+++ b/internal/hive/flight/outbound.go
@@ -154,15 +154,17 @@
 		return nil, t, sting.Malformed, 0
 	}
 	rule := v.table.Find(r.Host, path)
-	if rule == nil {
-		return nil, t, sting.NoRoute, 0
+	if rule == nil { // a partner may let it in
+		if rule, t, kind = f.toPartner(r, path); kind != sting.None {
+			return nil, t, kind, 0
+		}
 	}
 	var drawn *nectar.Claim
 	header := onward(r.Header)
 	for _, name := range setByTheHub {
 		delete(header, name)
 	}
-	if v.table.Stamped() && !rule.Unstamped {
+	if v.table.Stamped() && !rule.Unstamped { // partners' services too: whoever asks is a tenant of ours
 		owner := v.table.Owner(r.Header.Get(keyName))
 		if owner == nil {
 			return nil, t, sting.NoKey, 0
@@ -226,7 +228,9 @@
 		}
 	}
 	q.aim, q.long = time.Duration(cmp.Or(rule.Target, rule.Dispatch.Deadline)), rule.MailClass == dance.Freight
-	t = v.pick(rule)
+	if t.pool == nil {
+		t = v.pick(rule)
+	}
 	q.pool, q.tries = t.pool, rule.Dispatch.DeliveryTries
 	return q, t, sting.None, 0
 }
--- a/internal/hive/flight/push.go
+++ b/internal/hive/flight/push.go
@@ -9,6 +9,7 @@
 	"os"
 	"runtime/debug"
 	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -37,6 +38,11 @@
 		f.counts.Add("budget_spent")
 		return false
 	}
+	partner, _, through := strings.Cut(o.Name, gateMark)
+	if through = through && q.pool.partners != nil; through && !f.allowed(q, partner) {
+		f.counts.Add("kept_back")
+		return
+	}
 	if !q.begin(paid) {
 		return
 	}
@@ -55,7 +61,12 @@
 	for name, values := range q.header {
 		header[name] = values
 	}
-	header[addressee] = []string{o.Name}
+	partner, _, through := strings.Cut(o.Name, gateMark)
+	if through = through && q.pool.partners != nil; through {
+		header[hiveGate] = []string{partner}
+	} else {
+		header[addressee] = []string{o.Name}
+	}
 	if o.Place.Address != f.box.Inbound {
 		header[hiveAim] = []string{strconv.FormatInt(q.aim.Milliseconds(), 10)}
 		if q.long {
@@ -69,7 +80,10 @@
 		s.rest = &lastByte{q.rest, func() { q.pool.desk.Whole(c, time.Until(q.stop)) }}
 	}
 	var back *coming
-	if o.Place.Address == f.box.Inbound {
+	if through && o.Place.Address == f.box.Inbound {
+		delete(header, hiveGate)
+		back = f.leave(o.Context, s, partner)
+	} else if o.Place.Address == f.box.Inbound {
 		back = f.give(o.Context, s)
 	} else {
 		back = f.send(o.Context, s, q.pool.peers, o.Place)
@@ -97,7 +111,7 @@
 		return logic.Broken, false, false, nil
 	}
 	good := answer.StatusCode < 300
-	if good && h[postmark] == nil {
+	if good && h[postmark] == nil && !through {
 		f.counts.Add("answers_unstamped")
 		return logic.Broken, false, false, nil
 	}
--- a/internal/hive/flight/view.go
+++ b/internal/hive/flight/view.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -56,6 +57,9 @@
 
 	mu     sync.Mutex
 	budget *pollen.Budget
+
+	partners []string      // that it leads to, where it is no service of ours
+	rules    []*dance.Rule // and by what it is tuned then
 }
 
 func (p *pool) first(now int64) {
@@ -118,6 +122,9 @@
 	f.quota(t)
 	f.log.Info("timetable", "edition", t.Edition, "index", index, "routes", len(t.Rules))
 	f.relist()
+	f.doors.Lock()
+	f.partners()
+	f.doors.Unlock()
 	return nil
 }
 
@@ -204,6 +211,9 @@
 	}
 	for service, p := range f.pools {
 		list := entries(by[service], now)
+		if p.partners != nil {
+			list = f.gates(p.partners)
+		}
 		slices.SortFunc(list, func(a, b roster.Entry[string]) int { return strings.Compare(a.Name, b.Name) })
 		change := p.desk.List(list, true)
 		for _, host := range change.Left {
@@ -279,7 +289,13 @@
 	if changed {
 		if count, place := f.rank(); count != f.ranked[0] || place != f.ranked[1] {
 			f.ranked = [2]int{count, place}
-			for service, rules := range f.rules {
+			rulesOf := maps.Clone(f.rules)
+			for name, p := range f.pools {
+				if p.partners != nil {
+					rulesOf[name] = p.rules
+				}
+			}
+			for service, rules := range rulesOf {
 				if err := f.retune(service, rules); err != nil {
 					f.log.Error("retune", "service", service, "err", err)
 				}
--- a/internal/hive/hive_test.go
+++ b/internal/hive/hive_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"strings"
@@ -372,3 +373,96 @@
 	})
 	must.GreaterEq(t, a.Spent, account().Spent)
 }
+
+// A partner narrows what it exports while work goes on: from the moment at which it is told that this is done, no effect comes
+// any more, reads go on, nothing runs twice, and who asks is told at once.
+func TestAPartnerNarrowsItsExports(t *testing.T) {
+	m := start(t, 1, 3, 0, 100)
+	partner, err := stand.NewPartner("zuid", "127.77.19.1:0")
+	must.NoError(t, err)
+	t.Cleanup(partner.Stop)
+	table := strings.Replace(config, `"Depots"`, fmt.Sprintf(`"Mesh":"us","Partners":[{"Name":"zuid","Gateway":%q,"Target":"300ms","Deadline":"1000ms","Tries":2}],"Depots"`, partner.Address), 1)
+	m.until(func() bool {
+		status, _ := m.call(0, "timetable.replace", "0", fmt.Sprintf(table, 1))
+		return status == http.StatusOK
+	})
+	status, text := m.call(0, "timetable.replace", "1", fmt.Sprintf(strings.Replace(table, `"Mesh":"us",`, "", 1), 2))
+	must.Eq(t, 400, status)
+	must.StrContains(t, text, "Mesh")
+	var mu sync.Mutex
+	ask := func(at int, method, path, id string) (int, string) {
+		r, err := http.NewRequest(method, "http://"+m.plan.Foragers[at].Outbound+path, nil)
+		must.NoError(t, err)
+		r.Host = "zuid.example"
+		r.Header = http.Header{"X-Attempt-Id": {id}, "X-Time-Left-Ms": {"1000"}, "X-Key": {"k1"}, "X-Hive-Gate": {"zuid"}, "X-Import-Edition": {"99"}}
+		w, err := (&http.Client{Timeout: 3 * time.Second}).Do(r)
+		if err != nil {
+			return 0, ""
+		}
+		defer w.Body.Close()
+		body, _ := io.ReadAll(w.Body)
+		return w.StatusCode, string(body)
+	}
+	for n := range m.plan.Foragers {
+		m.until(func() bool {
+			status, _ := ask(n, "POST", "/scans/1", fmt.Sprint("first", rand.Uint64()))
+			return status == 200
+		})
+	}
+	for path, want := range map[string]int{"/scans/1": 200, "/other/1": 404, "/scans/../scans/1": 404, "/%73cans/1": 404} {
+		status, _ := ask(0, "GET", path, "path"+path)
+		must.Eq(t, want, status, must.Sprint(path))
+	}
+	status, _ = ask(0, "DELETE", "/scans/1", "delete")
+	must.Eq(t, http.StatusForbidden, status)
+
+	told := map[string]int{}
+	end := make(chan struct{})
+	var load sync.WaitGroup
+	for at := range m.plan.Foragers {
+		load.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-end:
+					return
+				default:
+				}
+				id := fmt.Sprintf("e%d-%d", at, n)
+				status, _ := ask(at, "POST", "/scans/1", id)
+				mu.Lock()
+				told[id] = status
+				mu.Unlock()
+			}
+		})
+	}
+	for range 2 {
+		edition := partner.Say("GET")
+		m.until(func() bool { now, _ := partner.Told(); return now >= edition })
+		_, took := partner.Told()
+		t.Logf("edition %d: done after %v", edition, took)
+		status, _ := ask(1, "POST", "/scans/1", fmt.Sprint("late", edition))
+		must.Eq(t, http.StatusForbidden, status)
+		status, body := ask(2, "GET", "/scans/1", fmt.Sprint("read", edition))
+		must.Eq(t, 200, status)
+		must.Eq(t, "of a partner", body)
+		partner.Say("GET", "POST")
+		m.until(func() bool {
+			status, _ := ask(0, "POST", "/scans/1", fmt.Sprint("open", rand.Uint64()))
+			return status == 200
+		})
+	}
+	close(end)
+	load.Wait()
+	must.SliceEmpty(t, partner.Kept())
+	ran, effects := partner.Ran()
+	must.Greater(t, 20, effects)
+	for id, status := range told {
+		must.LessEq(t, 1, ran[id], must.Sprint(id))
+		if status == 200 {
+			must.Eq(t, 1, ran[id], must.Sprint(id))
+		}
+		if status == 403 || status == 503 {
+			must.Eq(t, 0, ran[id], must.Sprint(id, status))
+		}
+	}
+}
--- a/internal/hive/propolis/door.go
+++ b/internal/hive/propolis/door.go
@@ -176,6 +176,20 @@
 	return all, why
 }
 
+// Look says whether a request may go to one partner now, and spends nothing of its limit: the look before each try.
+func (d *Door) Look(partner, method, town, p string, now int64) Verdict {
+	if !Plain(p) || d.own != nil && d.own(strings.ToLower(town), p) {
+		return NoRoute
+	}
+	for _, k := range d.order {
+		if k.Name == partner {
+			_, v := d.may(k, method, strings.ToLower(town), p, now)
+			return v
+		}
+	}
+	return NoRoute
+}
+
 // May says whether a request may leave for one partner now: the second look, and that before each further try and copy.
 func (d *Door) May(partner, method, town, p string, now int64) (edition int64, why Verdict) {
 	if !Plain(p) || d.own != nil && d.own(strings.ToLower(town), p) {
--- a/internal/hive/propolis/table.go
+++ b/internal/hive/propolis/table.go
@@ -33,7 +33,7 @@
 
 	// LeaveFor is how long a balancer may send to partners after it has asked somebody who is current.
 	LeaveFor = 2 * s
-	// Fresh is how long a process of the core counts as current after a majority has said so.
+	// Fresh is how long a process of the core counts as current after a majority has said that nothing later is decided.
 	Fresh = 600 * ms
 	// Drift is by how much one steady clock may run faster than another.
 	Drift = 0.01
--- a/internal/hive/sting/sting.go
+++ b/internal/hive/sting/sting.go
@@ -19,6 +19,7 @@
 	Malformed      // no request that could be sent on
 	NoRoute        // no route takes this host and path
 	NoKey          // a key is missing or unknown
+	Kept           // a partner keeps this to itself
 	TooLong        // more bytes than the size limits let in
 	Beyond         // a tenant asks beyond its limit
 	Unready        // no configuration is known yet
@@ -49,6 +50,7 @@
 	None:       {http.StatusOK, "none", 0, false},
 	Malformed:  {http.StatusBadRequest, "malformed", 0, true},
 	NoRoute:    {http.StatusNotFound, "no_route", 0, false},
+	Kept:       {http.StatusForbidden, "kept", 0, false},
 	NoKey:      {http.StatusUnauthorized, "no_key", 0, false},
 	TooLong:    {http.StatusRequestEntityTooLarge, "too_long", 0, true},
 	Beyond:     {http.StatusTooManyRequests, "beyond_limit", 250 * time.Millisecond, false},
--- a/internal/hive/swarm/swarm.go
+++ b/internal/hive/swarm/swarm.go
@@ -52,6 +52,7 @@
 	Queen     Queen
 	Reign     uint64          // its number
 	Credit    json.RawMessage `json:",omitempty"` // tenants' accounts (nectar)
+	Imports   json.RawMessage `json:",omitempty"` // what partners let in (propolis)
 }
 
 // Majority is how many of the core meet any quorum.
@@ -104,6 +105,13 @@
 	return next
 }
 
+// Import is the state after a partner's word has changed.
+func (s *State) Import(imports json.RawMessage) *State {
+	next := s.next()
+	next.Imports = imports
+	return next
+}
+
 // Count is the state after a census of the balancers.
 func (s *State) Count(members int) *State {
 	next := s.next()
--- a/internal/hive/waggle/waggle.go
+++ b/internal/hive/waggle/waggle.go
@@ -55,7 +55,8 @@
 	Seq   uint64
 	Index uint64 // of the agreed state
 
-	Edition int64 // of the timetable
+	Edition int64  // of the timetable
+	Imports uint64 `json:",omitempty"` // number of what is agreed about partners
 }
 
 // Ask renews a balancer's lease and asks for news.
@@ -68,16 +69,20 @@
 // News is the answer.
 type News struct {
 	Have
-	Current   bool            // a majority of the core confirmed Index a moment ago
-	Young     bool            `json:",omitempty"` // the asked process has not been up for a lease yet: there may be more nests
-	Members   int             // balancers, as agreed
-	Queen     string          // address of who keeps the bank of quotas
-	Reign     uint64          // rises with each
-	Timetable json.RawMessage `json:",omitempty"` // where Edition was another
-	Whole     bool            // Nests are all there are
-	Nests     []Told          `json:",omitempty"`
-	Gone      []string        `json:",omitempty"`
-	Combs     []Post          // the core's processes, as far as they are heard of
+	Current   bool             // a majority of the core confirmed Index a moment ago
+	Young     bool             `json:",omitempty"` // the asked process has not been up for a lease yet: there may be more nests
+	Members   int              // balancers, as agreed
+	Queen     string           // address of who keeps the bank of quotas
+	Reign     uint64           // rises with each
+	Timetable json.RawMessage  `json:",omitempty"` // where Edition was another
+	Whole     bool             // Nests are all there are
+	Nests     []Told           `json:",omitempty"`
+	Gone      []string         `json:",omitempty"`
+	Imports   json.RawMessage  `json:",omitempty"` // what is agreed about partners, where the number was another
+	ImportsNo uint64           `json:",omitempty"`
+	Calm      bool             `json:",omitempty"` // nothing later can have been decided before a moment ago: what is agreed may be acted on
+	Ages      map[string]int64 `json:",omitempty"` // nanoseconds since partners confirmed their words
+	Combs     []Post           // the core's processes, as far as they are heard of
 }
 
 // Post is a process of the core.
