beekeeper partners: list, show, hold, drop; who acts on which word

Each process of the core notes on which word the balancers that ask it act; what was wrong with a partner's last word is told with its place.

--- a/internal/hive/comb/comb.go
+++ b/internal/hive/comb/comb.go
@@ -75,7 +75,7 @@
 	c := &Comb{
 		box: b, log: log, counts: hum.NewCounters(), caller: buzz.NewCaller(), life: wax.Draw(), epoch: time.Now(),
 		cell: waggle.NewCell(), news: make(chan struct{}), known: map[string]Hello{}, heard: map[string]int64{},
-		border: border{asking: map[string]bool{}, heard: map[string]int64{}, faults: map[string]string{}, told: map[string]int64{}},
+		border: border{asking: map[string]bool{}, heard: map[string]int64{}, faults: map[string]string{}, told: map[string]int64{}, doors: map[string]uint64{}},
 		sent:   map[string]uint64{}, prod: make(chan struct{}, 1),
 	}
 	self := b.Inner()
@@ -463,6 +463,7 @@
 func (c *Comb) tidings(a *waggle.Ask, s *swarm.State) *waggle.News {
 	out := &waggle.News{Have: waggle.Have{Comb: c.life, Index: s.Index, Edition: s.Edition}, Current: c.keeper.current(), Members: s.Members}
 	if imports := c.imports(s); imports.No > 0 {
+		c.acts(a.Nest.Node, a.Have.Imports)
 		out.ImportsNo, out.Ages, out.Calm = imports.No, c.ages(), c.keeper.calm()
 		if a.Have.Imports != imports.No {
 			out.Imports = s.Imports
--- a/internal/hive/comb/propolis.go
+++ b/internal/hive/comb/propolis.go
@@ -34,6 +34,8 @@
 	faults map[string]string // what was wrong with a partner's last word, or why there is none
 	told   map[string]int64  // the last edition that a partner has been told is done
 
+	doors map[string]uint64 // the word that balancers act on, of those that ask here
+
 	book *propolis.Book // as agreed
 	raw  []byte
 }
@@ -69,6 +71,14 @@
 	return all
 }
 
+// acts notes on which word a balancer acts.
+func (c *Comb) acts(node string, no uint64) {
+	b := &c.border
+	b.Lock()
+	defer b.Unlock()
+	b.doors[node] = no
+}
+
 // aged takes what another process knows of that.
 func (c *Comb) aged(ages map[string]int64) {
 	b := &c.border
--- a/internal/hive/comb/status.go
+++ b/internal/hive/comb/status.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
 	"runtime"
 	"slices"
@@ -28,6 +29,9 @@
 	Nests          []waggle.Told
 	Quotas         []pollen.Stand
 	Counts         map[string]int64
+	Ages           map[string]int64  `json:",omitempty"` // nanoseconds since partners confirmed their words
+	Faults         map[string]string `json:",omitempty"` // what was wrong with a partner's last word, where this process asks
+	Doors          map[string]uint64 `json:",omitempty"` // the word on partners that balancers act on, of those that ask this process
 }
 
 // CoreMember is a process of the core as this one hears of it.
@@ -51,6 +55,10 @@
 	}
 	out := &Status{Node: c.box.Node, At: c.box.Inner(), Zone: c.box.District, Up: time.Since(c.epoch), Current: c.keeper.current(),
 		Confirmed: time.Since(c.keeper.epoch) - time.Duration(c.keeper.confirmed.Load()), State: s, Counts: map[string]int64{}}
+	out.Ages = c.ages()
+	c.border.Lock()
+	out.Faults, out.Doors = maps.Clone(c.border.faults), maps.Clone(c.border.doors)
+	c.border.Unlock()
 	c.counts.Each(func(name string, n int64) { out.Counts[name] = n })
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/hive/hive_test.go
+++ b/internal/hive/hive_test.go
@@ -1,6 +1,7 @@
 package hive_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -20,6 +21,7 @@
 	"ottershift/internal/hive/buzz"
 	"ottershift/internal/hive/comb"
 	"ottershift/internal/hive/flight"
+	"ottershift/internal/hive/keeper"
 	"ottershift/internal/hive/nectar"
 	"ottershift/internal/hive/stand"
 )
@@ -445,6 +447,12 @@
 		status, body := ask(2, "GET", "/scans/1", fmt.Sprint("read", edition))
 		must.Eq(t, 200, status)
 		must.Eq(t, "of a partner", body)
+		var out, faults bytes.Buffer
+		args := []string{"--core", m.plan.Combs[0].Control, "--inner", fmt.Sprint(m.plan.Combs[0].InnerFirst), "partners"}
+		must.Eq(t, keeper.OK, keeper.Run(args, &out, &faults), must.Sprint(faults.String()))
+		must.StrContains(t, out.String(), "3 of the balancers that ask comb-0 act on word")
+		must.Eq(t, keeper.OK, keeper.Run(append(args, "show", "zuid"), &out, &faults))
+		must.StrContains(t, out.String(), "zuid.example")
 		partner.Say("GET", "POST")
 		m.until(func() bool {
 			status, _ := ask(0, "POST", "/scans/1", fmt.Sprint("open", rand.Uint64()))
--- a/internal/hive/keeper/bounds.go
+++ b/internal/hive/keeper/bounds.go
@@ -9,6 +9,7 @@
 	"ottershift/internal/hive/flight"
 	"ottershift/internal/hive/nectar"
 	"ottershift/internal/hive/pollen"
+	"ottershift/internal/hive/propolis"
 	"ottershift/internal/hive/swarm"
 	"ottershift/internal/hive/waggle"
 )
@@ -31,6 +32,7 @@
 	n2 := nectar.Terms{Extra: 100}
 	spent, stranded, known := n2.Bounds(int64(b.Bounds.QuotaWindow))
 	say("burst credit, for 100 a second beyond the rate: Extra·W + Extra·Ahead = %.0f in %v; stranded by balancers cut off Extra·Ahead = %.0f, for %v at most; identities kept Extra·Window = %.0f", spent, b.Bounds.QuotaWindow, stranded, time.Duration(nectar.Strand), known)
+	say("partners: a narrowing is done (LeaveFor + Fresh)·(1 + Drift) + 3·Every = %v after it was agreed, and two agreed changes", (time.Duration(float64(propolis.LeaveFor+propolis.Fresh)*(1+propolis.Drift)) + 3*time.Duration(propolis.Every)).Round(time.Millisecond))
 	say("repeats: of n balancers each sends %.3g of its first sends and %.3g/n beyond them in %v; allowed %.3g and %.3g over all", b.Bounds.RetryRatio/2, b.Bounds.RetrySlack/2, b.Bounds.RetryWindow, b.Bounds.RetryRatio, b.Bounds.RetrySlack)
 	return lines
 }
--- a/internal/hive/keeper/keeper.go
+++ b/internal/hive/keeper/keeper.go
@@ -88,6 +88,19 @@
 		c.Flag("who", "Who orders it.").Required().StringVar(&order.Who)
 		c.Flag("why", "Why.").Required().StringVar(&order.Why)
 	}
+	partners := app.Command("partners", "Other meshes whose exports are used.")
+	partnersList := partners.Command("list", "Who exports what, what narrows, and how many balancers act on it.").Default()
+	partnersShow := partners.Command("show", "One partner's table, as it is in force.")
+	partnerOf := partnersShow.Arg("partner", "Whose.").Required().String()
+	word := &comb.PartnerOrder{}
+	partnersHold := partners.Command("hold", "Close a partner: nothing is sent there.")
+	partnersHold.Flag("release", "Open it again.").BoolVar(&word.Release)
+	partnersDrop := partners.Command("drop", "Forget what a partner said, so that it may begin with any edition again.")
+	for _, c := range []*kingpin.CmdClause{partnersHold, partnersDrop} {
+		c.Arg("partner", "Which.").Required().StringVar(&word.Partner)
+		c.Flag("who", "Who orders it.").Required().StringVar(&word.Who)
+		c.Flag("why", "Why.").Required().StringVar(&word.Why)
+	}
 	watch := app.Command("watch", "Tell changes of version, core, duties and balancers as they come.")
 	watchFor := watch.Flag("for", "How long.").Default("1h").Duration()
 	table := app.Command("timetable", "The configuration.")
@@ -144,6 +157,16 @@
 		case creditFreeze.FullCommand():
 			order.Freeze = !order.Thaw
 			err = k.order(order)
+		case partnersList.FullCommand():
+			err = k.partners()
+		case partnersShow.FullCommand():
+			err = k.exports(*partnerOf)
+		case partnersHold.FullCommand():
+			word.Hold = !word.Release
+			err = k.partner(word)
+		case partnersDrop.FullCommand():
+			word.Drop = true
+			err = k.partner(word)
 		case watch.FullCommand():
 			err = k.watch(*watchFor)
 		case fetch.FullCommand():
--- a/internal/hive/keeper/keeper_test.go
+++ b/internal/hive/keeper/keeper_test.go
@@ -151,6 +151,9 @@
 		{[]string{"credit", "show", "acme"}, OK, "100.0"},
 		{[]string{"credit", "show", "nobody"}, Refused, ""},
 		{[]string{"credit", "history", "acme"}, OK, "a bill"},
+		{[]string{"partners"}, OK, "act on word 0"},
+		{[]string{"partners", "show", "zuid"}, Refused, ""},
+		{[]string{"partners", "hold", "zuid", "--who", "bo", "--why", "x"}, Unclear, ""}, // nobody knows it
 		{[]string{"credit", "freeze", "acme", "--thaw", "--who", "bo", "--why", "paid"}, OK, ""},
 		{[]string{"credit", "show", "acme"}, OK, "open"},
 	} {
--- /dev/null
+++ b/internal/hive/keeper/partners.go
@@ -0,0 +1,127 @@
+package keeper
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"ottershift/internal/hive/box"
+	"ottershift/internal/hive/buzz"
+	"ottershift/internal/hive/comb"
+	"ottershift/internal/hive/dance"
+	"ottershift/internal/hive/propolis"
+)
+
+// partners shows who exports what, since when, and who acts on it.
+func (k *keeper) partners() error {
+	s, err := k.ask()
+	if err != nil {
+		return err
+	}
+	if q := s.State.Queen.At; q != "" && s.At != q { // who asks partners knows what was wrong with their words
+		if other, err := k.one(q); err == nil {
+			s = other
+		}
+	}
+	book, err := propolis.Read(s.State.Imports)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	if k.json {
+		return k.raw(map[string]any{"Book": book, "Ages": s.Ages, "Faults": s.Faults, "Doors": s.Doors})
+	}
+	k.seen(s)
+	err = k.table("PARTNER\tEDITION\tEXPORTS\tSTATE\tCONFIRMED\tFAULT", func(w io.Writer) {
+		for _, name := range slices.Sorted(maps.Keys(book.Partners)) {
+			i := book.Partners[name]
+			edition, exports, state := int64(0), 0, "open"
+			if i.Table != nil {
+				edition, exports = i.Table.Edition, len(i.Table.Exports)
+			}
+			switch {
+			case i.Held:
+				state = fmt.Sprintf("held by %s: %s", i.Who, i.Why)
+			case i.Table == nil:
+				state = "nothing taken"
+			case i.No != i.Done:
+				state = fmt.Sprintf("narrows, done up to edition %d", i.Told)
+			}
+			age := "never"
+			if a, is := s.Ages[name]; is {
+				age = ago(time.Duration(a))
+			}
+			fmt.Fprintf(w, "%s\t%d\t%d\t%s\t%s\t%s\n", name, edition, exports, state, age, s.Faults[name])
+		}
+	})
+	if err != nil {
+		return err
+	}
+	behind := 0
+	for _, no := range s.Doors {
+		if no < book.No {
+			behind++
+		}
+	}
+	fmt.Fprintf(k.out, "%d of the balancers that ask %s act on word %d, %d on an earlier one\n", len(s.Doors)-behind, s.Node, book.No, behind)
+	t, err := dance.Parse(s.State.Timetable)
+	if err != nil {
+		return nil
+	}
+	var all []propolis.Partner
+	for _, p := range t.Partners {
+		all = append(all, propolis.Partner{Name: p.Name})
+	}
+	for _, line := range propolis.Shadow(book, all, func(town, path string) bool { return t.Find(town, path) != nil }) {
+		fmt.Fprintln(k.out, "not used:", line)
+	}
+	return nil
+}
+
+// exports shows one partner's table.
+func (k *keeper) exports(partner string) error {
+	s, err := k.ask()
+	if err != nil {
+		return err
+	}
+	book, err := propolis.Read(s.State.Imports)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	i := book.Partners[partner]
+	if i == nil || i.Table == nil {
+		return &coded{Error.New("nothing is taken of %q", partner), Refused}
+	}
+	if k.json {
+		return k.raw(i)
+	}
+	k.seen(s)
+	return k.table("HOST\tPREFIX\tSERVICE\tMETHODS\tPER S", func(w io.Writer) {
+		for _, e := range i.Table.Exports {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%g\n", e.Town, e.StreetPrefix, e.Service, strings.Join(e.Methods, ","), e.PerS)
+		}
+	})
+}
+
+// partner has the core carry out an operator's word on a partner.
+func (k *keeper) partner(o *comb.PartnerOrder) error {
+	if err := k.need(); err != nil {
+		return err
+	}
+	if k.inner == 0 {
+		return &coded{Error.New("the inner port is not known: --inner PORT, or a settings file for --core"), Usage}
+	}
+	c := buzz.NewCaller()
+	defer c.Close()
+	ctx, end := context.WithTimeout(context.Background(), 2*k.wait)
+	defer end()
+	i := &propolis.Import{}
+	if err := c.Call(ctx, box.InnerOf(box.Host(k.seeds[0]), k.inner), "/hive/partner", o, i); err != nil {
+		return &coded{Error.New("%v; the same order again is safe", err), Unclear}
+	}
+	_, err := fmt.Fprintf(k.out, "%s: word %d, done up to %d\n", o.Partner, i.No, i.Done)
+	return err
+}
--- a/internal/hive/propolis/table.go
+++ b/internal/hive/propolis/table.go
@@ -7,7 +7,7 @@
 // LeaveFor of the balancer's own steady clock (Door). So LeaveFor and Fresh after the agreement, by the taker's clock and its
 // drift, nobody acts on what was before, in reach or not: then it is done (Taker), and the partner is told.
 //
-//	from the agreement until it is done  <=  (LeaveFor + Fresh)·(1 + Drift) + Every
+//	from the agreement until the partner is told  <=  (LeaveFor + Fresh)·(1 + Drift) + 3·Every, and two agreed changes
 package propolis
 
 import (
