--- a/internal/hive/apiary/live/live.go
+++ b/internal/hive/apiary/live/live.go
@@ -61,7 +61,8 @@
 	Size            int // bytes of an answer
 	Faults          []Fault
 	Seed            uint64
-	Logs            string // folder for what the processes write, "" for nowhere
+	Partner         time.Duration // between two words of a partner that narrows and widens what it exports, 0 for no partner
+	Logs            string        // folder for what the processes write, "" for nowhere
 }
 
 // Served is what came of the requests that began at one forager.
@@ -79,7 +80,9 @@
 	Late      int // answered after their aim
 	Restarts  int
 	Changes   int
-	Settle    time.Duration // from the start until a request was served
+	Settle    time.Duration   // from the start until a request was served
+	Effects   int             // that ran at the partner
+	Done      []time.Duration // from the partner's words that narrowed until it was told that nothing comes any more
 }
 
 type process struct {
@@ -97,6 +100,7 @@
 	plan *stand.Mesh
 	all  []*process
 	apps []*stand.App
+	side *stand.Partner // nil for none
 
 	mu    sync.Mutex
 	out   Outcome
@@ -106,8 +110,9 @@
 }
 
 type try struct {
-	once   bool
-	status int
+	once    bool
+	status  int
+	outside bool // toward the partner
 }
 
 const aim = 300 * time.Millisecond
@@ -124,6 +129,12 @@
 		return nil, Error.Wrap(err)
 	}
 	defer w.stop()
+	if m.Partner > 0 {
+		if w.side, err = stand.NewPartner("zuid", box.Host(w.plan.Combs[0].Control)+":0"); err != nil {
+			return nil, Error.Wrap(err)
+		}
+		defer w.side.Stop()
+	}
 	began := time.Now()
 	if err := w.start(); err != nil {
 		return nil, err
@@ -142,6 +153,9 @@
 		parts.Go(func() { w.befall(ctx, f, tell) })
 	}
 	parts.Go(func() { w.operate(ctx, tell) })
+	if w.side != nil {
+		parts.Go(func() { w.narrow(ctx, tell) })
+	}
 	w.clients(ctx, time.Now().Add(calm+4*time.Second))
 	parts.Wait()
 	if ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
@@ -243,7 +257,7 @@
 }
 
 const timetable = `{"Edition":1,"SizeLimits":{"EnvelopeBytes":16384,"ContentsBytes":67108864,"Envelope":"3000ms","Idle":"15000ms"},
-"PostOffices":[{"Town":"demo.example","Regulations":[%s]}],"Depots":[%s]}`
+"PostOffices":[{"Town":"demo.example","Regulations":[%s]}],"Depots":[%s]%s}`
 
 // first puts a timetable and waits until each forager serves by it.
 func (w *world) first(ctx context.Context) error {
@@ -258,7 +272,11 @@
 		}
 	}
 	slices.Sort(routes)
-	body := fmt.Sprintf(timetable, strings.Join(routes, ","), strings.Join(depots, ","))
+	partner := ""
+	if w.side != nil {
+		partner = fmt.Sprintf(`,"Mesh":"us","Partners":[{"Name":"zuid","Gateway":%q,"Target":"300ms","Deadline":"2000ms","Tries":2}]`, w.side.Address)
+	}
+	body := fmt.Sprintf(timetable, strings.Join(routes, ","), strings.Join(depots, ","), partner)
 	patience, end := context.WithTimeout(ctx, 20*time.Second)
 	defer end()
 	for n := 0; ; n++ {
@@ -319,9 +337,13 @@
 		return 0, 0
 	}
 	r.Host = "demo.example"
+	outside := strings.HasPrefix(path, "/scans/")
+	if outside {
+		r.Host = "zuid.example"
+	}
 	r.Header = http.Header{"X-Attempt-Id": {id}, "X-Time-Left-Ms": {"2000"}}
 	w.mu.Lock()
-	w.sent[id] = &try{once: method == "POST"}
+	w.sent[id] = &try{once: method == "POST", outside: outside}
 	w.mu.Unlock()
 	a, err := c.Do(r)
 	if err != nil {
@@ -333,6 +355,7 @@
 	switch {
 	case err != nil:
 		status = 0
+	case outside:
 	case status == http.StatusOK && (a.Header.Get("X-Postmark") == "" || len(body) != w.Size || a.Header.Get("X-Attempt-Id") != id):
 		status = -1
 	}
@@ -355,7 +378,10 @@
 			method, kind = "POST", "once"
 		}
 		path, id := "/"+kind+"/"+w.Services[chance.IntN(len(w.Services))]+"/", fmt.Sprintf("%d-%d", w.Seed, n)
-		after := time.Now().After(calm)
+		if w.side != nil && chance.IntN(3) == 0 {
+			path = "/scans/x"
+		}
+		after := time.Now().After(calm) && !strings.HasPrefix(path, "/scans/")
 		flying.Go(func() {
 			status, took := w.send(late, c, f, method, path, id)
 			w.mu.Lock()
@@ -376,7 +402,7 @@
 				if took > aim {
 					w.out.Late++
 				}
-			case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
+			case status == http.StatusForbidden && strings.HasPrefix(path, "/scans/"), status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
 				s.Refused++
 			case status == 0:
 				s.NoAnswer++
@@ -425,6 +451,29 @@
 	w.breaks("CONFIG: nobody gives the timetable at the end")
 }
 
+// narrow has the partner change its mind, over and over; it ends open.
+func (w *world) narrow(ctx context.Context, tell func(string, ...any)) {
+	for n := 0; nap(ctx, w.Partner) == nil; n++ {
+		if n%2 == 1 {
+			w.side.Say("GET", "POST")
+			continue
+		}
+		edition := w.side.Say("GET")
+		for {
+			if told, took := w.side.Told(); told >= edition {
+				w.mu.Lock()
+				w.out.Done = append(w.out.Done, took)
+				w.mu.Unlock()
+				tell("the partner's edition %d is done after %v", edition, took.Round(time.Millisecond))
+				break
+			}
+			if nap(ctx, 20*time.Millisecond) != nil {
+				return
+			}
+		}
+	}
+}
+
 // befall has one fault happen, and end.
 func (w *world) befall(ctx context.Context, f Fault, tell func(string, ...any)) {
 	if nap(ctx, f.At) != nil {
@@ -483,6 +532,16 @@
 			w.out.By[n].Ran += k
 		}
 	}
+	if w.side != nil {
+		ran, effects := w.side.Ran()
+		for id, k := range ran {
+			runs[id] += k
+		}
+		w.out.Effects = effects
+		for _, what := range w.side.Kept() {
+			w.breaks("KEPT: %s, after that narrowing was reported done", what)
+		}
+	}
 	for id, k := range runs {
 		t := w.sent[id]
 		switch {
@@ -490,7 +549,7 @@
 			w.breaks("UNASKED: %s ran and was sent by nobody", id)
 		case t.once && k > 1:
 			w.breaks("TWICE: %s ran %d times", id, k)
-		case t.once && (t.status == http.StatusServiceUnavailable || t.status == http.StatusTooManyRequests):
+		case t.once && (t.status == http.StatusServiceUnavailable || t.status == http.StatusTooManyRequests || t.status == http.StatusForbidden):
 			w.breaks("REFUSED: %s was promised not to run, and ran", id)
 		}
 	}
@@ -500,7 +559,7 @@
 			w.breaks("MIXED: %s got an answer that is no upstream's", id)
 		case t.status == http.StatusOK && runs[id] == 0:
 			w.breaks("MIXED: %s was answered and never ran", id)
-		case t.status >= 300 && t.status < 500 && t.status != http.StatusTooManyRequests:
+		case !t.outside && t.status >= 300 && t.status < 500 && t.status != http.StatusTooManyRequests:
 			w.breaks("DENIED: %s got %d", id, t.status)
 		}
 	}
@@ -521,6 +580,9 @@
 	for _, b := range o.Broken[:min(len(o.Broken), 10)] {
 		fmt.Fprintln(out, b)
 	}
+	if len(o.Done) > 0 {
+		fmt.Fprintf(out, "partner: %d effects ran, %d narrowings done, after %v at most\n", o.Effects, len(o.Done), slices.Max(o.Done).Round(time.Millisecond))
+	}
 	verdict := "held"
 	if len(o.Broken) > 0 {
 		verdict = "broken"
--- a/internal/hive/apiary/run.go
+++ b/internal/hive/apiary/run.go
@@ -14,6 +14,7 @@
 	Zones, Services       []string
 	Length, Short, Work   span // Short: its length in the short form, 0 for as it is
 	Rate                  float64
+	Partner               span // between two words of a partner, 0 for no partner
 	Faults                []Fault
 }
 
@@ -38,7 +39,7 @@
 func (q *Question) Live(programs, logs string, short bool) live.Mesh {
 	r := q.Run
 	m := live.Mesh{Programs: programs, Logs: logs, Combs: r.Combs, Foragers: r.Foragers, Zones: r.Zones, Services: r.Services,
-		Length: time.Duration(r.Length), Rate: r.Rate, Work: time.Duration(r.Work), Size: r.Size, Seed: q.Seed}
+		Length: time.Duration(r.Length), Rate: r.Rate, Work: time.Duration(r.Work), Size: r.Size, Seed: q.Seed, Partner: time.Duration(r.Partner)}
 	if short && r.Short > 0 {
 		m.Length = time.Duration(r.Short)
 	}
