--- a/internal/hive/hive_test.go
+++ b/internal/hive/hive_test.go
@@ -211,7 +211,7 @@
 	}{
 		{stand.OtherID, "POST", "/once/", 200, 1}, {stand.Extra, "POST", "/once/", 200, 1}, {stand.Sound, "POST", "/once/", 200, 1},
 		{stand.CutShort, "POST", "/once/", 502, 1}, {stand.Reset, "POST", "/once/", 502, 1}, {stand.Unstamped, "POST", "/once/", 502, 1},
-		{stand.Full, "POST", "/once/", 503, 0}, {stand.Error, "POST", "/once/", 500, 1},
+		{stand.Full, "POST", "/once/", 503, 0}, {stand.Elsewhere, "POST", "/once/", 503, 0}, {stand.Elsewhere, "GET", "/read/", 503, 0}, {stand.Error, "POST", "/once/", 500, 1},
 	} {
 		all(c.fault)
 		status, id, _, body := m.send(0, c.method, c.path)
--- a/internal/hive/stand/stand.go
+++ b/internal/hive/stand/stand.go
@@ -32,6 +32,7 @@
 	Reset           // the connection is broken after the work
 	Full            // it has no room: not delivered
 	Error           // it fails, 500
+	Elsewhere       // another is meant: 421, not delivered
 )
 
 // App is an upstream.
@@ -165,13 +166,17 @@
 	if len(a.faults) > 0 {
 		fault, a.faults = a.faults[0], a.faults[1:]
 	}
-	if fault != Full {
+	if fault != Full && fault != Elsewhere {
 		a.runs[id]++
 	}
 	for _, name := range []string{"X-Sender", "X-Return-Address", "X-Addressee", "X-Time-Left-Ms", "X-Key"} {
 		a.seen[name] = r.Header.Get(name)
 	}
 	a.mu.Unlock()
+	if fault == Elsewhere {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	if fault == Full {
 		w.Header().Set("X-Not-Delivered", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
