--- a/internal/hive/apiary/live/live.go
+++ b/internal/hive/apiary/live/live.go
@@ -22,6 +22,9 @@
 	"github.com/zeebo/errs"
 
 	"ottershift/internal/hive/box"
+	"ottershift/internal/hive/buzz"
+	"ottershift/internal/hive/comb"
+	"ottershift/internal/hive/nectar"
 	"ottershift/internal/hive/stand"
 )
 
@@ -62,6 +65,9 @@
 	Routes          int // beside those that are asked for
 	Faults          []Fault
 	Seed            uint64
+	Credit          float64       // tokens of burst credit of the one tenant that all clients are of, 0 for none
+	TenantRate      float64       // its rate then, a second
+	Extra           float64       // and the most over it
 	Partner         time.Duration // between two words of a partner that narrows and widens what it exports, 0 for no partner
 	Logs            string        // folder for what the processes write, "" for nowhere
 }
@@ -84,6 +90,8 @@
 	Acks      []time.Duration // from the first call of a change until it was acknowledged
 	Bytes     int             // of the timetable
 	Settle    time.Duration   // from the start until a request was served
+	Spent     float64         // tokens that were charged
+	DueMost   int             // requests that were served, or whose effect may have been
 	Effects   int             // that ran at the partner
 	Done      []time.Duration // from the partner's words that narrowed until it was told that nothing comes any more
 }
@@ -262,6 +270,8 @@
 const timetable = `{"Edition":1,"SizeLimits":{"EnvelopeBytes":16384,"ContentsBytes":67108864,"Envelope":"3000ms","Idle":"15000ms"},
 "PostOffices":[{"Town":"demo.example","Regulations":[%s]}],"Depots":[%s]%s}`
 
+const tenant = "families"
+
 // first puts a timetable and waits until each forager serves by it.
 func (w *world) first(ctx context.Context) error {
 	var routes, depots []string
@@ -283,6 +293,9 @@
 	if w.side != nil {
 		partner = fmt.Sprintf(`,"Mesh":"us","Partners":[{"Name":"zuid","Gateway":%q,"Target":"300ms","Deadline":"2000ms","Tries":2}]`, w.side.Address)
 	}
+	if w.Credit > 0 {
+		partner += fmt.Sprintf(`,"Senders":[{"Name":%q,"ApiKeys":["k"],"RatePerS":%g,"Nectar":{"Earn":0.5,"Cap":%g,"Keep":"86400s","Extra":%g}}]`, tenant, w.TenantRate, 4*w.Credit, w.Extra)
+	}
 	body := fmt.Sprintf(timetable, strings.Join(routes, ","), strings.Join(depots, ","), partner)
 	w.out.Bytes = len(body)
 	patience, end := context.WithTimeout(ctx, 20*time.Second)
@@ -306,9 +319,30 @@
 			}
 		}
 	}
+	if w.Credit > 0 { // by an operator's hand
+		c := buzz.NewCaller()
+		defer c.Close()
+		if err := c.Call(patience, w.plan.Combs[0].Inner(), "/hive/credit", &comb.Order{Tenant: tenant, Tokens: w.Credit, Who: "apiary", Why: "the rush"}, &nectar.Stand{}); err != nil {
+			return Error.Wrap(err)
+		}
+	}
 	return nil
 }
 
+// account is what the core has agreed on of the tenant's credit.
+func (w *world) account(ctx context.Context) (*nectar.Stand, error) {
+	c := buzz.NewCaller()
+	defer c.Close()
+	var last error
+	for _, b := range w.plan.Combs {
+		s := &comb.Status{}
+		if last = c.Call(ctx, b.Inner(), "/hive/status", comb.Look{Newest: true}, s); last == nil {
+			return comb.Account(s.State.Credit, tenant)
+		}
+	}
+	return nil, last
+}
+
 func nap(ctx context.Context, d time.Duration) error {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -350,6 +384,10 @@
 		r.Host = "zuid.example"
 	}
 	r.Header = http.Header{"X-Attempt-Id": {id}, "X-Time-Left-Ms": {"2000"}}
+	key, _, _ := strings.Cut(id, "/")
+	if w.Credit > 0 {
+		r.Header["X-Key"], r.Header["Idempotency-Key"] = []string{"k"}, []string{key}
+	}
 	w.mu.Lock()
 	w.sent[id] = &try{once: method == "POST", outside: outside}
 	w.mu.Unlock()
@@ -389,7 +427,11 @@
 		if w.side != nil && chance.IntN(3) == 0 {
 			path = "/scans/x"
 		}
-		after := time.Now().After(calm) && !strings.HasPrefix(path, "/scans/")
+		after := time.Now().After(calm) && w.Credit == 0 && !strings.HasPrefix(path, "/scans/") // a tenant beyond its rate is refused
+		if w.Credit > 0 && chance.IntN(5) == 0 { // asked again at once, elsewhere
+			other := chance.IntN(w.Foragers)
+			flying.Go(func() { w.send(late, c, other, method, path, id+"/again") })
+		}
 		flying.Go(func() {
 			status, took := w.send(late, c, f, method, path, id)
 			w.mu.Lock()
@@ -552,6 +594,9 @@
 			w.breaks("KEPT: %s, after that narrowing was reported done", what)
 		}
 	}
+	if w.Credit > 0 {
+		w.judgeCredit(runs)
+	}
 	for id, k := range runs {
 		t := w.sent[id]
 		switch {
@@ -579,6 +624,46 @@
 	slices.Sort(w.out.Broken)
 }
 
+// judgeCredit holds what was charged against what was served: each key once, effects that may have run among them.
+func (w *world) judgeCredit(runs map[string]int) {
+	due := map[string]bool{}
+	for id, t := range w.sent {
+		if key, _, _ := strings.Cut(id, "/"); t.status == http.StatusOK || t.once && runs[id] > 0 || t.status == 0 {
+			due[key] = true
+		}
+	}
+	w.out.DueMost = len(due)
+	ctx, end := context.WithTimeout(context.Background(), 8*time.Second)
+	defer end()
+	var a *nectar.Stand
+	for last := -1.0; ; { // until all has been told
+		now, err := w.account(ctx)
+		if err != nil && ctx.Err() != nil {
+			w.breaks("CREDIT: nobody gives the account: %v", err)
+			return
+		}
+		if err == nil {
+			if a = now; a.Spent == last {
+				break
+			}
+			last = a.Spent
+		}
+		if nap(ctx, time.Second) != nil {
+			break
+		}
+	}
+	w.out.Spent = a.Spent
+	if a.Spent > float64(len(due))+1e-6 {
+		w.breaks("CREDIT: %.0f charges, and %d requests that were due one at most", a.Spent, len(due))
+	}
+	if a.Gap > 1e-6 || a.Gap < -1e-6 {
+		w.breaks("CREDIT: the account is out by %g", a.Gap)
+	}
+	if a.Spent > w.Credit+a.Earned {
+		w.breaks("CREDIT: %.0f charged of a credit of %.0f", a.Spent, w.Credit+a.Earned)
+	}
+}
+
 // Print writes what was seen; the last line is the verdict.
 func (o *Outcome) Print(out io.Writer) {
 	t := tabwriter.NewWriter(out, 2, 8, 2, ' ', 0)
@@ -594,6 +679,9 @@
 		slices.Sort(o.Acks)
 		fmt.Fprintf(out, "changes of a timetable of %d bytes: acknowledged after %v in the median, %v at most\n", o.Bytes, o.Acks[n/2].Round(100*time.Microsecond), o.Acks[n-1].Round(time.Millisecond))
 	}
+	if o.Spent > 0 {
+		fmt.Fprintf(out, "credit: %.0f charged; %d requests were due a charge at most\n", o.Spent, o.DueMost)
+	}
 	if len(o.Done) > 0 {
 		fmt.Fprintf(out, "partner: %d effects ran, %d narrowings done, after %v at most\n", o.Effects, len(o.Done), slices.Max(o.Done).Round(time.Millisecond))
 	}
--- a/internal/hive/apiary/run.go
+++ b/internal/hive/apiary/run.go
@@ -15,7 +15,9 @@
 	Zones, Services       []string
 	Length, Short, Work   span // Short: its length in the short form, 0 for as it is
 	Rate                  float64
-	Partner               span // between two words of a partner, 0 for no partner
+	Credit, Extra         float64 // burst credit of the one tenant of all clients, 0 for none; the most a second over its rate
+	TenantRate            float64 `toml:"tenant_rate"`
+	Partner               span    // between two words of a partner, 0 for no partner
 	Faults                []Fault
 }
 
@@ -29,6 +31,10 @@
 	fault("run.combs", r.Combs, validation.Required, validation.Min(1), validation.Max(9))
 	fault("run.foragers", r.Foragers, validation.Required, validation.Min(1), validation.Max(60))
 	fault("run.routes", r.Routes, validation.Min(0), validation.Max(20000))
+	if r.Credit > 0 {
+		fault("run.extra", r.Extra, validation.Required, validation.Min(1.0))
+		fault("run.tenant_rate", r.TenantRate, validation.Required, validation.Min(1.0))
+	}
 	fault("run.zones", r.Zones, validation.Required)
 	fault("run.services", r.Services, validation.Required)
 	fault("run.length", int64(r.Length), validation.Min(3*S), validation.Max(600*S))
@@ -41,7 +47,7 @@
 func (q *Question) Live(programs, logs string, short bool) live.Mesh {
 	r := q.Run
 	m := live.Mesh{Programs: programs, Logs: logs, Combs: r.Combs, Foragers: r.Foragers, Zones: r.Zones, Services: r.Services,
-		Length: time.Duration(r.Length), Rate: r.Rate, Work: time.Duration(r.Work), Size: r.Size, Routes: r.Routes, Seed: q.Seed, Partner: time.Duration(r.Partner)}
+		Length: time.Duration(r.Length), Rate: r.Rate, Work: time.Duration(r.Work), Size: r.Size, Routes: r.Routes, Credit: r.Credit, Extra: r.Extra, TenantRate: r.TenantRate, Seed: q.Seed, Partner: time.Duration(r.Partner)}
 	if short && r.Short > 0 {
 		m.Length = time.Duration(r.Short)
 	}
