--- a/internal/hive/apiary/live/live.go
+++ b/internal/hive/apiary/live/live.go
@@ -428,7 +428,7 @@
 			path = "/scans/x"
 		}
 		after := time.Now().After(calm) && w.Credit == 0 && !strings.HasPrefix(path, "/scans/") // a tenant beyond its rate is refused
-		if w.Credit > 0 && chance.IntN(5) == 0 { // asked again at once, elsewhere
+		if w.Credit > 0 && chance.IntN(5) == 0 {                                                // asked again at once, elsewhere
 			other := chance.IntN(w.Foragers)
 			flying.Go(func() { w.send(late, c, other, method, path, id+"/again") })
 		}
