Read again: a late report of a life that has ended closes nothing

Cause: a report whose life differed from the one known was taken for a new life, so a delayed one of a killed balancer's closed what its present life held: tokens that were out went back to the account. The test had made that report and not used it.

--- a/internal/hive/nectar/book.go
+++ b/internal/hive/nectar/book.go
@@ -44,13 +44,14 @@
 
 // teller is a balancer as the book knows it.
 type teller struct {
-	Life string
-	Seq  uint64
-	At   int64              // of its last report
-	Out  map[string]float64 `json:",omitempty"` // tokens in escrow there, by tenant
-	Open []Mark             `json:",omitempty"`
-	Lost map[string]float64 `json:",omitempty"` // what it held when it had been silent for Strand: it counts as spent
-	Last *Grant             `json:",omitempty"` // the answer to Seq, for when it was not heard
+	Life  string
+	Ended []string `json:",omitempty"` // the lives before it, the last few
+	Seq   uint64
+	At    int64              // of its last report
+	Out   map[string]float64 `json:",omitempty"` // tokens in escrow there, by tenant
+	Open  []Mark             `json:",omitempty"`
+	Lost  map[string]float64 `json:",omitempty"` // what it held when it had been silent for Strand: it counts as spent
+	Last  *Grant             `json:",omitempty"` // the answer to Seq, for when it was not heard
 }
 
 // slot is the identities that were settled in one part of the window, eight bytes each.
@@ -220,6 +221,7 @@
 	live := make([]bool, len(reports))
 	for n, r := range reports {
 		t := b.Tellers[r.Node]
+		var ended []string
 		switch {
 		case t != nil && t.Life == r.Life && r.Seq == t.Seq && t.Lost == nil:
 			out[n] = t.Last // its answer was lost
@@ -227,13 +229,16 @@
 			continue
 		case t != nil && t.Life == r.Life && r.Seq < t.Seq:
 			continue // late: it has been answered, and more since
+		case t != nil && slices.Contains(t.Ended, r.Life):
+			continue // Danger: a late word of a life that has ended would close what the present one holds
 		case t != nil && t.Life != r.Life:
+			ended = append(t.Ended, t.Life)
 			b.Close(r.Node) // that life has ended: it spends nothing any more
 			t = nil
 		}
 		reset := t != nil && t.Lost != nil // it was silent for so long that what it held is closed
 		if t == nil {
-			t = &teller{Life: r.Life, Out: map[string]float64{}}
+			t = &teller{Life: r.Life, Ended: ended[max(0, len(ended)-8):], Out: map[string]float64{}}
 			b.Tellers[r.Node] = t
 		}
 		t.Seq, t.At, t.Open = r.Seq, b.Now, r.Open
--- a/internal/hive/nectar/nectar_test.go
+++ b/internal/hive/nectar/nectar_test.go
@@ -116,10 +116,13 @@
 	must.Eq(t, 1, b.Accounts["t"].Spent)
 	must.Eq(t, 0, b.out("t"))
 	c.Done(effect, Delivered, 5*s)
-	late := c.Report(5 * s)
-	must.Nil(t, b.Take([]*Report{{Node: "a", Life: "2", Seq: 0}}, terms)[0]) // late, of the present life
-	_ = late
-	must.Eq(t, 49, b.Accounts["t"].Balance())
+	b, _ = had(t, b, crop("b", "1"), claim(3), 5*s)
+	out := b.out("t")
+	must.Nil(t, b.Take([]*Report{c.Report(5 * s)}, terms)[0])                // a late word of the ended life closes nothing
+	must.Nil(t, b.Take([]*Report{{Node: "a", Life: "2", Seq: 0}}, terms)[0]) // and one of the present life changes nothing
+	must.Eq(t, "2", b.Tellers["a"].Life)
+	must.Eq(t, out, b.out("t"))
+	must.Eq(t, 49-out, b.Accounts["t"].Balance())
 }
 
 // A balancer cut off for longer than Strand: what it holds counts as spent, and once it is back, what it had not spent is in the
