--- a/internal/mesh/proxy/answers_test.go
+++ b/internal/mesh/proxy/answers_test.go
@@ -43,7 +43,7 @@
 	f := New(b, slog.New(slog.DiscardHandler))
 	accepting := beat(1, 8, "accepting")
 	accepting.Address = b.App
-	f.local.beatOf("i-0", accepting, time.Now())
+	f.local.heartbeat("i-0", accepting, time.Now())
 	h := &inboundHop{t: t, proxy: f, upstream: upstream}
 	h.serve(f.serveInbound)
 	return h
--- a/internal/mesh/proxy/proxy.go
+++ b/internal/mesh/proxy/proxy.go
@@ -225,7 +225,7 @@
 			f.upstreamConnections.sweep(now)
 			f.partnerConnections.sweep(now)
 			f.clients.sweep(now, false)
-			f.local.quiet(now, 4*f.settings.Beat)
+			f.local.checkHeartbeat(now, 4*f.settings.Beat)
 		case <-f.end:
 			return
 		}
--- a/internal/mesh/proxy/proxy_test.go
+++ b/internal/mesh/proxy/proxy_test.go
@@ -33,9 +33,9 @@
 		b := newLocalUpstream(2*time.Second, "127.0.0.1:1")
 		now := time.Now()
 		if trace.before != "" {
-			b.beatOf("i", beat(1, 6, trace.before), now)
+			b.heartbeat("i", beat(1, 6, trace.before), now)
 		}
-		b.beatOf("i", beat(2, 6, "closing"), now)
+		b.heartbeat("i", beat(2, 6, "closing"), now)
 		_, kind := b.addressOf("i", now)
 		must.Eq(t, trace.kind, kind)
 	}
@@ -62,30 +62,30 @@
 		_, kind := b.admit(ctx, asks(id, time.Second), at)
 		return kind
 	}
-	b.beatOf("i1", beat(2, 6, "accepting"), now)
+	b.heartbeat("i1", beat(2, 6, "accepting"), now)
 	must.Eq(t, apierror.None, pass("i1", now))
 	must.Eq(t, apierror.NotHere, pass("i0", now)) // another life is meant
-	b.beatOf("i1", beat(3, 6, "closing"), now)
-	b.beatOf("i1", beat(1, 6, "accepting"), now) // late: it stays closing
+	b.heartbeat("i1", beat(3, 6, "closing"), now)
+	b.heartbeat("i1", beat(1, 6, "accepting"), now) // late: it stays closing
 	must.Eq(t, apierror.None, pass("i1", now.Add(1800*time.Millisecond)))
 	must.Eq(t, apierror.NotHere, pass("i1", now.Add(1900*time.Millisecond))) // 3/4 of Drain
 	b.signOff("i1")
 	must.Eq(t, apierror.NotHere, pass("i1", now))
-	b.beatOf("i2", beat(1, 6, "accepting"), now)
-	b.beatOf("i1", beat(9, 6, "accepting"), now) // of a life that has ended
+	b.heartbeat("i2", beat(1, 6, "accepting"), now)
+	b.heartbeat("i1", beat(9, 6, "accepting"), now) // of a life that has ended
 	must.Eq(t, apierror.None, pass("i2", now.Add(time.Hour)))
 	b.refused("i2")
 	must.Eq(t, apierror.NoRoom, pass("i2", now))
 	up, _, changed := b.snapshot()
 	must.Nil(t, up) // nothing is there, as others are told
-	b.beatOf("i2", beat(2, 6, "accepting"), now)
+	b.heartbeat("i2", beat(2, 6, "accepting"), now)
 	<-changed // whoever took the word of before is told that there is more
 	must.Eq(t, apierror.None, pass("i2", now))
 	b.silent("i2")
 	must.Eq(t, apierror.None, pass("i2", now))
 	b.silent("i2") // dark: connections are not even refused
 	must.Eq(t, apierror.NoRoom, pass("i2", now))
-	b.beatOf("i2", beat(3, 6, "accepting"), now)
+	b.heartbeat("i2", beat(3, 6, "accepting"), now)
 	must.Eq(t, apierror.None, pass("i2", now))
 	for range 6 {
 		b.observe("i1", true, now) // of a life that has ended
@@ -98,7 +98,7 @@
 	<-changed
 	up, _, _ = b.snapshot()
 	must.Eq(t, 3, up.Ill)
-	b.beatOf("i2", beat(4, 6, "accepting"), now) // its own word changes nothing of that
+	b.heartbeat("i2", beat(4, 6, "accepting"), now) // its own word changes nothing of that
 	up, _, _ = b.snapshot()
 	must.Eq(t, 3, up.Ill)
 }
@@ -135,7 +135,7 @@
 func TestWhoIsDueFirstHasTheNextSlot(t *testing.T) {
 	b := newLocalUpstream(time.Second, "127.0.0.1:1")
 	now := time.Now()
-	b.beatOf("i", beat(1, 1, "accepting"), now)
+	b.heartbeat("i", beat(1, 1, "accepting"), now)
 	for range b.slots() {
 		_, kind := b.admit(context.Background(), asks("i", time.Hour), now)
 		must.Eq(t, apierror.None, kind)
@@ -149,7 +149,7 @@
 		}()
 		for {
 			b.mu.Lock()
-			n := len(b.line)
+			n := len(b.waiting)
 			b.mu.Unlock()
 			if n == before+1 {
 				return
