Who waits, is shed or repeats is decided by precedence: added routes are served under load

Cause: the queue before an upstream was ordered by when a request is due alone. Routes that are added bear Precedence 0 and a target as long as their deadline, stood last and were turned away. Change: package priority (rank of tenant and route, queue, least share of a third for each rank); the queue before an upstream, long answers on a narrow line and the last tenth of a retry budget go by it. The rank travels as the second value of X-Hive-Aim, which all versions strip from clients and of which the version before reads the first value; where it is not told the second hop goes by its own configuration.

--- a/internal/mesh/proxy/admission.go
+++ b/internal/mesh/proxy/admission.go
@@ -2,73 +2,75 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"ottershift/internal/mesh/apierror"
+	"ottershift/internal/mesh/priority"
 )
 
 // waitingRequest is a request that waits for a slot.
 type waitingRequest struct {
-	id    string
-	due   time.Time // when it is of full worth no more: whoever is due first goes first
-	leave chan bool // has room for one: whether it has the slot
+	id      string
+	granted chan bool // has room for one: whether it has the slot
 }
 
-// admit lets a request through to the life that it is meant for, or says why not; leave ends what was let through. Where
-// all slots are taken it waits for a quarter of its aim, behind those that are due sooner. Invariant: first come, first served,
-// the short calls of work that is under way elsewhere stand behind long ones, and fail all that they are a part of.
+// admit lets a request through to the life that it is meant for, or says why not; leave ends what was let through. Where all
+// slots are taken it waits for a quarter of its aim, in the order of priority.Queue: the most urgent rank first and, within a rank,
+// who is due first. Invariant: first come, first served, the short calls of work that is under way elsewhere stand behind long
+// ones, and fail all that they are a part of.
 func (b *localUpstream) admit(ctx context.Context, s *upstreamRequest, now time.Time) (address string, kind apierror.Kind) {
 	b.mu.Lock()
 	if address, kind = b.addressOf(s.to, now); kind != apierror.None {
 		b.mu.Unlock()
 		return address, kind
 	}
+	at := b.sinceStart(now)
+	b.queue.Shares.Came(s.rank, at)
 	if b.id == "" || b.up.Capacity <= 0 || b.open < b.slots() {
 		b.open++
+		b.queue.Shares.Served(s.rank, at)
 		b.mu.Unlock()
 		return address, apierror.None
 	}
-	due := now.Add(s.aim)
-	at, _ := slices.BinarySearchFunc(b.waiting, due, func(t *waitingRequest, due time.Time) int { return t.due.Compare(due) })
-	if at >= 2*b.up.Capacity {
-		b.mu.Unlock()
-		return "", apierror.NoRoom
-	}
-	t := &waitingRequest{s.to, due, make(chan bool, 1)}
-	b.waiting = slices.Insert(b.waiting, at, t)
+	waiting := &priority.Waiter[waitingRequest]{Rank: s.rank, Due: at + int64(s.aim), Request: waitingRequest{s.to, make(chan bool, 1)}}
+	joined := b.queue.Join(waiting, queuePerSlot*b.up.Capacity, at)
 	b.mu.Unlock()
+	if joined && b.wait(ctx, s, waiting) {
+		return address, apierror.None
+	}
+	return "", apierror.NoRoom
+}
+
+// queuePerSlot is how many requests may wait before another one, for each slot of the upstream.
+const queuePerSlot = 2
+
+// wait reports whether a request in the queue got a slot.
+func (b *localUpstream) wait(ctx context.Context, s *upstreamRequest, waiting *priority.Waiter[waitingRequest]) bool {
 	late := time.NewTimer(min(s.aim/4, time.Until(s.until)/4))
 	defer late.Stop()
 	select {
-	case ok := <-t.leave:
-		if ok {
-			return address, apierror.None
-		}
-		return "", apierror.NoRoom
+	case granted := <-waiting.Request.granted:
+		return granted
 	case <-late.C:
 	case <-ctx.Done():
 	}
 	b.mu.Lock()
-	at = slices.Index(b.waiting, t)
-	if at >= 0 {
-		b.waiting = slices.Delete(b.waiting, at, at+1)
-	}
+	removed := b.queue.Remove(waiting)
 	b.mu.Unlock()
-	if at < 0 && <-t.leave { // it was its turn meanwhile
-		if ctx.Err() != nil {
-			b.leave(s.to)
-			return "", apierror.NoRoom
-		}
-		return address, apierror.None
+	if removed || !<-waiting.Request.granted {
+		return false
 	}
-	return "", apierror.NoRoom
+	if ctx.Err() != nil { // it got one meanwhile, and has no use for it
+		b.leave(s.to)
+		return false
+	}
+	return true
 }
 
 // slots is how many requests may be at the upstream: those that it works on, and few that it need not wait for.
 func (b *localUpstream) slots() int { return b.up.Capacity + b.up.Capacity/8 + 1 }
 
-// leave ends a request at the upstream; the first that waits has its slot.
+// leave ends a request at the upstream; the next that waits has its slot.
 func (b *localUpstream) leave(id string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -76,12 +78,19 @@
 		return // of a life that has ended
 	}
 	b.open = max(0, b.open-1)
-	for len(b.waiting) > 0 && b.open < b.slots() {
-		t := b.waiting[0]
-		b.waiting = slices.Delete(b.waiting, 0, 1)
-		_, kind := b.addressOf(t.id, time.Now())
-		if t.leave <- kind == apierror.None; kind == apierror.None {
+	now := time.Now()
+	for b.open < b.slots() {
+		next := b.queue.Next(b.sinceStart(now))
+		if next == nil {
+			return
+		}
+		_, kind := b.addressOf(next.Request.id, now)
+		if next.Request.granted <- kind == apierror.None; kind == apierror.None {
 			b.open++
+			b.queue.Shares.Served(next.Rank, b.sinceStart(now))
 		}
 	}
 }
+
+// sinceStart is a time as state without a clock is told it.
+func (b *localUpstream) sinceStart(now time.Time) int64 { return int64(now.Sub(b.epoch)) }
--- a/internal/mesh/proxy/inbound.go
+++ b/internal/mesh/proxy/inbound.go
@@ -38,17 +38,14 @@
 	delete(header, meshGatewayHeader)
 	delete(header, meshAimHeader)
 	delete(header, meshLongHeader)
-	aim := aimUnsaid
-	if ms, err := strconv.ParseInt(r.Header.Get(meshAimHeader), 10, 64); err == nil && ms >= 0 {
-		aim = time.Duration(min(ms, 1e6)) * time.Millisecond
-	}
+	aim, rank := f.urgency(r)
 	if r.Header[meshLongHeader] != nil {
-		if !f.pace.admit(aim) {
+		if !f.pace.admit(aim, rank) {
 			f.counts.Add("turned_line_full")
 			f.turn(w, r, apierror.NoRoom)
 			return
 		}
-		defer f.pace.leave()
+		defer f.pace.leave(rank)
 	}
 	left, err := strconv.ParseFloat(r.Header.Get(timeLeft), 64)
 	if err != nil {
@@ -57,7 +54,7 @@
 	}
 	s := &upstreamRequest{
 		id: r.Header.Get(attemptID), to: r.Header.Get(addressee), method: r.Method, target: r.RequestURI, host: r.Host, header: header,
-		aim: aim, length: max(r.ContentLength, 0), until: time.Now().Add(time.Duration(left * float64(time.Millisecond))),
+		aim: aim, rank: rank, length: max(r.ContentLength, 0), until: time.Now().Add(time.Duration(left * float64(time.Millisecond))),
 		callerGone: callerGone(r),
 	}
 	if r.ContentLength > 0 {
@@ -89,7 +86,7 @@
 	}
 	defer back.done(false)
 	into := &reply{status: back.answer.StatusCode, header: onward(back.answer.Header), length: back.answer.ContentLength,
-		flow: back.answer.Body, early: back.line.early, ended: make(chan bool, 1), pace: f.pace, context: r.Context()}
+		flow: back.answer.Body, early: back.line.early, ended: make(chan bool, 1), pace: f.pace, rank: rank, context: r.Context()}
 	if err := into.measure(); err != nil {
 		f.counts.Add("app_" + cut(err))
 		w.Header()[meshHeader] = []string{meshBroke}
@@ -171,6 +168,4 @@
 
 const meshWell = "well"
 
-const aimUnsaid = 200 * time.Millisecond
-
 const lateBy = 30 * time.Millisecond // beyond its time that an upstream's own word for it is waited for
--- a/internal/mesh/proxy/local_upstream.go
+++ b/internal/mesh/proxy/local_upstream.go
@@ -8,6 +8,7 @@
 	"ottershift/internal/mesh/apierror"
 	"ottershift/internal/mesh/membership"
 	"ottershift/internal/mesh/outlier"
+	"ottershift/internal/mesh/priority"
 	"ottershift/internal/mesh/settings"
 )
 
@@ -25,10 +26,10 @@
 	up            membership.Upstream
 	revision      int64
 	lastHeartbeat time.Time
-	closing       time.Time         // when that was acknowledged
-	dead          bool              // its address refuses connections
-	open          int               // requests at it
-	waiting       []*waitingRequest // those that wait, who is due first in front
+	closing       time.Time                      // when that was acknowledged
+	dead          bool                           // its address refuses connections
+	open          int                            // requests at it
+	queue         priority.Queue[waitingRequest] // of those for whom there is no slot yet
 	detector      outlier.Detector
 	epoch         time.Time
 	unanswered    int // connections to it in a row that nobody answered
--- a/internal/mesh/proxy/outbound.go
+++ b/internal/mesh/proxy/outbound.go
@@ -14,6 +14,7 @@
 	"ottershift/internal/desk"
 	"ottershift/internal/mesh/apierror"
 	"ottershift/internal/mesh/burstcredit"
+	"ottershift/internal/mesh/priority"
 	"ottershift/internal/mesh/routing"
 	"ottershift/logic"
 )
@@ -36,7 +37,8 @@
 	rest   io.Reader // behind body, nil if that is all
 	length int64
 	aim    time.Duration // within which its answer is of full worth
-	long   bool          // its answer is
+	rank   priority.Rank
+	long   bool // its answer is
 	stop   time.Time
 	claim  *burstcredit.Claim // that it has drawn burst credit for, nil for none
 
@@ -62,6 +64,7 @@
 	early  bool      // it came before the request had gone out whole: its caller may send nothing else behind that
 
 	pace    *pacer // of the line that it flows over, nil for none
+	rank    priority.Rank
 	context context.Context
 }
 
@@ -138,7 +141,7 @@
 	}
 	defer f.settles(q)
 	now := f.now()
-	t.pool.first(now)
+	t.pool.first(now, q.rank)
 	c := t.pool.desk.Arrive(desk.Arrival{
 		Under: t.under, Tariff: t.tariff, Customer: -1, Left: time.Until(q.stop), Unwhole: q.rest != nil,
 	})
@@ -164,6 +167,7 @@
 		}
 	}
 	var drawn *burstcredit.Claim
+	rank := rankOf(rule, nil)
 	header := onward(r.Header)
 	for _, name := range setByTheHub {
 		delete(header, name)
@@ -177,6 +181,7 @@
 			return nil, t, apierror.Unready, 0
 		}
 		header[senderName] = []string{owner.Name}
+		rank = rankOf(rule, owner)
 		if ok, again := f.withinQuota(r.Context(), owner.Name); !ok {
 			if !f.credit.on.Load() {
 				return nil, t, apierror.Beyond, again
@@ -209,7 +214,7 @@
 	now := time.Now()
 	q = &request{
 		method: r.Method, target: target, host: r.Host, id: r.Header.Get(attemptID), header: header,
-		claim: drawn, stop: now.Add(left), replies: map[int]*reply{}, length: r.ContentLength,
+		rank: rank, claim: drawn, stop: now.Add(left), replies: map[int]*reply{}, length: r.ContentLength,
 	}
 	if r.ContentLength != 0 {
 		body, err := io.ReadAll(io.LimitReader(r.Body, heldBody+1))
@@ -361,7 +366,7 @@
 	_, err := w.Write(r.body)
 	if r.flow != nil {
 		if err == nil {
-			err = r.pour(w)
+			err = r.stream(w)
 		}
 		r.ended <- err == nil
 	}
@@ -375,10 +380,10 @@
 
 var pieces = sync.Pool{New: func() any { b := make([]byte, piece); return &b }}
 
-// pour writes what flows, at the line's pace where it leaves the machine.
-func (r *reply) pour(w io.Writer) error {
+// stream writes what flows, at the line's pace where it leaves the machine.
+func (r *reply) stream(w io.Writer) error {
 	if r.pace != nil && r.pace.rate > 0 && (r.length < 0 || r.length > longFrom) {
-		return r.pace.pour(r.context, w, r.flow, max(r.length, longFrom))
+		return r.pace.stream(r.context, w, r.flow, max(r.length, longFrom), r.rank)
 	}
 	if r.pace != nil {
 		r.pace.small(int(max(r.length, 0)))
--- a/internal/mesh/proxy/pace.go
+++ b/internal/mesh/proxy/pace.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"io"
+	"math"
 	"sync"
 	"time"
+
+	"ottershift/internal/mesh/priority"
 )
 
 const (
@@ -23,13 +26,16 @@
 	mu    sync.Mutex
 	level float64
 	at    time.Time
-	turn  chan struct{} // has room for those that flow
-	queue int           // long answers that flow, wait or are asked for
-	mean  float64       // bytes of a long answer
+	flows int                           // long answers that have the line
+	queue priority.Queue[chan struct{}] // of those that wait for it; its channel is closed at their turn
+	asked map[priority.Rank]int         // long answers that have the line, wait or are asked for
+	mean  float64                       // bytes of a long answer
+	epoch time.Time
 }
 
 func newPacer(mbps float64) *pacer {
-	p := &pacer{turn: make(chan struct{}, paceFlows), at: time.Now(), level: paceBurst}
+	now := time.Now()
+	p := &pacer{asked: map[priority.Rank]int{}, at: now, epoch: now, level: paceBurst}
 	if bits := mbps * 1e6; bits > 0 && bits < paceFrom {
 		p.rate = bits / 8 * paceShare
 	}
@@ -56,36 +62,92 @@
 }
 
 // admit lets in a request whose answer is long, if it would be on its way by half of the time within which it is of full
-// worth: those in front of it, asked for or on their way, each take the line for as long as one does in the mean.
-func (p *pacer) admit(aim time.Duration) bool {
+// worth: those in front of it, asked for or on their way, each take the line for as long as one does in the mean. A rank that is
+// owed its share has one request let in all the same.
+func (p *pacer) admit(aim time.Duration, rank priority.Rank) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.rate > 0 && float64(p.queue)*p.mean/p.rate > aim.Seconds()/2 {
+	if p.rate == 0 {
+		return true
+	}
+	now := p.sinceStart(time.Now())
+	p.queue.Shares.Came(rank, now)
+	ahead := 0
+	for other, n := range p.asked {
+		if !rank.Before(other) {
+			ahead += n
+		}
+	}
+	late := float64(ahead)*p.mean/p.rate > aim.Seconds()/2
+	if late && (p.asked[rank] > 0 || !p.queue.Shares.Owed(rank, now)) {
 		return false
 	}
-	p.queue++
+	p.queue.Shares.Served(rank, now)
+	p.asked[rank]++
 	return true
 }
 
-func (p *pacer) leave() {
+// leave notes that a long answer that was let in is over.
+func (p *pacer) leave(rank priority.Rank) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.queue--
+	if p.rate == 0 {
+		return
+	}
+	if p.asked[rank]--; p.asked[rank] <= 0 {
+		delete(p.asked, rank)
+	}
 }
 
-// pour writes a long answer at the line's pace.
-func (p *pacer) pour(ctx context.Context, w io.Writer, from io.Reader, length int64) error {
+// take waits for the line; give ends what take began.
+func (p *pacer) take(ctx context.Context, rank priority.Rank) error {
 	p.mu.Lock()
-	if p.mean += (float64(length) - p.mean) / 8; p.mean <= 0 {
-		p.mean = float64(length)
+	if p.flows < paceFlows {
+		p.flows++
+		p.mu.Unlock()
+		return nil
 	}
+	now := p.sinceStart(time.Now())
+	waiting := &priority.Waiter[chan struct{}]{Rank: rank, Due: now, Request: make(chan struct{})}
+	p.queue.Join(waiting, math.MaxInt, now)
 	p.mu.Unlock()
 	select {
-	case p.turn <- struct{}{}:
-		defer func() { <-p.turn }()
+	case <-waiting.Request:
+		return nil
 	case <-ctx.Done():
-		return ctx.Err()
 	}
+	p.mu.Lock()
+	removed := p.queue.Remove(waiting)
+	p.mu.Unlock()
+	if !removed { // its turn came meanwhile
+		p.give()
+	}
+	return ctx.Err()
+}
+
+func (p *pacer) give() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if next := p.queue.Next(p.sinceStart(time.Now())); next != nil {
+		close(next.Request)
+		return
+	}
+	p.flows--
+}
+
+func (p *pacer) sinceStart(now time.Time) int64 { return int64(now.Sub(p.epoch)) }
+
+// stream writes a long answer at the line's pace.
+func (p *pacer) stream(ctx context.Context, w io.Writer, from io.Reader, length int64, rank priority.Rank) error {
+	p.mu.Lock()
+	if p.mean += (float64(length) - p.mean) / 8; p.mean <= 0 {
+		p.mean = float64(length)
+	}
+	p.mu.Unlock()
+	if err := p.take(ctx, rank); err != nil {
+		return err
+	}
+	defer p.give()
 	b := pieces.Get().(*[]byte)
 	defer pieces.Put(b)
 	for {
--- a/internal/mesh/proxy/proxy_test.go
+++ b/internal/mesh/proxy/proxy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -9,6 +10,8 @@
 	"github.com/shoenig/test/must"
 
 	"ottershift/internal/mesh/apierror"
+	"ottershift/internal/mesh/priority"
+	"ottershift/internal/mesh/routing"
 	"ottershift/logic"
 )
 
@@ -107,7 +110,7 @@
 func TestASmallAnswerOfNoStatedLengthNeverWaitsBehindLongOnes(t *testing.T) {
 	p := newPacer(6.4)
 	for range paceFlows {
-		p.turn <- struct{}{} // all turns are taken, for ever
+		must.NoError(t, p.take(context.Background(), priority.Rank{})) // all turns are taken, for ever
 	}
 	answer := func(size int) *reply {
 		return &reply{length: -1, flow: strings.NewReader(strings.Repeat("x", size)), pace: p, context: context.Background()}
@@ -116,7 +119,7 @@
 	must.NoError(t, small.measure())
 	must.Eq(t, 1500, small.length)
 	var out strings.Builder
-	must.NoError(t, small.pour(&out))
+	must.NoError(t, small.stream(&out))
 	must.Eq(t, 1500, out.Len())
 	long := answer(longFrom + 9)
 	must.NoError(t, long.measure())
@@ -124,11 +127,11 @@
 	ctx, end := context.WithCancel(context.Background())
 	long.context = ctx
 	end()
-	must.ErrorIs(t, long.pour(&out), context.Canceled) // it waits for its turn
-	<-p.turn
+	must.ErrorIs(t, long.stream(&out), context.Canceled) // it waits for its turn
+	p.give()
 	long.context = context.Background()
 	out.Reset()
-	must.NoError(t, long.pour(&out))
+	must.NoError(t, long.stream(&out))
 	must.Eq(t, longFrom+9, out.Len())
 }
 
@@ -149,7 +152,7 @@
 		}()
 		for {
 			b.mu.Lock()
-			n := len(b.waiting)
+			n := b.queue.Len()
 			b.mu.Unlock()
 			if n == before+1 {
 				return
@@ -172,19 +175,19 @@
 	p := newPacer(8) // a million bytes a second, of which long answers have 880,000
 	p.mean = 88_000  // a tenth of a second each
 	in := 0
-	for p.admit(time.Second) {
+	for p.admit(time.Second, priority.Rank{}) {
 		in++
 	}
 	must.Eq(t, 6, in) // those in front take half of the aim
-	p.leave()
-	must.True(t, p.admit(time.Second))
+	p.leave(priority.Rank{})
+	must.True(t, p.admit(time.Second, priority.Rank{}))
 	now := time.Now()
 	p.at, p.level = now, paceBurst
 	must.Eq(t, 0, p.spend(paceBurst, now))
 	must.Eq(t, 100*time.Millisecond, p.spend(88_000, now))
 	wide := newPacer(1000)
 	for range 1000 {
-		must.True(t, wide.admit(time.Millisecond)) // a wide line turns nothing away
+		must.True(t, wide.admit(time.Millisecond, priority.Rank{})) // a wide line turns nothing away
 	}
 }
 
@@ -211,3 +214,64 @@
 	q.close()
 	must.False(t, q.begin(pay))
 }
+
+// The header that tells a request's aim and rank is read by versions that know of no rank, and written by them without one.
+func TestUrgencyOnItsWayBetweenVersions(t *testing.T) {
+	table, err := routing.Parse([]byte(`{"Edition":1,"Senders":[{"Name":"t","ApiKeys":["k"],"Precedence":3}],"PostOffices":[{"Town":"a","Regulations":[
+{"Name":"r","MailClass":"repeatable","Target":"1s","Precedence":2,"Sorting":{"StreetPrefix":"/r/"},"Dispatch":{"Destination":"s","Deadline":"1s","DeliveryTries":1}}]}],"Depots":[{"Name":"s"}]}`))
+	must.NoError(t, err)
+	f := &Proxy{}
+	f.view.Store(&configurationView{table: table})
+	told := encodeUrgency(300*time.Millisecond, priority.Of(1, 0))
+	must.Eq(t, "300", told[0]) // all that the version before reads
+	for _, c := range []struct {
+		values []string
+		path   string
+		tenant string
+		aim    time.Duration
+		rank   priority.Rank
+	}{
+		{told, "/r/x", "t", 300 * time.Millisecond, priority.Of(1, 0)},
+		{told[:1], "/r/x?y", "t", 300 * time.Millisecond, priority.Of(3, 2)}, // of the version before: by what is known here
+		{told[:1], "/r/x", "", 300 * time.Millisecond, priority.Of(0, 2)},
+		{told[:1], "/other/", "t", 300 * time.Millisecond, priority.Lowest},
+		{[]string{"1e9", "priority=no"}, "/other/", "", aimUnsaid, priority.Lowest},
+		{nil, "/other/", "", aimUnsaid, priority.Lowest},
+	} {
+		r := httptest.NewRequest("GET", "http://a"+c.path, nil)
+		r.RequestURI, r.Host = c.path, "a"
+		r.Header[meshAimHeader] = c.values
+		r.Header[senderName] = []string{c.tenant}
+		aim, rank := f.urgency(r)
+		must.Eq(t, c.aim, aim, must.Sprint(c))
+		must.Eq(t, c.rank, rank, must.Sprint(c))
+	}
+	must.SliceContains(t, setByTheHub, meshAimHeader) // what a client sends of it goes no further
+}
+
+// A long answer of an urgent request has the narrow line before those that have waited for longer.
+func TestTheLineGoesToTheMostUrgentLongAnswer(t *testing.T) {
+	p := newPacer(6.4)
+	for range paceFlows {
+		must.NoError(t, p.take(context.Background(), priority.Rank{}))
+	}
+	order := make(chan string, 2)
+	wait := func(name string, rank priority.Rank, before int) {
+		go func() {
+			if p.take(context.Background(), rank) == nil {
+				order <- name
+			}
+		}()
+		for waiting := 0; waiting != before+1; {
+			p.mu.Lock()
+			waiting = p.queue.Len()
+			p.mu.Unlock()
+		}
+	}
+	wait("usual", priority.Of(0, 2), 0)
+	wait("urgent", priority.Of(0, 0), 1)
+	p.give()
+	must.Eq(t, "urgent", <-order)
+	p.give()
+	must.Eq(t, "usual", <-order)
+}
--- a/internal/mesh/proxy/push.go
+++ b/internal/mesh/proxy/push.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"runtime/debug"
-	"strconv"
 	"strings"
 	"time"
 
@@ -36,7 +35,7 @@
 		}
 	}()
 	paid := func() bool {
-		if q.pool.more(f.now(), int(f.membersNow.Load())) {
+		if q.pool.more(f.now(), int(f.membersNow.Load()), q.rank) {
 			return true
 		}
 		f.counts.Add("budget_spent")
@@ -89,7 +88,7 @@
 	s := f.requestTo(q, c, o)
 	partner, through := q.pool.partnerOf(o)
 	if o.Place.Address != f.settings.Inbound {
-		s.header[meshAimHeader] = []string{strconv.FormatInt(q.aim.Milliseconds(), 10)}
+		s.header[meshAimHeader] = encodeUrgency(q.aim, q.rank)
 		if q.long {
 			s.header[meshLongHeader] = []string{"1"}
 		}
@@ -108,7 +107,7 @@
 func (f *Proxy) requestTo(q *request, c *desk.Case, o *desk.Push) *upstreamRequest {
 	s := &upstreamRequest{
 		id: q.id, to: o.Name, method: q.method, target: q.target, host: q.host, header: make(http.Header, len(q.header)+3),
-		body: q.body, rest: q.rest, length: q.length, until: o.Until, aim: q.aim,
+		body: q.body, rest: q.rest, length: q.length, until: o.Until, aim: q.aim, rank: q.rank,
 	}
 	for name, values := range q.header {
 		s.header[name] = values
--- a/internal/mesh/proxy/send.go
+++ b/internal/mesh/proxy/send.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"ottershift/internal/mesh/apierror"
+	"ottershift/internal/mesh/priority"
 	"ottershift/internal/roster"
 )
 
@@ -25,7 +26,8 @@
 	length               int64
 	until                time.Time
 	aim                  time.Duration // within which its answer is of full worth
-	callerGone           func() bool   // looks at the connection that it came over, nil where there is none to look at
+	rank                 priority.Rank
+	callerGone           func() bool // looks at the connection that it came over, nil where there is none to look at
 }
 
 // upstreamResponse is what comes back of it. kind Unready says that it never left, Broke that it may have run.
--- a/internal/mesh/proxy/view.go
+++ b/internal/mesh/proxy/view.go
@@ -12,6 +12,7 @@
 	"ottershift/internal/desk"
 	"ottershift/internal/figures"
 	"ottershift/internal/mesh/outlier"
+	"ottershift/internal/mesh/priority"
 	"ottershift/internal/mesh/ratelimit"
 	"ottershift/internal/mesh/routing"
 	"ottershift/internal/roster"
@@ -60,16 +61,16 @@
 	rules    []*routing.Route // and by what it is tuned then
 }
 
-func (p *pool) first(now int64) {
+func (p *pool) first(now int64, rank priority.Rank) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.budget.First(now)
+	p.budget.First(now, rank)
 }
 
-func (p *pool) more(now int64, members int) bool {
+func (p *pool) more(now int64, members int, rank priority.Rank) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.budget.Take(now, members)
+	return p.budget.Take(now, members, rank)
 }
 
 // pick takes a service of a route by its shares.
--- a/internal/mesh/ratelimit/ratelimit.go
+++ b/internal/mesh/ratelimit/ratelimit.go
@@ -5,7 +5,11 @@
 // for anybody.
 package ratelimit
 
-import "math"
+import (
+	"math"
+
+	"ottershift/internal/mesh/priority"
+)
 
 const s = float64(1e9)
 
@@ -26,9 +30,15 @@
 	window       int64
 	ratio, slack float64
 	firsts, more ring
+
+	urgent     priority.Rank // the most urgent that was seen
+	urgentSlot int64         // when it was seen last
 }
 
-const slots = 20 // of a window
+const (
+	slots         = 20  // of a window
+	urgentReserve = 0.1 // of a budget that is kept for the most urgent rank of its service
+)
 
 type ring struct {
 	n  [slots + 1]float64
@@ -54,23 +64,31 @@
 
 // NewBudget makes one that has seen nothing. Ratio is of own first sends, slack what all members together have a window.
 func NewRetryBudget(window int64, ratio, slack float64) *RetryBudget {
-	return &RetryBudget{window: window, ratio: ratio, slack: slack}
+	return &RetryBudget{window: window, ratio: ratio, slack: slack, urgent: priority.Lowest}
 }
 
 // First counts a first send.
-func (b *RetryBudget) First(now int64) {
+func (b *RetryBudget) First(now int64, rank priority.Rank) {
 	slot := now / (b.window / slots)
+	if !b.urgent.Before(rank) || slot-b.urgentSlot > slots {
+		b.urgent, b.urgentSlot = rank, slot
+	}
 	b.firsts.turn(slot)
 	b.firsts.n[slot%(slots+1)]++
 }
 
 // Take spends one send beyond the first, if there is one to spend. Half of a part is what a balancer has by itself: the
-// other half is for the calls that repeated runs make, which nobody can tell from others.
-func (b *RetryBudget) Take(now int64, members int) bool {
+// other half is for the calls that repeated runs make, which nobody can tell from others. Who is not of the most urgent rank leaves
+// a part to those who are.
+func (b *RetryBudget) Take(now int64, members int, rank priority.Rank) bool {
 	slot := now / (b.window / slots)
 	b.firsts.turn(slot)
 	b.more.turn(slot)
-	if b.more.sum()+1 > b.Bound(members) {
+	bound := b.Bound(members)
+	if b.urgent.Before(rank) {
+		bound = math.Max(1, bound-urgentReserve*bound)
+	}
+	if b.more.sum()+1 > bound {
 		return false
 	}
 	b.more.n[slot%(slots+1)]++
--- a/internal/mesh/ratelimit/ratelimit_test.go
+++ b/internal/mesh/ratelimit/ratelimit_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"ottershift/internal/mesh/priority"
 	"sort"
 	"testing"
 
@@ -228,18 +229,42 @@
 	b := NewRetryBudget(10e9, 0.2, 58)
 	spent := 0
 	for now := int64(0); now < 10e9; now += 10 * ms {
-		b.First(now)
-		if b.Take(now, 14) {
+		b.First(now, priority.Rank{})
+		if b.Take(now, 14, priority.Rank{}) {
 			spent++
 		}
 	}
 	t.Logf("bound %.1f, spent %d", b.Bound(14), spent)
 	must.LessEq(t, b.Bound(14), float64(spent))
 	must.Positive(t, spent)
-	must.True(t, NewRetryBudget(10e9, 0.2, 58).Take(0, 14)) // a start brings one, not a window's
+	must.True(t, NewRetryBudget(10e9, 0.2, 58).Take(0, 14, priority.Rank{})) // a start brings one, not a window's
 	fresh := NewRetryBudget(10e9, 0.2, 58)
 	for range 3 {
-		fresh.Take(0, 14)
+		fresh.Take(0, 14, priority.Rank{})
 	}
-	must.False(t, fresh.Take(1, 14))
+	must.False(t, fresh.Take(1, 14, priority.Rank{}))
+}
+
+// The last tenth of a budget is for the most urgent rank that a service has; once that is gone for a window, it is for the next.
+func TestTheLastOfABudgetIsForTheMostUrgent(t *testing.T) {
+	urgent, usual := priority.Of(0, 0), priority.Of(0, 2)
+	spend := func(b *RetryBudget, now int64, rank priority.Rank) (n int) {
+		for b.Take(now, 14, rank) {
+			n++
+		}
+		return n
+	}
+	b := NewRetryBudget(10e9, 0.2, 580)
+	b.First(0, usual)
+	for range 99 {
+		b.First(ms, usual)
+	}
+	b.First(2*ms, urgent)
+	must.Eq(t, 27, spend(b, 3*ms, usual)) // of 0.1 * 101 + 580/2/14 = 30.8
+	must.Eq(t, 3, spend(b, 3*ms, urgent))
+	for now := int64(3 * ms); now < 25e9; now += 100 * ms {
+		b.First(now, usual)
+	}
+	spent := spend(b, 25e9, usual)
+	must.Eq(t, int(b.Bound(14)), spent)
 }
--- a/internal/mesh/routing/parse.go
+++ b/internal/mesh/routing/parse.go
@@ -145,6 +145,7 @@
 func (t *Configuration) settle() error {
 	var faults errs.Group
 	t.routesByHost, t.tenantsByKey, t.servicesByName = map[string]map[string]*Route{}, map[string]*Tenant{}, map[string]*Service{}
+	t.tenantsByName = map[string]*Tenant{}
 	t.Routes = t.Routes[:0]
 	faults.Add(t.partners())
 	if err := validation.Validate(t.Edition, validation.Required, validation.Min(int64(1))); err != nil {
@@ -167,6 +168,7 @@
 		if s.BurstCredit != nil && s.RatePerS <= 0 {
 			faults.Add(Error.New("Senders %s: Nectar: without RatePerS nothing is left to save", s.Name))
 		}
+		t.tenantsByName[s.Name] = s
 		for _, key := range s.ApiKeys {
 			t.tenantsByKey[key] = s
 		}
--- a/internal/mesh/routing/routing.go
+++ b/internal/mesh/routing/routing.go
@@ -36,6 +36,7 @@
 	routesByHost   map[string]map[string]*Route // by host and prefix
 	tenantsByKey   map[string]*Tenant
 	servicesByName map[string]*Service
+	tenantsByName  map[string]*Tenant
 }
 
 // Digest names a call that changes the configuration, so that the same one sent again is known.
@@ -44,7 +45,7 @@
 	return hex.EncodeToString(sum[:16])
 }
 
-// Doc is the configuration as it is read back.
+// Document is the configuration as it is read back.
 func (t *Configuration) Document() json.RawMessage { return t.document }
 
 // Find is the route of a request: of its host's, the one with the longest prefix of the path.
@@ -66,11 +67,14 @@
 	return nil
 }
 
-// Owner is the tenant that holds a key, nil for none.
+// Tenant is the tenant that holds a key, nil for none.
 func (t *Configuration) Tenant(key string) *Tenant { return t.tenantsByKey[key] }
 
-// Stamped reports whether requests must carry a key.
+// TenantByName is the tenant of a name, nil for none.
+func (t *Configuration) TenantByName(name string) *Tenant { return t.tenantsByName[name] }
+
+// RequiresKeys reports whether requests must carry a key.
 func (t *Configuration) RequiresKeys() bool { return len(t.Tenants) > 0 }
 
-// Depot is a service by its name.
+// Service is a service by its name, nil for none.
 func (t *Configuration) Service(name string) *Service { return t.servicesByName[name] }
