A configuration that means two things is invalid: one closed list for orders and amendments

Cause: Parse took the last of two routes at one place, of two holders of a key, of two tenants or services of a name, of two fields in an object (in other capitals too), an empty key, text that is no UTF-8; amendments dropped lists that nobody knows and limits that they did not name. Two routes of one name at a service shared the first one's terms, so effects could run twice. Tables of partners are read as strictly. Terms are by route, not by name. Diff pairs items that share a name.

--- a/internal/mesh/controller/control_api.go
+++ b/internal/mesh/controller/control_api.go
@@ -96,7 +96,7 @@
 	if err != nil {
 		return unclear(err)
 	}
-	c.log.Info("timetable", "call", call, "base", order.base, "edition", order.edition, "index", next.Index, "bytes", len(order.body), "took", time.Since(began))
+	c.log.Info("configuration", "call", call, "base", order.base, "edition", order.edition, "index", next.Index, "bytes", len(order.body), "took", time.Since(began))
 	return nil
 }
 
@@ -139,10 +139,13 @@
 	c.parsed.Lock()
 	defer c.parsed.Unlock()
 	if c.parsed.table == nil || !bytes.Equal(c.parsed.table.Document(), s.Configuration) {
-		t, err := routing.Parse(s.Configuration)
+		t, err := routing.Load(s.Configuration)
 		if err != nil {
 			return nil, apierror.New(apierror.Unclear, "what is agreed can't be read: %v", err)
 		}
+		if err := t.Ambiguous(); err != nil { // agreed by a version that took it; the next change has to mend it
+			c.log.Warn("configuration", "edition", t.Edition, "ambiguous", err)
+		}
 		c.parsed.table = t
 	}
 	return c.parsed.table, nil
--- a/internal/mesh/federation/federation_test.go
+++ b/internal/mesh/federation/federation_test.go
@@ -213,6 +213,21 @@
 	must.Eq(t, b.Partners["p"].Told, again.Partners["p"].Told)
 }
 
+// A table that readers may take for different things lets nothing in.
+func TestATableWithTwoMeaningsIsRefused(t *testing.T) {
+	whole := `{"Partner":"p","Edition":3,"Lease":"20s","Exports":[` + scans + `]}`
+	_, err := Parse([]byte(whole), "p", "us")
+	must.NoError(t, err)
+	for _, twice := range []string{`"Edition":3,"Edition":4`, `"Edition":3,"edition":4`, `"Edition":3,"Exports":[]`} {
+		_, err := Parse([]byte(strings.Replace(whole, `"Edition":3`, twice, 1)), "p", "us")
+		must.ErrorContains(t, err, "stands twice", must.Sprint(twice))
+	}
+	_, err = Parse([]byte(strings.Replace(whole, `"p"`, "\"p\xff\"", 1)), "p", "us")
+	must.ErrorContains(t, err, "UTF-8")
+	_, err = Parse([]byte(whole+"]"), "p", "us")
+	must.ErrorContains(t, err, "read whole")
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(`{"Partner":"p","Edition":3,"Lease":"20s","Exports":[` + scans + `]}`))
 	f.Add([]byte(`{"Partner":"p","Edition":3,"Lease":"20s","Exports":[null,{}],"Via":null}`))
--- a/internal/mesh/federation/table.go
+++ b/internal/mesh/federation/table.go
@@ -11,7 +11,6 @@
 package federation
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -22,6 +21,8 @@
 
 	validation "github.com/go-ozzo/ozzo-validation/v4"
 	"github.com/zeebo/errs"
+
+	"ottershift/internal/mesh/strictjson"
 )
 
 // Error is the class of faults in partners' tables.
@@ -97,12 +98,11 @@
 		return nil, Error.New("%d bytes; %d are taken", len(raw), mostBytes)
 	}
 	t := &Table{}
-	d := json.NewDecoder(bytes.NewReader(raw))
-	if err := d.Decode(t); err != nil {
+	if err := strictjson.DecodeWhole(raw, t); err != nil {
 		return nil, Error.New("can't be read whole: %v", err)
 	}
-	if d.More() {
-		return nil, Error.New("something follows the table")
+	if err := strictjson.Check(raw); err != nil {
+		return nil, Error.Wrap(err)
 	}
 	var faults errs.Group
 	check := func(key string, v any, rules ...validation.Rule) {
--- a/internal/mesh/meshctl/configuration.go
+++ b/internal/mesh/meshctl/configuration.go
@@ -53,6 +53,9 @@
 	if err != nil {
 		return err
 	}
+	if t, err := routing.Load(text); err == nil && t.Ambiguous() != nil {
+		fmt.Fprintf(os.Stderr, "in force, and refused as the next change, since it means two things:\n%v\n", t.Ambiguous())
+	}
 	_, err = fmt.Fprintln(k.out, string(text))
 	return err
 }
@@ -92,7 +95,7 @@
 	if err != nil {
 		return 0, err
 	}
-	t, err := routing.Parse(text)
+	t, err := routing.Load(text)
 	if err != nil {
 		return 0, err
 	}
@@ -126,7 +129,7 @@
 	if err != nil {
 		return err
 	}
-	now, err := routing.Parse(text)
+	now, err := routing.Load(text)
 	if err != nil {
 		return err
 	}
--- a/internal/mesh/meshctl/partners.go
+++ b/internal/mesh/meshctl/partners.go
@@ -65,7 +65,7 @@
 		}
 	}
 	fmt.Fprintf(k.out, "%d of the balancers that ask %s act on word %d, %d on an earlier one\n", len(s.Doors)-behind, s.Node, book.No, behind)
-	t, err := routing.Parse(s.State.Configuration)
+	t, err := routing.Load(s.State.Configuration)
 	if err != nil {
 		return nil
 	}
--- a/internal/mesh/proxy/view.go
+++ b/internal/mesh/proxy/view.go
@@ -5,6 +5,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -48,11 +49,12 @@
 
 // pool is the upstreams of one service, and the module that decides among them.
 type pool struct {
-	name   string
-	desk   *desk.Desk
-	counts *figures.Pool
-	book   *terms.Book
-	peers  *connectionPool // hosts are named by the pool's own roster
+	name    string
+	desk    *desk.Desk
+	counts  *figures.Pool
+	book    *terms.Book
+	tariffs map[*routing.Route]int // of its routes, as the book numbers them
+	peers   *connectionPool        // hosts are named by the pool's own roster
 
 	mu     sync.Mutex
 	budget *ratelimit.RetryBudget
@@ -113,13 +115,13 @@
 			p := f.pools[part.Service]
 			under := *p.book.Terms
 			under.MaxPushes = r.Dispatch.DeliveryTries
-			v.targets[r] = append(v.targets[r], target{p, part.Share, &under, p.book.Tariffs[r.Name]})
+			v.targets[r] = append(v.targets[r], target{p, part.Share, &under, p.tariffs[r]})
 		}
 	}
 	f.rules = by
 	f.view.Store(v)
 	f.quota(t)
-	f.log.Info("timetable", "edition", t.Edition, "index", index, "routes", len(t.Routes))
+	f.log.Info("configuration", "edition", t.Edition, "index", index, "routes", len(t.Routes))
 	f.relist()
 	f.exports.Lock()
 	f.partners()
@@ -137,13 +139,20 @@
 		ColdShare: 1, FallMultiple: 1, FallSpan: int64(time.Second), BeyondShare: 1, // nothing here falls over: see weight
 	}
 	b := &terms.Book{Terms: t, Tariffs: map[string]int{}, Customers: map[string]int{}, Default: -1}
+	tariffs := map[*routing.Route]int{}
 	for _, r := range rules {
+		if _, known := tariffs[r]; known { // it names the service twice among its shares
+			continue
+		}
 		if r.MailClass == routing.Streamed {
 			t.CrossZonePrice = longCrossing
 		}
-		if _, twice := b.Tariffs[r.Name]; twice {
-			continue
+		tariffs[r] = len(t.Tariffs)
+		name := r.Name
+		if _, taken := b.Tariffs[name]; taken { // routes may share a name, not what is promised for them
+			name += "#" + strconv.Itoa(len(t.Tariffs))
 		}
+		b.Tariffs[name] = len(t.Tariffs)
 		most = max(most, r.Dispatch.DeliveryTries)
 		f := &logic.Tariff{
 			HardStop: int64(r.Dispatch.Deadline), ContractTime: int64(cmp.Or(r.Target, r.Dispatch.Deadline)),
@@ -152,7 +161,6 @@
 		if r.MailClass.Repeats() {
 			f.Repeat = logic.Repeatable
 		}
-		b.Tariffs[r.Name] = len(t.Tariffs)
 		t.Tariffs = append(t.Tariffs, f)
 	}
 	t.MaxPushes = most
@@ -161,7 +169,7 @@
 	p := f.pools[service]
 	if p == nil {
 		bounds := &f.settings.Bounds
-		p = &pool{name: service, counts: &figures.Pool{}, book: b, peers: newConnectionPool(dialPeer, f.counts, "peer"),
+		p = &pool{name: service, counts: &figures.Pool{}, book: b, tariffs: tariffs, peers: newConnectionPool(dialPeer, f.counts, "peer"),
 			budget: ratelimit.NewRetryBudget(int64(bounds.RetryWindow), bounds.RetryRatio, bounds.RetrySlack)}
 		var err error
 		if p.desk, err = desk.New(b, p.counts, f.log.With("service", service), desk.Design); err != nil {
@@ -174,7 +182,7 @@
 	if err := p.desk.Retune(b); err != nil {
 		return err
 	}
-	p.book = b
+	p.book, p.tariffs = b, tariffs
 	return nil
 }
 
--- a/internal/mesh/proxy/watch.go
+++ b/internal/mesh/proxy/watch.go
@@ -285,7 +285,7 @@
 func (f *Proxy) applyConfiguration(n *membership.WatchResponse) error {
 	switch {
 	case n.Configuration != nil && (n.Current || f.view.Load() != nil):
-		t, err := routing.Parse(n.Configuration)
+		t, err := routing.Load(n.Configuration)
 		if err != nil {
 			return err
 		}
--- a/internal/mesh/routing/amend.go
+++ b/internal/mesh/routing/amend.go
@@ -2,6 +2,12 @@
 
 import (
 	"encoding/json"
+	"slices"
+	"strings"
+
+	"github.com/zeebo/errs"
+
+	"ottershift/internal/mesh/strictjson"
 )
 
 // amendment is a call that alters items by name.
@@ -15,9 +21,15 @@
 // Amend makes the version that an amendment asks for.
 func (t *Configuration) Amend(body []byte) (*Configuration, error) {
 	var a amendment
-	if err := whole(body, &a); err != nil {
+	if err := strictjson.DecodeWhole(body, &a); err != nil {
 		return nil, Error.New("can't be read whole: %v", err)
 	}
+	if err := strictjson.Check(body); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	if err := a.checkLists(); err != nil {
+		return nil, err
+	}
 	next := &Configuration{Edition: a.Edition, Limits: t.Limits, other: map[string]json.RawMessage{}}
 	for name, raw := range t.other {
 		next.other[name] = raw
@@ -35,12 +47,12 @@
 	if err := add.parts(a.Deliver); err != nil {
 		return nil, err
 	}
+	if err := add.checkDelivered(); err != nil {
+		return nil, err
+	}
 	for _, raw := range []json.RawMessage{a.SizeLimits, a.Deliver["SizeLimits"]} {
-		if len(raw) > 0 && string(raw) != "null" {
-			if err := json.Unmarshal(raw, &next.Limits); err != nil {
-				return nil, Error.New("SizeLimits: %v", err)
-			}
-			next.other["SizeLimits"] = raw
+		if err := next.amendLimits(raw); err != nil {
+			return nil, err
 		}
 	}
 	for _, name := range []string{"Mesh", "Partners"} { // whole
@@ -52,7 +64,10 @@
 	next.Services = merge(t.Services, add.Services, gone("Depots", "Destinations"), func(d *Service) string { return d.Name })
 
 	// Routes are replaced where they stand; one that comes to another town leaves its own.
-	routes, towns := gone("Routes", "Regulations"), gone("PostOffices", "Towns")
+	routes, towns := gone("Routes", "Regulations"), map[string]bool{}
+	for host := range gone("PostOffices", "Towns") {
+		towns[strings.ToLower(host)] = true
+	}
 	fresh, placed := map[string]*Route{}, map[*Route]bool{}
 	for _, o := range add.hosts {
 		for _, r := range o.Routes {
@@ -61,7 +76,7 @@
 	}
 	at := map[string]*hostRoutes{}
 	for _, o := range t.hosts {
-		if towns[o.Host] {
+		if towns[strings.ToLower(o.Host)] {
 			continue
 		}
 		to := &hostRoutes{Host: o.Host}
@@ -97,9 +112,79 @@
 	if err := next.settle(); err != nil {
 		return nil, err
 	}
+	if err := next.findAmbiguities(); err != nil {
+		return nil, err
+	}
 	return next, next.write()
 }
 
+// checkLists refuses lists that an amendment can't have: what is not understood would be acknowledged and not be in force.
+func (a *amendment) checkLists() error {
+	var faults errs.Group
+	for list := range a.Deliver {
+		if !slices.Contains(deliverable, list) {
+			faults.Add(Error.New("Deliver: nothing is named %q", list))
+		}
+	}
+	for list := range a.Withdraw {
+		if !slices.Contains(withdrawable, list) {
+			faults.Add(Error.New("Withdraw: nothing is named %q", list))
+		}
+	}
+	return faults.Err()
+}
+
+var (
+	deliverable  = []string{"PostOffices", "Depots", "Senders", "SizeLimits", "Mesh", "Partners"}
+	withdrawable = []string{"Routes", "Regulations", "PostOffices", "Towns", "Depots", "Destinations", "Senders"}
+)
+
+// checkDelivered refuses items by which an amendment would mean two things.
+func (t *Configuration) checkDelivered() error {
+	var routes []*Route
+	for _, host := range t.hosts {
+		routes = append(routes, host.Routes...)
+	}
+	var faults errs.Group
+	faults.Add(checkDelivered("route", routes, func(r *Route) string { return r.Name }))
+	faults.Add(checkDelivered("Depots", t.Services, func(s *Service) string { return s.Name }))
+	faults.Add(checkDelivered("Senders", t.Tenants, func(s *Tenant) string { return s.Name }))
+	return faults.Err()
+}
+
+// amendLimits alters the limits that are named, and leaves the others as they are.
+func (t *Configuration) amendLimits(raw json.RawMessage) error {
+	if len(raw) == 0 || string(raw) == "null" {
+		return nil
+	}
+	if err := json.Unmarshal(raw, &t.Limits); err != nil {
+		return Error.New("SizeLimits: %v", err)
+	}
+	fields, names := map[string]json.RawMessage{}, map[string]string{}
+	for _, from := range []json.RawMessage{t.other["SizeLimits"], raw} {
+		var told map[string]json.RawMessage
+		if len(from) == 0 {
+			continue
+		}
+		if err := json.Unmarshal(from, &told); err != nil {
+			return Error.New("SizeLimits: %v", err)
+		}
+		for name, value := range told {
+			known, found := names[strictjson.FoldCase(name)]
+			if !found {
+				known, names[strictjson.FoldCase(name)] = name, name
+			}
+			fields[known] = value
+		}
+	}
+	merged, err := json.Marshal(fields)
+	if err != nil {
+		return Error.New("SizeLimits: %v", err)
+	}
+	t.other["SizeLimits"] = merged
+	return nil
+}
+
 // merge replaces items by name, adds what is new and leaves out what is withdrawn.
 func merge[T any](old, add []*T, gone map[string]bool, name func(*T) string) (out []*T) {
 	fresh, placed := map[string]*T{}, map[string]bool{}
--- a/internal/mesh/routing/diff.go
+++ b/internal/mesh/routing/diff.go
@@ -30,24 +30,35 @@
 	return string(bytes.TrimSpace(out))
 }
 
+// differ compares items by name; of those that share one, the first with the first, and so on.
 func differ[T any](what string, from, to []*T, of func(*T) (name, text string)) (lines []string) {
-	before, after := map[string]string{}, map[string]bool{}
-	for _, v := range from {
-		name, text := of(v)
-		before[name] = text
+	type key struct {
+		name  string
+		place int
 	}
-	for _, v := range to {
-		name, text := of(v)
-		after[name] = true
-		if was, is := before[name]; !is {
-			lines = append(lines, fmt.Sprintf("+ %s %s", what, name))
-		} else if was != text {
-			lines = append(lines, fmt.Sprintf("~ %s %s: %s -> %s", what, name, was, text))
+	keysOf := func(all []*T) (keys []key, texts map[key]string) {
+		seen, texts := map[string]int{}, map[key]string{}
+		for _, v := range all {
+			name, text := of(v)
+			k := key{name, seen[name]}
+			seen[name]++
+			texts[k] = text
+			keys = append(keys, k)
 		}
+		return keys, texts
 	}
-	for _, v := range from {
-		if name, _ := of(v); !after[name] {
-			lines = append(lines, fmt.Sprintf("- %s %s", what, name))
+	fromKeys, before := keysOf(from)
+	toKeys, after := keysOf(to)
+	for _, k := range toKeys {
+		if was, is := before[k]; !is {
+			lines = append(lines, fmt.Sprintf("+ %s %s", what, k.name))
+		} else if was != after[k] {
+			lines = append(lines, fmt.Sprintf("~ %s %s: %s -> %s", what, k.name, was, after[k]))
+		}
+	}
+	for _, k := range fromKeys {
+		if _, is := after[k]; !is {
+			lines = append(lines, fmt.Sprintf("- %s %s", what, k.name))
 		}
 	}
 	return lines
--- a/internal/mesh/routing/parse.go
+++ b/internal/mesh/routing/parse.go
@@ -3,13 +3,14 @@
 import (
 	"bytes"
 	"encoding/json"
-	"io"
 	"net/netip"
 	"strings"
 	"time"
 
 	validation "github.com/go-ozzo/ozzo-validation/v4"
 	"github.com/zeebo/errs"
+
+	"ottershift/internal/mesh/strictjson"
 )
 
 const longest = 10 * time.Minute // that a route may hold a request
@@ -46,18 +47,6 @@
 	return faults.Err()
 }
 
-// whole decodes one JSON value with nothing behind it.
-func whole(body []byte, to any) error {
-	d := json.NewDecoder(bytes.NewReader(body))
-	if err := d.Decode(to); err != nil {
-		return err
-	}
-	if _, err := d.Token(); err != io.EOF {
-		return errs.New("something stands behind the configuration")
-	}
-	return nil
-}
-
 // named decodes a list of items, each kept raw.
 func named[T any](raw json.RawMessage, what string, take func(*T, json.RawMessage)) error {
 	if len(raw) == 0 || string(raw) == "null" {
@@ -113,10 +102,36 @@
 	return faults.Err()
 }
 
-// Parse reads a whole configuration and checks it.
+// Parse reads a whole configuration and refuses what is invalid, or would mean two things.
 func Parse(body []byte) (*Configuration, error) {
+	t, err := read(body)
+	if err != nil {
+		return nil, err
+	}
+	if err := strictjson.Check(body); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	if err := t.findAmbiguities(); err != nil {
+		return nil, err
+	}
+	return t, nil
+}
+
+// Load reads a configuration that has been agreed on. One that a version before this took although it means two things goes on in
+// force, with the meaning that it had there; Ambiguous says what that is. The next change has to mend that.
+func Load(document []byte) (*Configuration, error) { return read(document) }
+
+// Ambiguous says by what a configuration that was loaded means two things, nil for nothing.
+func (t *Configuration) Ambiguous() error {
+	var faults errs.Group
+	faults.Add(strictjson.Check(t.document))
+	faults.Add(t.findAmbiguities())
+	return faults.Err()
+}
+
+func read(body []byte) (*Configuration, error) {
 	var top map[string]json.RawMessage
-	if err := whole(body, &top); err != nil {
+	if err := strictjson.DecodeWhole(body, &top); err != nil {
 		return nil, Error.New("can't be read whole: %v", err)
 	}
 	t := &Configuration{other: map[string]json.RawMessage{}}
@@ -138,7 +153,10 @@
 		return nil, Error.Wrap(err)
 	}
 	t.document = compact.Bytes()
-	return t, t.settle()
+	if err := t.settle(); err != nil {
+		return nil, err
+	}
+	return t, nil
 }
 
 // settle indexes a configuration and names all that makes it invalid.
@@ -197,7 +215,7 @@
 	return Error.New("%s: %v", where, err)
 }
 
-// rule checks a route and finds where it goes.
+// checkRoute checks a route and finds where it goes.
 func (t *Configuration) checkRoute(r *Route) error {
 	where := "route " + r.Name
 	d := &r.Dispatch
--- a/internal/mesh/routing/routing.go
+++ b/internal/mesh/routing/routing.go
@@ -1,4 +1,4 @@
-// Package routing is the configuration, the configuration that the mesh agrees on: read, checked, amended, looked up. It does
+// Package routing is the configuration that the mesh agrees on: read, checked, amended, looked up. It does
 // no I/O. What it doesn't know in a configuration is kept as it was sent.
 package routing
 
@@ -12,7 +12,7 @@
 )
 
 // Error is the class of faults in a configuration.
-var Error = errs.Class("timetable")
+var Error = errs.Class("configuration")
 
 type hostRoutes struct {
 	Host   string   `json:"Town"`
--- a/internal/mesh/routing/types.go
+++ b/internal/mesh/routing/types.go
@@ -37,13 +37,13 @@
 // Repeats reports whether a request may run more than once.
 func (c Class) Repeats() bool { return c == Repeatable || c == Streamed }
 
-// Part is a service with its share of a route.
+// WeightedService is a service with its share of a route.
 type WeightedService struct {
 	Service string `json:"Destination"`
 	Share   float64
 }
 
-// Rule is a route.
+// Route says what is done with the requests at a place.
 type Route struct {
 	Name       string
 	MailClass  Class
@@ -63,7 +63,7 @@
 	raw   json.RawMessage   // as sent
 }
 
-// Sender is a tenant.
+// Tenant is who may ask, by its keys.
 type Tenant struct {
 	Name        string
 	ApiKeys     []string
@@ -75,7 +75,7 @@
 	raw json.RawMessage
 }
 
-// Nectar is a tenant's burst credit.
+// BurstCredit is a tenant's burst credit.
 type BurstCredit struct {
 	Earn  float64 // part of what it leaves of its rate that is saved
 	Cap   float64 // requests saved at most
@@ -95,7 +95,7 @@
 		validation.Field(&n.Extra, validation.Required, validation.Min(1.0)))
 }
 
-// Depot is a service.
+// Service is what upstreams offer.
 type Service struct {
 	Name                 string
 	HealthPath           string
