A configuration travels as what changed, packed, apart from the watch, as long as bytes come

Cause: the answer to a watch had 0.9 s in all whatever it carried, and began anew after that, so a configuration that needed longer never arrived; each balancer parsed all of it for each change. A watch that was given up for news of the own upstream never counted as failed, so with news more often than each 0.9 s a silent controller was never left. Change: routing.Change (runs of items by digest), Packed; a short one comes with the watch, a long one is named and fetched in pieces beside it, from whoever has it; calls end for want of progress (rpc.Patience), long answers are gzipped; adopt retunes only services whose terms differ, a module that refuses its terms is replaced and the others go on. Old processes get and give documents as before. Files watch.go and view.go split.

--- a/internal/mesh/controller/control_api.go
+++ b/internal/mesh/controller/control_api.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -129,24 +128,3 @@
 		return order.decide(newest, func() (*routing.Configuration, error) { return c.parsedConfiguration(newest) })
 	})
 }
-
-// parsedConfiguration is the configuration of a state, read once; nil where there is none. Invariant: an edition does not
-// identify it. After a restore another configuration may bear a number that this process has seen.
-func (c *Controller) parsedConfiguration(s *consensus.State) (*routing.Configuration, error) {
-	if s.Edition == 0 {
-		return nil, nil
-	}
-	c.parsed.Lock()
-	defer c.parsed.Unlock()
-	if c.parsed.table == nil || !bytes.Equal(c.parsed.table.Document(), s.Configuration) {
-		t, err := routing.Load(s.Configuration)
-		if err != nil {
-			return nil, apierror.New(apierror.Unclear, "what is agreed can't be read: %v", err)
-		}
-		if err := t.Ambiguous(); err != nil { // agreed by a version that took it; the next change has to mend it
-			c.log.Warn("configuration", "edition", t.Edition, "ambiguous", err)
-		}
-		c.parsed.table = t
-	}
-	return c.parsed.table, nil
-}
--- a/internal/mesh/controller/controller.go
+++ b/internal/mesh/controller/controller.go
@@ -16,7 +16,6 @@
 
 	"ottershift/internal/mesh/consensus"
 	"ottershift/internal/mesh/membership"
-	"ottershift/internal/mesh/routing"
 	"ottershift/internal/mesh/rpc"
 	"ottershift/internal/mesh/settings"
 	"ottershift/internal/mesh/storage"
@@ -57,14 +56,11 @@
 	pendingAfter uint64 // the slot of the state after which it stands
 	core         string
 
-	parsed struct {
-		sync.Mutex
-		table *routing.Configuration
-	}
-	wake    chan struct{}
-	bank    bank
-	ledger  creditLedger
-	gateway federationGateway
+	configurations configurationCache
+	wake           chan struct{}
+	bank           bank
+	ledger         creditLedger
+	gateway        federationGateway
 
 	acting       atomic.Bool // on what the core's first process has to do
 	settling     atomic.Bool // what stands undecided
@@ -185,6 +181,7 @@
 	mux.HandleFunc(rpc.PathConsensus, rpc.Handle(c.replicator.handle))
 	mux.HandleFunc(rpc.PathGossip, rpc.Handle(c.handleGossip))
 	mux.HandleFunc(rpc.PathWatch, rpc.Handle(c.handleWatch))
+	mux.HandleFunc(rpc.PathConfiguration, rpc.Handle(c.handleConfiguration))
 	mux.HandleFunc(rpc.PathTokens, rpc.Handle(c.handleTokenRequest))
 	mux.HandleFunc(rpc.PathPartner, rpc.Handle(c.handlePartnerOrder))
 	mux.HandleFunc(rpc.PathCredit, rpc.Handle(c.handleCreditReport))
--- a/internal/mesh/controller/watch.go
+++ b/internal/mesh/controller/watch.go
@@ -68,9 +68,7 @@
 	s, _ := c.replicator.state()
 	out := &membership.WatchResponse{Position: membership.Position{Controller: c.life, Index: s.Index, Edition: s.Edition}, Members: s.Members}
 	out.Starting, out.Coordinator, out.Epoch = c.now() < membership.Lease, s.Coordinator.At, s.Epoch
-	if s.Index > a.Position.Index && s.Edition != a.Position.Edition {
-		out.Configuration = s.Configuration
-	}
+	c.addConfiguration(out, a, s)
 	imports := c.imports(s)
 	if imports.No > 0 {
 		c.recordImportsInUse(a.Node.Name, a.Position.Imports)
--- a/internal/mesh/membership/membership.go
+++ b/internal/mesh/membership/membership.go
@@ -7,6 +7,8 @@
 	"encoding/json"
 	"slices"
 	"strings"
+
+	"ottershift/internal/mesh/routing"
 )
 
 // Times are nanoseconds of a steady clock; no two processes compare theirs, so ages travel.
@@ -42,31 +44,33 @@
 	Leaving  bool      `json:",omitempty"`
 }
 
-// Told is a node as the core passes it on.
+// Record is a node as the core passes it on.
 type Record struct {
 	Node
 	Age  int64 // nanoseconds since it was heard of directly
 	Lost bool  `json:",omitempty"` // its lease has run out
 }
 
-// Have is what a balancer knows already.
+// Position is what a balancer knows already.
 type Position struct {
 	Controller string `json:"Comb"` // whose count Seq is of
 	Seq        uint64
 	Index      uint64 // of the agreed state
 
 	Edition int64  // of the configuration
+	Digest  string `json:",omitempty"` // of the configuration; none from processes of the version before
 	Imports uint64 `json:",omitempty"` // number of what is agreed about partners
 }
 
-// Ask renews a balancer's lease and asks for news.
+// WatchRequest renews a balancer's lease and asks for news.
 type WatchRequest struct {
 	Node     Node     `json:"Nest"`
 	Position Position `json:"Have"`
-	MaxWait  int64    `json:"Wait"` // nanoseconds at most until an answer
+	MaxWait  int64    `json:"Wait"`       // nanoseconds at most until an answer
+	Packed   bool     `json:",omitempty"` // a configuration may come packed, or be only named: the asker fetches it apart
 }
 
-// News is the answer.
+// WatchResponse is the answer.
 type WatchResponse struct {
 	Position
 	Current       bool                // a majority of the core confirmed Index a moment ago
@@ -75,6 +79,7 @@
 	Coordinator   string              `json:"Queen"`               // address of who keeps the bank of quotas
 	Epoch         uint64              `json:"Reign"`               // rises with each
 	Configuration json.RawMessage     `json:"Timetable,omitempty"` // where Edition was another
+	Packed        *routing.Packed     `json:",omitempty"`          // the same for who takes it so, if it is short; a long one is named by Digest alone
 	Whole         bool                // Nodes are all there are
 	Nodes         []Record            `json:"Nests,omitempty"`
 	Gone          []string            `json:",omitempty"`
@@ -85,7 +90,26 @@
 	Controllers   []ControllerAddress `json:"Combs"`      // the core's processes, as far as they are heard of
 }
 
-// Post is a process of the core.
+// ConfigurationRequest asks for a piece of the configuration as it travels: the first one of the newest, or the next one of what a
+// former answer began.
+type ConfigurationRequest struct {
+	Held         string // digest of the configuration that the asker has, none for nothing
+	Result, Base string `json:",omitempty"` // what a former answer began
+	Offset       int    `json:",omitempty"` // bytes of that which the asker has
+}
+
+// ConfigurationResponse is a piece. What it belongs to is named by the digests in Packed; where that is not what was asked for, it is
+// the first piece of the newest.
+type ConfigurationResponse struct {
+	Packed  routing.Packed
+	Offset  int
+	Total   int
+	Index   uint64 `json:",omitempty"` // of the state whose configuration it is, with a first piece
+	Edition int64  `json:",omitempty"`
+	Current bool   `json:",omitempty"` // a majority of the core confirmed Index a moment ago
+}
+
+// ControllerAddress is a process of the core.
 type ControllerAddress struct{ At, Zone string }
 
 type entry struct {
@@ -105,7 +129,7 @@
 	floor   uint64            // of gone: who asks with less gets all
 }
 
-// NewCell makes an empty one.
+// NewRegistry makes an empty one.
 func NewRegistry() *Registry {
 	return &Registry{entries: map[string]*entry{}, removed: map[string]uint64{}}
 }
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -36,9 +36,17 @@
 }
 
 func start(t *testing.T, controllers, proxies int, work time.Duration, size int) *mesh {
+	m := &mesh{t: t}
+	m.startAll(controllers, proxies, work, size, m.proxy)
+	return m
+}
+
+// startAll starts controllers, balancers by startProxy, and an upstream beside each.
+func (m *mesh) startAll(controllers, proxies int, work time.Duration, size int, startProxy func(*settings.Settings)) {
+	t := m.t
 	plan, err := testmesh.Plan(controllers, proxies, []string{"east", "west"}, []string{"album", "album", "regie"}, t.TempDir())
 	must.NoError(t, err)
-	m := &mesh{t: t, plan: plan, stops: map[string]func(){}}
+	m.plan, m.stops = plan, map[string]func(){}
 	t.Cleanup(func() {
 		for _, stop := range m.stops {
 			stop()
@@ -52,12 +60,12 @@
 		m.comb(b)
 	}
 	for n, b := range plan.Proxies {
-		m.proxy(b)
+		b.Bounds.Grace = 2 * time.Second
+		startProxy(b)
 		a, err := testmesh.NewUpstream(fmt.Sprintf("i-%d", n), b.Destination, b.App, b.Control, 8, work, size)
 		must.NoError(t, err)
 		m.apps = append(m.apps, a)
 	}
-	return m
 }
 
 var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
--- /dev/null
+++ b/internal/mesh/proxy/known_nodes.go
@@ -0,0 +1,126 @@
+package proxy
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"ottershift/internal/mesh/membership"
+)
+
+// knownNode is a balancer as a controller tells of it.
+type knownNode struct {
+	membership.Record
+	warm  time.Time // when its upstream is no longer slow from its start
+	heard int64     // when a controller had heard of it directly, by this process's clock
+}
+
+// replaceNodes takes the nodes of a controller that is current. Under mu.
+func (f *Proxy) replaceNodes(n *membership.WatchResponse, asked int64) (changed bool) {
+	if n.Whole {
+		told := map[string]bool{}
+		for _, t := range n.Nodes {
+			told[t.Name] = true
+		}
+		for node := range f.nodes {
+			if !told[node] && !n.Starting { // Invariant: a core that has just started has heard of nobody yet
+				delete(f.nodes, node)
+			}
+		}
+	}
+	for _, t := range n.Nodes {
+		f.putNode(t, asked)
+	}
+	for _, node := range n.Gone {
+		delete(f.nodes, node)
+	}
+	f.position.Controller, f.position.Seq = n.Controller, n.Seq
+	if n.Whole {
+		f.overlaid = n.Starting
+	}
+	if f.overlaid && !n.Starting {
+		f.position.Controller = "" // all of them, next time: changes alone take nothing away that this controller never knew
+	}
+	return len(n.Nodes)+len(n.Gone) > 0 || n.Whole
+}
+
+// overlayNodes takes what a controller that is not current has heard of later than this process. Under mu.
+func (f *Proxy) overlayNodes(n *membership.WatchResponse, asked int64) (changed bool) {
+	for _, t := range n.Nodes {
+		known := f.nodes[t.Name]
+		if known != nil {
+			if !known.precedes(t, asked-t.Age) {
+				continue
+			}
+			t.Lost = known.Lost && t.Lost
+		}
+		f.putNode(t, asked)
+		changed = true
+	}
+	f.position.Controller, f.position.Seq = n.Controller, n.Seq
+	f.overlaid = true
+	return changed
+}
+
+// precedes reports whether a record, of something heard of at a time, is later than what is known.
+func (n *knownNode) precedes(t membership.Record, heard int64) bool {
+	if t.Life == n.Life {
+		return t.Seq > n.Seq
+	}
+	return heard > n.heard
+}
+
+// putNode takes a record. Under mu.
+func (f *Proxy) putNode(t membership.Record, asked int64) {
+	known := &knownNode{Record: t, heard: asked - t.Age}
+	if t.Upstream != nil {
+		known.warm = time.Now().Add(time.Duration(t.Upstream.Cold))
+	}
+	f.nodes[t.Name] = known
+}
+
+// addControllers keeps those that are known. Under mu.
+func (f *Proxy) addControllers(told []membership.ControllerAddress) {
+	for _, c := range told {
+		if !slices.ContainsFunc(f.controllers, func(known membership.ControllerAddress) bool { return known.At == c.At }) {
+			f.controllers = append(f.controllers, c)
+		}
+	}
+}
+
+// setMembers takes how many balancers share what all may spend; fewer only from who is current. Under mu.
+func (f *Proxy) setMembers(n *membership.WatchResponse) {
+	members := max(n.Members, len(f.nodes), 1)
+	if !n.Current {
+		members = max(members, f.members)
+	}
+	if members == f.members {
+		return
+	}
+	f.members = members
+	if v := f.view.Load(); v != nil {
+		f.quota(v.table)
+	}
+}
+
+// nodesChanged has the modules know of other nodes than before. Under mu.
+func (f *Proxy) nodesChanged() {
+	if count, place := f.rank(); count != f.ranked[0] || place != f.ranked[1] {
+		f.ranked = [2]int{count, place}
+		rulesOf := maps.Clone(f.rules)
+		for name, p := range f.pools {
+			if p.partners != nil {
+				rulesOf[name] = p.rules
+			}
+		}
+		for service, rules := range rulesOf {
+			if err := f.retune(service, rules); err != nil {
+				f.log.Error("retune", "service", service, "err", err)
+			}
+		}
+		if v := f.view.Load(); v != nil {
+			f.view.Store(f.viewOf(v.index, v.table))
+		}
+	}
+	f.relist()
+}
--- a/internal/mesh/proxy/outbound.go
+++ b/internal/mesh/proxy/outbound.go
@@ -243,6 +243,9 @@
 	if t.pool == nil {
 		t = v.pick(rule)
 	}
+	if t.pool == nil { // no module could be made for its service
+		return nil, t, apierror.NoRoom, 0
+	}
 	q.pool, q.tries = t.pool, rule.Dispatch.DeliveryTries
 	return q, t, apierror.None, 0
 }
--- a/internal/mesh/proxy/partner.go
+++ b/internal/mesh/proxy/partner.go
@@ -140,9 +140,11 @@
 		p.partners, p.rules = names, rules
 		f.relist()
 	}
-	under := *p.book.Terms
-	under.MaxPushes = rule.Dispatch.DeliveryTries
-	return rule, target{p, 1, &under, p.book.Tariffs[rule.Name]}, apierror.None
+	t, known := p.target(rule, 1)
+	if !known {
+		return nil, t, apierror.NoRoom
+	}
+	return rule, t, apierror.None
 }
 
 func hostOnly(host string) string {
--- a/internal/mesh/proxy/proxy.go
+++ b/internal/mesh/proxy/proxy.go
@@ -54,6 +54,7 @@
 	view       atomic.Pointer[configurationView]
 	leaving    atomic.Bool // not ready any more, serves what comes
 	closed     atomic.Bool // serves what it has, and nothing new
+	unpackable atomic.Bool // the last packed configuration could not be read: it is asked for as it is
 	open       atomic.Int64
 	membersNow atomic.Int64
 	requests   *atomic.Int64
@@ -72,6 +73,7 @@
 	controllers []membership.ControllerAddress
 	seeds       []string
 	position    membership.Position
+	fetch       configurationFetch
 	overlaid    bool // nodes hold some that the controller of position never told of
 	members     int
 	warms       time.Time // when the next upstream is warm
@@ -101,7 +103,7 @@
 	f := &Proxy{
 		settings: b, log: log, counts: telemetry.NewCounters(), caller: rpc.NewCaller(chosen.wrapTransport), life: storage.NewIdentity(), epoch: time.Now(),
 		local: newLocalUpstream(b.Bounds.Drain, b.App), end: make(chan struct{}),
-		pools: map[string]*pool{}, nodes: map[string]*knownNode{}, members: 1,
+		pools: map[string]*pool{}, nodes: map[string]*knownNode{}, members: 1, fetch: configurationFetch{begin: make(chan struct{}, 1)},
 	}
 	if b.Bounds.RevokedEverywhere {
 		f.keys.bound = b.Bounds.Revoke
@@ -160,6 +162,7 @@
 	go f.counts.Say(f.log, 5*time.Second, f.end)
 	asking, stop := context.WithCancel(context.Background())
 	go f.watch(asking)
+	go f.fetchConfigurations(asking)
 	go f.draw(asking)
 	go f.report(asking)
 	go f.sweepConnections()
--- a/internal/mesh/proxy/watch.go
+++ b/internal/mesh/proxy/watch.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"slices"
 	"time"
 
 	"ottershift/internal/mesh/membership"
-	"ottershift/internal/mesh/routing"
 	"ottershift/internal/mesh/rpc"
 )
 
@@ -18,30 +16,28 @@
 	// WatchTimeout is how long a controller that says nothing is waited for, and how old a response may be that is acted on.
 	WatchTimeout = watchWait + watchGrace
 
+	lateInARow = 4 // watch timeouts within which some response has to come in time
+
 	nextPause = 20 * time.Millisecond  // before another controller is asked
 	roundWait = 100 * time.Millisecond // the same, once all that are known have been asked in vain
 )
 
 var errLateResponse = errors.New("the response is older than the watch timeout")
 
-// knownNode is a balancer as a controller tells of it.
-type knownNode struct {
-	membership.Record
-	warm  time.Time // when its upstream is no longer slow from its start
-	heard int64     // when a controller had heard of it directly, by this process's clock
-}
-
 // watch renews this balancer's lease and takes news, from one controller at a time. Invariant: one that is cut off or stands still
-// answers nothing, or old news for new; so each request has a short end, and who is not current is left.
+// answers nothing, or old news for new; so each request ends soon unless an answer is on its way, and who is not current is left.
 func (f *Proxy) watch(ctx context.Context) {
 	choice := newControllerChoice()
+	var silence silenceClock
 	failed := 0 // in a row
 	for ctx.Err() == nil {
 		known := f.knownControllers()
 		at := choice.pick(known, f.now())
-		current, interrupted, err := f.watchOnce(ctx, at)
+		asked := f.now()
+		current, err := f.watchOnce(ctx, at)
+		silent := silence.observe(at, asked, f.now(), err)
 		switch {
-		case err != nil && interrupted:
+		case errors.Is(err, rpc.ErrInterrupted) && !silent, errors.Is(err, errLateResponse) && !silent:
 		case err != nil:
 			f.counts.Add("asks_failed")
 			choice.failed(at, f.now())
@@ -66,41 +62,64 @@
 	}
 }
 
-// watchOnce asks one controller. interrupted says that the request was given up since there is something new to tell.
-func (f *Proxy) watchOnce(ctx context.Context, at string) (current, interrupted bool, err error) {
+// silenceClock tells since when the controller that is asked has given no answer of use, over requests that were given up for one
+// another. Invariant: with news of the own upstream more often than a request may take, none of them would ever fail.
+type silenceClock struct {
+	at    string
+	since int64
+}
+
+// observe takes the outcome of a request and reports whether its controller has been silent, or has answered late, for too long.
+func (s *silenceClock) observe(at string, asked, now int64, err error) bool {
+	patience := int64(WatchTimeout)
+	switch {
+	case errors.Is(err, errLateResponse):
+		patience *= lateInARow
+	case !errors.Is(err, rpc.ErrInterrupted):
+		s.at = ""
+		return err != nil
+	}
+	if s.at != at {
+		s.at, s.since = at, asked
+	}
+	if now-s.since < patience {
+		return false
+	}
+	s.at = ""
+	return true
+}
+
+// watchOnce asks one controller, until there is something new to tell it.
+func (f *Proxy) watchOnce(ctx context.Context, at string) (current bool, err error) {
 	request, changed := f.watchRequest()
-	call, end := context.WithTimeout(ctx, WatchTimeout)
-	defer end()
-	go func() {
-		select {
-		case <-changed: // what is new here is told at once
-			end()
-		case <-call.Done():
-		}
-	}()
 	response, asked := &membership.WatchResponse{}, f.now()
-	err = f.caller.Call(call, at, rpc.PathWatch, request, response)
-	interrupted = errors.Is(call.Err(), context.Canceled)
-	if err == nil && f.now()-asked > int64(WatchTimeout) && !f.withoutResponseAge {
-		err = errLateResponse // this process stood still meanwhile: what the controller vouched for may be long over
+	patience := rpc.Patience{Silence: WatchTimeout, Interrupt: changed}
+	if err := f.caller.CallPatiently(ctx, patience, at, rpc.PathWatch, request, response); err != nil {
+		return false, err
 	}
-	if err != nil {
-		return false, interrupted, err
+	late := f.now()-asked > int64(WatchTimeout) && !f.withoutResponseAge
+	if late { // what the controller vouched for may be long over, but what it knows may still be news
+		response.Current, response.Calm = false, false
 	}
-	if err = f.applyWatchResponse(response, asked); err == nil {
+	err = f.applyWatchResponse(response, asked)
+	f.fetchFrom(at, response)
+	if err == nil {
 		f.hear(response, asked)
 		if response.Current {
 			f.keys.confirmed(asked)
 		}
 	}
 	f.membersNow.Store(int64(f.memberCount()))
-	return response.Current, interrupted, err
+	if late {
+		return false, errLateResponse
+	}
+	return response.Current, err
 }
 
 // watchRequest is what a controller is told and asked, and a channel that ends when there is more to tell.
 func (f *Proxy) watchRequest() (request *membership.WatchRequest, changed <-chan struct{}) {
 	f.mu.Lock()
-	request = &membership.WatchRequest{Position: f.position, MaxWait: int64(watchWait)}
+	request = &membership.WatchRequest{Position: f.position, MaxWait: int64(watchWait), Packed: !f.unpackable.Load()}
 	f.mu.Unlock()
 	f.exports.Lock()
 	request.Position.Imports = f.exports.book.No
@@ -172,133 +191,3 @@
 	f.mu.Unlock()
 	return f.applyConfiguration(n)
 }
-
-// replaceNodes takes the nodes of a controller that is current. Under mu.
-func (f *Proxy) replaceNodes(n *membership.WatchResponse, asked int64) (changed bool) {
-	if n.Whole {
-		told := map[string]bool{}
-		for _, t := range n.Nodes {
-			told[t.Name] = true
-		}
-		for node := range f.nodes {
-			if !told[node] && !n.Starting { // Invariant: a core that has just started has heard of nobody yet
-				delete(f.nodes, node)
-			}
-		}
-	}
-	for _, t := range n.Nodes {
-		f.putNode(t, asked)
-	}
-	for _, node := range n.Gone {
-		delete(f.nodes, node)
-	}
-	f.position.Controller, f.position.Seq = n.Controller, n.Seq
-	if n.Whole {
-		f.overlaid = n.Starting
-	}
-	if f.overlaid && !n.Starting {
-		f.position.Controller = "" // all of them, next time: changes alone take nothing away that this controller never knew
-	}
-	return len(n.Nodes)+len(n.Gone) > 0 || n.Whole
-}
-
-// overlayNodes takes what a controller that is not current has heard of later than this process. Under mu.
-func (f *Proxy) overlayNodes(n *membership.WatchResponse, asked int64) (changed bool) {
-	for _, t := range n.Nodes {
-		known := f.nodes[t.Name]
-		if known != nil {
-			if !known.precedes(t, asked-t.Age) {
-				continue
-			}
-			t.Lost = known.Lost && t.Lost
-		}
-		f.putNode(t, asked)
-		changed = true
-	}
-	f.position.Controller, f.position.Seq = n.Controller, n.Seq
-	f.overlaid = true
-	return changed
-}
-
-// precedes reports whether a record, of something heard of at a time, is later than what is known.
-func (n *knownNode) precedes(t membership.Record, heard int64) bool {
-	if t.Life == n.Life {
-		return t.Seq > n.Seq
-	}
-	return heard > n.heard
-}
-
-// putNode takes a record. Under mu.
-func (f *Proxy) putNode(t membership.Record, asked int64) {
-	known := &knownNode{Record: t, heard: asked - t.Age}
-	if t.Upstream != nil {
-		known.warm = time.Now().Add(time.Duration(t.Upstream.Cold))
-	}
-	f.nodes[t.Name] = known
-}
-
-// addControllers keeps those that are known. Under mu.
-func (f *Proxy) addControllers(told []membership.ControllerAddress) {
-	for _, c := range told {
-		if !slices.ContainsFunc(f.controllers, func(known membership.ControllerAddress) bool { return known.At == c.At }) {
-			f.controllers = append(f.controllers, c)
-		}
-	}
-}
-
-// setMembers takes how many balancers share what all may spend; fewer only from who is current. Under mu.
-func (f *Proxy) setMembers(n *membership.WatchResponse) {
-	members := max(n.Members, len(f.nodes), 1)
-	if !n.Current {
-		members = max(members, f.members)
-	}
-	if members == f.members {
-		return
-	}
-	f.members = members
-	if v := f.view.Load(); v != nil {
-		f.quota(v.table)
-	}
-}
-
-// nodesChanged has the modules know of other nodes than before. Under mu.
-func (f *Proxy) nodesChanged() {
-	if count, place := f.rank(); count != f.ranked[0] || place != f.ranked[1] {
-		f.ranked = [2]int{count, place}
-		rulesOf := maps.Clone(f.rules)
-		for name, p := range f.pools {
-			if p.partners != nil {
-				rulesOf[name] = p.rules
-			}
-		}
-		for service, rules := range rulesOf {
-			if err := f.retune(service, rules); err != nil {
-				f.log.Error("retune", "service", service, "err", err)
-			}
-		}
-	}
-	f.relist()
-}
-
-// applyConfiguration puts a later configuration in force. The first one of a life is taken only from a controller that is current:
-// any other may be older than what this machine went by before.
-func (f *Proxy) applyConfiguration(n *membership.WatchResponse) error {
-	switch {
-	case n.Configuration != nil && (n.Current || f.view.Load() != nil):
-		t, err := routing.Load(n.Configuration)
-		if err != nil {
-			return err
-		}
-		if err := f.adopt(n.Index, t); err != nil {
-			return err
-		}
-		f.mu.Lock()
-		f.position.Index, f.position.Edition = max(f.position.Index, n.Index), t.Edition
-		f.mu.Unlock()
-	case n.Configuration == nil && n.Index > f.position.Index && (n.Edition == f.position.Edition || n.Edition == 0):
-		f.mu.Lock()
-		f.position.Index = n.Index // something else was agreed
-		f.mu.Unlock()
-	}
-	return nil
-}
--- a/internal/mesh/proxy/watch_test.go
+++ b/internal/mesh/proxy/watch_test.go
@@ -10,6 +10,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -17,6 +18,7 @@
 
 	"ottershift/internal/mesh/federation"
 	"ottershift/internal/mesh/membership"
+	"ottershift/internal/mesh/rpc"
 	"ottershift/internal/mesh/settings"
 )
 
@@ -51,7 +53,7 @@
 			return &membership.WatchResponse{Position: membership.Position{Index: 3, Edition: 1}, Current: true, Configuration: fmt.Appendf(nil, aConfiguration, 1, "")}
 		})
 		p.withoutResponseAge = without
-		current, _, err := p.watchOnce(context.Background(), "10.0.0.1:1")
+		current, err := p.watchOnce(context.Background(), "10.0.0.1:1")
 		must.Eq(t, without, err == nil)
 		must.Eq(t, without, current)
 		must.Eq(t, without, p.view.Load() != nil)
@@ -185,3 +187,74 @@
 		}
 	}
 }
+
+// News of the own upstream come more often than a request may take: each is given up for the next, and a controller that is silent
+// counts as failed all the same. One that answers, however late, does not until it has been late for long.
+func TestAControllerIsSilentOverRequestsThatAreGivenUpForOneAnother(t *testing.T) {
+	interrupted, late := rpc.Error.Wrap(rpc.ErrInterrupted), errLateResponse
+	step := int64(100 * time.Millisecond)
+	until := func(each func(now int64) error) (failed int64) {
+		var clock silenceClock
+		for now := int64(0); now < int64(time.Minute); now += step {
+			if clock.observe("a", now, now+step, each(now)) {
+				return now + step
+			}
+		}
+		return -1
+	}
+	must.Eq(t, int64(WatchTimeout), until(func(int64) error { return interrupted }))
+	must.Eq(t, lateInARow*int64(WatchTimeout), until(func(int64) error { return late }))
+	must.Eq(t, step, until(func(int64) error { return rpc.ErrSilent }))
+	must.Eq(t, -1, until(func(now int64) error {
+		if now%(5*step) == 0 {
+			return nil // an answer between
+		}
+		return interrupted
+	}))
+	var clock silenceClock
+	for now := int64(0); now < int64(10*time.Second); now += 2 * step { // each is asked for a moment
+		must.False(t, clock.observe("a", now, now+step, interrupted))
+		must.False(t, clock.observe("b", now+step, now+2*step, interrupted))
+	}
+}
+
+// A proxy whose upstream has news more often than a watch may take leaves a controller that says nothing, and renews its lease elsewhere.
+func TestAProxyWithMuchNewsLeavesASilentController(t *testing.T) {
+	var mu sync.Mutex
+	asked := map[string]int{}
+	b := settings.Default()
+	b.Node, b.District = "self", "z"
+	p := New(b, slog.New(slog.DiscardHandler), WithTransport(func(http.RoundTripper) http.RoundTripper {
+		return roundTrip(func(r *http.Request) (*http.Response, error) {
+			mu.Lock()
+			asked[r.URL.Host]++
+			mu.Unlock()
+			if r.URL.Host == "silent" {
+				<-r.Context().Done()
+				return nil, r.Context().Err()
+			}
+			return controllerStub(func(string) *membership.WatchResponse { return &membership.WatchResponse{Current: true, Members: 1} }).RoundTrip(r)
+		})
+	}))
+	p.controllers = []membership.ControllerAddress{{At: "silent", Zone: "z"}, {At: "sound", Zone: "y"}}
+	ctx, end := context.WithCancel(context.Background())
+	defer end()
+	go p.watch(ctx)
+	news := time.NewTicker(50 * time.Millisecond)
+	defer news.Stop()
+	for began := time.Now(); ; <-news.C {
+		p.local.wakeWatchers()
+		mu.Lock()
+		sound := asked["sound"]
+		mu.Unlock()
+		if sound > 0 {
+			t.Logf("left after %v", time.Since(began))
+			return
+		}
+		must.Less(t, 3*WatchTimeout, time.Since(began), must.Sprint("the sound controller was never asked"))
+	}
+}
+
+type roundTrip func(*http.Request) (*http.Response, error)
+
+func (f roundTrip) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
--- a/internal/mesh/routing/amend.go
+++ b/internal/mesh/routing/amend.go
@@ -84,8 +84,7 @@
 			if by := fresh[r.Name]; by != nil && by.Host == o.Host && !placed[by] {
 				to.Routes, placed[by] = append(to.Routes, by), true
 			} else if by == nil && !routes[r.Name] {
-				copied := *r
-				to.Routes = append(to.Routes, &copied)
+				to.Routes = append(to.Routes, r)
 			}
 		}
 		at[o.Host] = to
--- /dev/null
+++ b/internal/mesh/routing/change_test.go
@@ -0,0 +1,185 @@
+package routing
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// aRoute is the text of a route; what varies between versions is its target.
+func aRoute(name string, target int) string {
+	return fmt.Sprintf(`{"Name":"r-%s","MailClass":"repeatable","Target":"%dms","Precedence":0,"Sorting":{"StreetPrefix":"/q%s/"},"Dispatch":{"Destination":"y","Deadline":"10s","DeliveryTries":2},"Note":"<&>\u2028"}`, name, target, name)
+}
+
+// manyRoutes is a configuration whose routes are named by numbers.
+func manyRoutes(edition, count int) []byte {
+	routes := make([]string, count)
+	for n := range routes {
+		routes[n] = aRoute(fmt.Sprintf("%x-%d", n*7919%100003, n), 1000)
+	}
+	text := strings.Replace(whole1, `{"Name":"r2"`, strings.Join(routes, ",")+`,{"Name":"r2"`, 1)
+	return []byte(strings.Replace(text, `"Edition":7`, fmt.Sprintf(`"Edition":%d`, edition), 1))
+}
+
+// drawnConfiguration is one that chance makes: hosts, routes, tenants and services that come, go, move and change.
+func drawnConfiguration(random *rand.Rand, edition int) *Configuration {
+	var hosts []string
+	for host := range 1 + random.IntN(4) {
+		var routes []string
+		for n := range random.IntN(12) {
+			if random.IntN(3) > 0 {
+				routes = append(routes, aRoute(fmt.Sprint(n), 100*(1+random.IntN(3))))
+			}
+		}
+		random.Shuffle(len(routes), func(i, j int) { routes[i], routes[j] = routes[j], routes[i] })
+		hosts = append(hosts, fmt.Sprintf(`{"Town":"h%d","Regulations":[%s]}`, host+random.IntN(2)*10, strings.Join(routes, ",")))
+	}
+	tenants := ""
+	for n := range random.IntN(3) {
+		tenants += fmt.Sprintf(`{"Name":"t%d","ApiKeys":["k%d-%d"]},`, n, n, random.IntN(2))
+	}
+	other := []string{"", `"Later":{"a":1},`, `"Later":{"a":2},`, `"Mesh":"us",`}[random.IntN(4)]
+	text := fmt.Sprintf(`{"Edition":%d,%s"SizeLimits":{"Idle":"%ds"},"Senders":[%s],"PostOffices":[%s],"Depots":[{"Name":"y"},{"Name":"z","LineCap":%d}]}`,
+		edition, other, 1+random.IntN(2), strings.TrimSuffix(tenants, ","), strings.Join(hosts, ","), random.IntN(2))
+	t, err := Parse([]byte(text))
+	if err != nil {
+		panic(err)
+	}
+	return t
+}
+
+// A change leads from any configuration to any other, and what it leads to is what the other says, also by way of many changes.
+func TestAChangeLeadsFromAnyConfigurationToAnyOther(t *testing.T) {
+	random := rand.New(rand.NewPCG(60, 1))
+	held := drawnConfiguration(random, 1)
+	for edition := 2; edition < 2000; edition++ {
+		next := drawnConfiguration(random, edition)
+		packed, err := Pack(held, next)
+		must.NoError(t, err)
+		got, err := packed.Unpack(held)
+		must.NoError(t, err)
+		must.Eq(t, next.Digest(), got.Digest())
+		must.SliceEmpty(t, Diff(next, got))
+		must.Eq(t, next.Limits, got.Limits)
+		must.Eq(t, next.Mesh, got.Mesh)
+		must.Eq(t, len(next.Routes), len(got.Routes))
+		for _, r := range next.Routes {
+			found := got.Find(r.Host, r.Sorting.StreetPrefix)
+			must.Eq(t, r.Name, found.Name)
+			must.Eq(t, r.Target, found.Target)
+			must.Eq(t, r.Host, found.Host)
+			must.Eq(t, r.Parts, found.Parts)
+		}
+		for _, tenant := range next.Tenants {
+			must.Eq(t, tenant.Name, got.Tenant(tenant.ApiKeys[0]).Name)
+		}
+		if random.IntN(5) > 0 { // some are never taken
+			held = got
+		}
+	}
+}
+
+// What is not a change of what is held, or does not lead to what it is told to, is refused.
+func TestAChangeThatDoesNotFitIsRefused(t *testing.T) {
+	base, err := Parse(manyRoutes(1, 3))
+	must.NoError(t, err)
+	next, err := Parse(manyRoutes(2, 5))
+	must.NoError(t, err)
+	other, err := Parse(manyRoutes(3, 5))
+	must.NoError(t, err)
+	change := base.ChangeTo(next)
+	_, err = other.Apply(change)
+	must.ErrorContains(t, err, "not of")
+	for name, spoil := range map[string]func(c *Change){
+		"result":  func(c *Change) { c.Result = other.Digest() },
+		"edition": func(c *Change) { c.Edition = 9 },
+		"run":     func(c *Change) { c.Services = []itemRun{{From: 1, Count: 5}} },
+		"back":    func(c *Change) { c.Services = []itemRun{{From: -1, Count: 1}} },
+		"hosts":   func(c *Change) { c.Hosts = []hostRun{{From: 0, Count: 9}} },
+		"service": func(c *Change) { c.Services = nil },
+	} {
+		raw, err := json.Marshal(change)
+		must.NoError(t, err)
+		var spoilt Change
+		must.NoError(t, json.Unmarshal(raw, &spoilt))
+		spoil(&spoilt)
+		_, err = base.Apply(&spoilt)
+		must.Error(t, err, must.Sprint(name))
+	}
+	packed, err := Pack(nil, next)
+	must.NoError(t, err)
+	whole, err := packed.Unpack(nil)
+	must.NoError(t, err)
+	must.Eq(t, next.Digest(), whole.Digest())
+	packed.Data = packed.Data[:len(packed.Data)/2]
+	_, err = packed.Unpack(nil)
+	must.Error(t, err)
+}
+
+// Processes that hand a configuration on by json.Marshal, which escapes some characters, have one digest of it.
+func TestADigestIsTheSameHoweverOftenItIsTold(t *testing.T) {
+	here, err := Parse(manyRoutes(1, 3))
+	must.NoError(t, err)
+	told, err := json.Marshal(json.RawMessage(manyRoutes(1, 3)))
+	must.NoError(t, err)
+	there, err := Load(told)
+	must.NoError(t, err)
+	must.Eq(t, here.Digest(), there.Digest())
+	must.Eq(t, string(here.Document()), string(there.Document()))
+}
+
+// The bytes of a change go by what differs, not by what there is.
+func TestAChangeIsAsLargeAsWhatDiffers(t *testing.T) {
+	for _, routes := range []int{100, 4000} {
+		base, err := Parse(manyRoutes(1, routes))
+		must.NoError(t, err)
+		next, err := base.Amend([]byte(`{"Edition":2,"Deliver":{"PostOffices":[{"Town":"A.example","Regulations":[` + aRoute("new", 500) + `]}]}}`))
+		must.NoError(t, err)
+		next, err = Load(next.Document())
+		must.NoError(t, err)
+		base, err = Load(base.Document())
+		must.NoError(t, err)
+		change, err := Pack(base, next)
+		must.NoError(t, err)
+		whole, err := Pack(nil, next)
+		must.NoError(t, err)
+		t.Logf("%d routes, %d bytes: whole %d bytes packed, one route more %d", routes, len(next.Document()), len(whole.Data), len(change.Data))
+		must.Less(t, 600, len(change.Data))
+		must.Less(t, len(next.Document())/6, len(whole.Data))
+	}
+}
+
+func BenchmarkLoad(b *testing.B) {
+	text := manyRoutes(1, 4000)
+	b.SetBytes(int64(len(text)))
+	for b.Loop() {
+		_, err := Load(text)
+		must.NoError(b, err)
+	}
+}
+
+func BenchmarkParse(b *testing.B) {
+	text := manyRoutes(1, 4000)
+	b.SetBytes(int64(len(text)))
+	for b.Loop() {
+		_, err := Parse(text)
+		must.NoError(b, err)
+	}
+}
+
+func BenchmarkApply(b *testing.B) {
+	base, err := Load(manyRoutes(1, 4000))
+	must.NoError(b, err)
+	next, err := Load(manyRoutes(2, 4001))
+	must.NoError(b, err)
+	packed, err := Pack(base, next)
+	must.NoError(b, err)
+	for b.Loop() {
+		_, err := packed.Unpack(base)
+		must.NoError(b, err)
+	}
+}
--- a/internal/mesh/routing/parse.go
+++ b/internal/mesh/routing/parse.go
@@ -80,18 +80,18 @@
 		}
 	}
 	faults.Add(named(top["Senders"], "Senders", func(s *Tenant, raw json.RawMessage) {
-		s.raw = raw
+		s.item = newItem(raw)
 		t.Tenants = append(t.Tenants, s)
 	}))
 	faults.Add(named(top["Depots"], "Depots", func(d *Service, raw json.RawMessage) {
-		d.raw = raw
+		d.item = newItem(raw)
 		t.Services = append(t.Services, d)
 	}))
 	faults.Add(named(top["PostOffices"], "PostOffices", func(o *rawHostRoutes, _ json.RawMessage) {
 		at := &hostRoutes{Host: o.Town}
 		t.hosts = append(t.hosts, at)
 		for n, item := range o.Regulations {
-			r := &Route{Host: o.Town, raw: item}
+			r := &Route{Host: o.Town, item: newItem(item)}
 			if err := json.Unmarshal(item, r); err != nil {
 				faults.Add(Error.New("PostOffices %q Regulations[%d]: %v", o.Town, n, err))
 				continue
@@ -124,17 +124,26 @@
 // Ambiguous says by what a configuration that was loaded means two things, nil for nothing.
 func (t *Configuration) Ambiguous() error {
 	var faults errs.Group
-	faults.Add(strictjson.Check(t.document))
+	if len(t.document) > 0 {
+		faults.Add(strictjson.Check(t.document))
+	}
 	faults.Add(t.findAmbiguities())
 	return faults.Err()
 }
 
 func read(body []byte) (*Configuration, error) {
+	var compact bytes.Buffer
+	if err := json.Compact(&compact, body); err != nil {
+		return nil, Error.New("can't be read whole: %v", err)
+	}
+	// Invariant: what is told on by way of json.Marshal comes out byte for byte, so all processes have the same digest of it.
+	var document bytes.Buffer
+	json.HTMLEscape(&document, compact.Bytes())
+	t := &Configuration{other: map[string]json.RawMessage{}, document: document.Bytes()}
 	var top map[string]json.RawMessage
-	if err := strictjson.DecodeWhole(body, &top); err != nil {
+	if err := strictjson.DecodeWhole(t.document, &top); err != nil {
 		return nil, Error.New("can't be read whole: %v", err)
 	}
-	t := &Configuration{other: map[string]json.RawMessage{}}
 	if err := json.Unmarshal(top["Edition"], &t.Edition); err != nil {
 		return nil, Error.New("Edition: is no whole number")
 	}
@@ -148,11 +157,6 @@
 			t.other[name] = raw
 		}
 	}
-	var compact bytes.Buffer
-	if err := json.Compact(&compact, body); err != nil {
-		return nil, Error.Wrap(err)
-	}
-	t.document = compact.Bytes()
 	if err := t.settle(); err != nil {
 		return nil, err
 	}
@@ -205,6 +209,7 @@
 			t.Routes = append(t.Routes, r)
 		}
 	}
+	t.digest = t.computeDigest()
 	return faults.Err()
 }
 
@@ -215,8 +220,11 @@
 	return Error.New("%s: %v", where, err)
 }
 
-// checkRoute checks a route and finds where it goes.
+// checkRoute checks a route and finds where it goes. One that another version has checked is shared with it, and only read.
 func (t *Configuration) checkRoute(r *Route) error {
+	if r.checked {
+		return t.checkServices(r)
+	}
 	where := "route " + r.Name
 	d := &r.Dispatch
 	r.Parts = d.Apportion
@@ -225,10 +233,8 @@
 	}
 	var faults errs.Group
 	total := 0.0
+	faults.Add(t.checkServices(r))
 	for _, p := range r.Parts {
-		if t.servicesByName[p.Service] == nil {
-			faults.Add(Error.New("%s: Destination: no service is named %q", where, p.Service))
-		}
 		if p.Share < 0 {
 			faults.Add(Error.New("%s: Share: is below 0", where))
 		}
@@ -247,5 +253,16 @@
 	faults.Add(checked(where+": Dispatch", validation.ValidateStruct(d,
 		validation.Field(&d.Deadline, validation.Required, validation.Max(Span(longest))),
 		validation.Field(&d.DeliveryTries, validation.Required, validation.Min(1)))))
+	r.checked = len(faults) == 0
+	return faults.Err()
+}
+
+func (t *Configuration) checkServices(r *Route) error {
+	var faults errs.Group
+	for _, p := range r.Parts {
+		if t.servicesByName[p.Service] == nil {
+			faults.Add(Error.New("route %s: Destination: no service is named %q", r.Name, p.Service))
+		}
+	}
 	return faults.Err()
 }
--- a/internal/mesh/routing/routing.go
+++ b/internal/mesh/routing/routing.go
@@ -32,7 +32,8 @@
 
 	hosts          []*hostRoutes
 	other          map[string]json.RawMessage // top-level fields kept as they are
-	document       json.RawMessage
+	document       json.RawMessage            // nil of one that a change led to
+	digest         string
 	routesByHost   map[string]map[string]*Route // by host and prefix
 	tenantsByKey   map[string]*Tenant
 	servicesByName map[string]*Service
--- a/internal/mesh/routing/types.go
+++ b/internal/mesh/routing/types.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"crypto/sha256"
 	"encoding/json"
 	"fmt"
 	"time"
@@ -60,7 +61,21 @@
 
 	Host  string            `json:"-"`
 	Parts []WeightedService `json:"-"` // where it goes, always at least one
-	raw   json.RawMessage   // as sent
+	item
+	checked bool // settled in a configuration: nothing writes to it any more
+}
+
+// item is what a configuration keeps of each of its tenants, services and routes beside what it reads of them.
+type item struct {
+	raw json.RawMessage // as sent
+	sum itemSum         // of raw
+}
+
+type itemSum [16]byte
+
+func newItem(raw json.RawMessage) item {
+	whole := sha256.Sum256(raw)
+	return item{raw, itemSum(whole[:len(itemSum{})])}
 }
 
 // Tenant is who may ask, by its keys.
@@ -72,7 +87,7 @@
 	Surge       float64
 	BurstCredit *BurstCredit `json:"Nectar"` // burst credit, nil for none
 
-	raw json.RawMessage
+	item
 }
 
 // BurstCredit is a tenant's burst credit.
@@ -104,7 +119,7 @@
 	Sealed               bool
 	BurstCreditPerSecond float64 `json:"NectarPerS"` // the most that all tenants' burst credit adds here, a second; 0 for no bound
 
-	raw json.RawMessage
+	item
 }
 
 // Partner is another mesh whose exports we use.
--- a/internal/mesh/rpc/rpc.go
+++ b/internal/mesh/rpc/rpc.go
@@ -4,11 +4,13 @@
 
 import (
 	"bytes"
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"syscall"
 	"time"
 
@@ -22,6 +24,9 @@
 const (
 	mostBytes = 64 << 20
 	silent    = time.Second // after which a peer that confirms nothing counts as gone
+
+	compressed   = "gzip"  // how long answers travel to who accepts it
+	compressFrom = 4 << 10 // bytes of an answer
 )
 
 // Caller calls other processes.
@@ -55,28 +60,45 @@
 
 // Call posts a message to a path of the process at an address and takes its answer.
 func (c *Caller) Call(ctx context.Context, at, path string, message, answer any) error {
+	w, err := c.post(ctx, at, path, message)
+	if err != nil {
+		return err
+	}
+	defer w.Body.Close()
+	return readAnswer(w, w.Body, at+path, answer)
+}
+
+func (c *Caller) post(ctx context.Context, at, path string, message any) (*http.Response, error) {
 	raw, err := json.Marshal(message)
 	if err != nil {
-		return Error.Wrap(err)
+		return nil, Error.Wrap(err)
 	}
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+at+path, bytes.NewReader(raw))
 	if err != nil {
-		return Error.Wrap(err)
+		return nil, Error.Wrap(err)
 	}
 	r.GetBody = nil // never a second time by itself
 	r.Header["Content-Type"] = []string{"application/json"}
 	r.Header["User-Agent"] = []string{""}
+	r.Header["Accept-Encoding"] = []string{compressed}
 	w, err := c.client.Do(r)
-	if err != nil {
-		return Error.Wrap(err)
+	return w, Error.Wrap(err)
+}
+
+func readAnswer(w *http.Response, from io.Reader, name string, answer any) error {
+	if w.Header.Get("Content-Encoding") == compressed {
+		unpacked, err := gzip.NewReader(from)
+		if err != nil {
+			return Error.Wrap(err)
+		}
+		from = unpacked
 	}
-	defer w.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(w.Body, mostBytes))
+	body, err := io.ReadAll(io.LimitReader(from, mostBytes))
 	if err != nil {
 		return Error.Wrap(err)
 	}
 	if w.StatusCode != http.StatusOK {
-		return Error.New("%s%s answers %d: %.200s", at, path, w.StatusCode, body)
+		return Error.New("%s answers %d: %.200s", name, w.StatusCode, body)
 	}
 	return Error.Wrap(json.Unmarshal(body, answer))
 }
@@ -107,6 +129,21 @@
 			return
 		}
 		w.Header()["Content-Type"] = []string{"application/json"}
-		w.Write(raw)
+		if len(raw) < compressFrom || r.Header.Get("Accept-Encoding") != compressed {
+			w.Write(raw)
+			return
+		}
+		w.Header()["Content-Encoding"] = []string{compressed}
+		packed := compressors.Get().(*gzip.Writer)
+		defer compressors.Put(packed)
+		packed.Reset(w)
+		packed.Write(raw)
+		packed.Close()
 	}
 }
+
+// compressors are kept: one is much larger than most answers.
+var compressors = sync.Pool{New: func() any {
+	w, _ := gzip.NewWriterLevel(io.Discard, gzip.BestSpeed) // the level is known
+	return w
+}}
--- a/internal/mesh/simulation/scale/hollow.go
+++ b/internal/mesh/simulation/scale/hollow.go
@@ -119,22 +119,33 @@
 // request makes one watch request; it is given up for a change of the balancer's own.
 func (h *hollow) request(ctx context.Context, controller string) (response *membership.WatchResponse, interrupted bool, err error) {
 	h.mu.Lock()
-	request := &membership.WatchRequest{Node: h.node, Position: h.position, MaxWait: int64(watchWait)}
+	request := &membership.WatchRequest{Node: h.node, Position: h.position, MaxWait: int64(watchWait), Packed: true}
 	changed := h.changed
 	h.mu.Unlock()
-	call, end := context.WithTimeout(ctx, proxy.WatchTimeout)
-	defer end()
-	go func() {
-		select {
-		case <-changed:
-			end()
-		case <-call.Done():
-		}
-	}()
 	h.fleet.meter.Requests.Add(1)
 	response = &membership.WatchResponse{}
-	err = h.caller.Call(call, controller, rpc.PathWatch, request, response)
-	return response, err != nil && errors.Is(call.Err(), context.Canceled), err
+	patience := rpc.Patience{Silence: proxy.WatchTimeout, Interrupt: changed}
+	err = h.caller.CallPatiently(ctx, patience, controller, rpc.PathWatch, request, response)
+	if err == nil && response.Packed == nil && response.Digest != "" && response.Digest != request.Position.Digest {
+		err = h.fetchConfiguration(ctx, controller, request.Position.Digest)
+	}
+	return response, errors.Is(err, rpc.ErrInterrupted), err
+}
+
+// fetchConfiguration takes the bytes of a long configuration, as a real proxy does, and reads nothing of them.
+func (h *hollow) fetchConfiguration(ctx context.Context, controller, held string) error {
+	request := &membership.ConfigurationRequest{Held: held}
+	for {
+		piece := &membership.ConfigurationResponse{}
+		err := h.caller.CallPatiently(ctx, rpc.Patience{Silence: proxy.WatchTimeout}, controller, rpc.PathConfiguration, request, piece)
+		if err != nil {
+			return err
+		}
+		request.Result, request.Base, request.Offset = piece.Packed.Result, piece.Packed.Base, piece.Offset+len(piece.Packed.Data)
+		if request.Offset >= piece.Total || len(piece.Packed.Data) == 0 {
+			return nil
+		}
+	}
 }
 
 // apply takes news, as a real proxy takes it.
@@ -162,8 +173,8 @@
 		slices.SortFunc(h.controllers, func(a, b membership.ControllerAddress) int { return strings.Compare(a.At, b.At) })
 	}
 	h.position.Controller, h.position.Seq = n.Controller, n.Seq
-	if n.Configuration != nil {
-		h.position.Index, h.position.Edition = max(h.position.Index, n.Index), n.Edition
+	if n.Configuration != nil || n.Digest != h.position.Digest {
+		h.position.Index, h.position.Edition, h.position.Digest = max(h.position.Index, n.Index), n.Edition, n.Digest
 	} else if n.Index > h.position.Index && (n.Edition == h.position.Edition || n.Edition == 0) {
 		h.position.Index = n.Index
 	}
