--- a/internal/mesh/simulation/processes/judge.go
+++ b/internal/mesh/simulation/processes/judge.go
@@ -48,6 +48,7 @@
 	}
 	for id, t := range w.sent {
 		switch {
+		case t.probe:
 		case t.status == -1:
 			w.breaks("MIXED: %s got an answer that is no upstream's", id)
 		case t.status == http.StatusOK && runs[id] == 0:
@@ -115,7 +116,11 @@
 	}
 	if n := len(o.Acks); n > 0 {
 		slices.Sort(o.Acks)
-		fmt.Fprintf(out, "changes of a timetable of %d bytes: acknowledged after %v in the median, %v at most\n", o.Bytes, o.Acks[n/2].Round(100*time.Microsecond), o.Acks[n-1].Round(time.Millisecond))
+		fmt.Fprintf(out, "changes of a configuration of %d bytes: acknowledged after %v in the median, %v at most\n", o.Bytes, o.Acks[n/2].Round(100*time.Microsecond), o.Acks[n-1].Round(time.Millisecond))
+	}
+	if n := len(o.InForce); n > 0 {
+		fmt.Fprintf(out, "versions: %d probes, in force after %v in the median, %v at most; served on added routes %v, on the first %v\n", o.Probes,
+			o.InForce[n/2].Round(time.Millisecond), o.InForce[n-1].Round(time.Millisecond), o.Added, o.First)
 	}
 	if o.Spent > 0 {
 		fmt.Fprintf(out, "credit: %.0f charged; %d requests were due a charge at most\n", o.Spent, o.DueMost)
--- a/internal/mesh/simulation/processes/processes.go
+++ b/internal/mesh/simulation/processes/processes.go
@@ -1,4 +1,4 @@
-// Package live plays a mesh as real processes on loopback, with stand-in upstreams, clients and operators of its own, and judges
+// Package processes plays a mesh as real processes on loopback, with stand-in upstreams, clients and operators of its own, and judges
 // it by what those saw alone. It is the part of meshsim that has a real clock.
 package processes
 
@@ -18,7 +18,7 @@
 )
 
 // Error is the class of plays that could not be played.
-var Error = errs.Class("live")
+var Error = errs.Class("processes")
 
 // Mesh is what is played.
 type Mesh struct {
@@ -37,6 +37,7 @@
 	TenantRate           float64       // its rate then, a second
 	Extra                float64       // and the most over it
 	Partner              time.Duration // between two words of a partner that narrows and widens what it exports, 0 for no partner
+	Versions             time.Duration // between two versions of the configuration that are probed for, 0 for a version each three seconds and no probes
 	Logs                 string        // folder for what the processes write, "" for nowhere
 }
 
@@ -62,6 +63,10 @@
 	DueMost   int             // requests that were served, or whose effect may have been
 	Effects   int             // that ran at the partner
 	Done      []time.Duration // from the partner's words that narrowed until it was told that nothing comes any more
+	Probes    int             // for versions
+	InForce   []time.Duration // from the acknowledgement of each version until it was seen in force at each balancer
+	Added     share           // of the probes of routes that versions added
+	First     share           // of the probes of those of the first
 }
 
 type process struct {
@@ -84,6 +89,10 @@
 	mu    sync.Mutex
 	out   Outcome
 	sent  map[string]*try
+	began time.Time
+
+	versioned versioned
+
 	tail  [2]int // asked and served once all that was wrong is over
 	stops sync.WaitGroup
 }
@@ -92,6 +101,7 @@
 	once    bool
 	status  int
 	outside bool // toward the partner
+	probe   bool // for a version: what its status means is judged apart
 }
 
 const aim = 300 * time.Millisecond
@@ -131,7 +141,17 @@
 		calm = max(calm, f.At+f.For)
 		parts.Go(func() { w.befall(ctx, f, tell) })
 	}
-	parts.Go(func() { w.operate(ctx, tell) })
+	w.began = time.Now()
+	if m.Versions > 0 {
+		w.versioned.sent(firstEdition, 0, 0)
+		w.versioned.acknowledged(firstEdition, 1)
+		parts.Go(func() { w.changeVersions(ctx, tell) })
+		for n := range w.plan.Proxies {
+			parts.Go(func() { w.probeVersions(ctx, n) })
+		}
+	} else {
+		parts.Go(func() { w.operate(ctx, tell) })
+	}
 	if w.side != nil {
 		parts.Go(func() { w.narrow(ctx, tell) })
 	}
@@ -141,6 +161,9 @@
 		return nil, Error.New("stopped")
 	}
 	w.judge()
+	if m.Versions > 0 {
+		w.judgeVersions()
+	}
 	return &w.out, nil
 }
 
--- a/internal/mesh/simulation/run.go
+++ b/internal/mesh/simulation/run.go
@@ -18,6 +18,7 @@
 	Credit, Extra              float64 // burst credit of the one tenant of all clients, 0 for none; the most a second over its rate
 	TenantRate                 float64 `toml:"tenant_rate"`
 	Partner                    span    // between two words of a partner, 0 for no partner
+	Versions                   span    // between two versions of the configuration that are probed for, 0 for none
 	Faults                     []Fault
 }
 
@@ -38,6 +39,9 @@
 	fault("run.zones", r.Zones, validation.Required)
 	fault("run.services", r.Services, validation.Required)
 	fault("run.length", int64(r.Length), validation.Min(3*S), validation.Max(600*S))
+	if r.Versions != 0 {
+		fault("run.versions", int64(r.Versions), validation.Min(10*Ms))
+	}
 	fault("run.rate", r.Rate, validation.Required, validation.Min(1.0), validation.Max(5000.0))
 	fault("run.size", r.Size, validation.Min(0), validation.Max(8<<20))
 	return checkFaults("run", r.Faults, processes.Kinds, r.Length)
@@ -47,7 +51,7 @@
 func (q *Question) Live(programs, logs string, short bool) processes.Mesh {
 	r := q.Run
 	m := processes.Mesh{Programs: programs, Logs: logs, Controllers: r.Controllers, Proxies: r.Proxies, Zones: r.Zones, Services: r.Services,
-		Length: time.Duration(r.Length), Rate: r.Rate, Work: time.Duration(r.Work), Size: r.Size, Routes: r.Routes, Credit: r.Credit, Extra: r.Extra, TenantRate: r.TenantRate, Seed: q.Seed, Partner: time.Duration(r.Partner)}
+		Length: time.Duration(r.Length), Rate: r.Rate, Work: time.Duration(r.Work), Size: r.Size, Routes: r.Routes, Credit: r.Credit, Extra: r.Extra, TenantRate: r.TenantRate, Seed: q.Seed, Partner: time.Duration(r.Partner), Versions: time.Duration(r.Versions)}
 	if short && r.Short > 0 {
 		m.Length = time.Duration(r.Short)
 	}
