A rank's least share counts each request once, and is a little above the quarter that is owed

Cause: pushes that were turned away and sent again counted as requests, so a rank that waits long was held for starved too soon; a third is more than is owed, and is taken from calls of work that is under way. Change: LeastShare 0.28; the header says that a request has been sent to another balancer before, and such a one does not count as come; urgency is one type. Tests of priority and proxy pass.

--- a/internal/mesh/priority/shares.go
+++ b/internal/mesh/priority/shares.go
@@ -3,9 +3,9 @@
 import "math"
 
 const (
-	// LeastShare is the part of what all ranks together are served that each rank is served at least: above the quarter that
-	// is owed, since counts decay.
-	LeastShare = 1.0 / 3
+	// LeastShare is the part of what all ranks together are served that each rank is served at least: a little above the quarter
+	// that is owed, since counts decay. More of it is taken from the calls of work that is under way, which fails without them.
+	LeastShare = 0.28
 	// shareHalfLife is the time in nanoseconds within which what was counted loses half of its weight.
 	shareHalfLife = 2e9
 	// fewRequests is the weight of a count that says nothing any more.
@@ -24,7 +24,7 @@
 
 type shareCount struct{ came, served float64 }
 
-// Came counts a request that wants to be served.
+// Came counts a request that wants to be served, once however often it is sent.
 func (s *Shares) Came(rank Rank, now int64) {
 	s.of(rank, now).came++
 	s.all.came++
--- a/internal/mesh/proxy/admission.go
+++ b/internal/mesh/proxy/admission.go
@@ -25,7 +25,9 @@
 		return address, kind
 	}
 	at := b.sinceStart(now)
-	b.queue.Shares.Came(s.rank, at)
+	if !s.again {
+		b.queue.Shares.Came(s.rank, at)
+	}
 	if b.id == "" || b.up.Capacity <= 0 || b.open < b.slots() {
 		b.open++
 		b.queue.Shares.Served(s.rank, at)
--- a/internal/mesh/proxy/inbound.go
+++ b/internal/mesh/proxy/inbound.go
@@ -38,14 +38,14 @@
 	delete(header, meshGatewayHeader)
 	delete(header, meshAimHeader)
 	delete(header, meshLongHeader)
-	aim, rank := f.urgency(r)
+	urgency := f.urgencyOf(r)
 	if r.Header[meshLongHeader] != nil {
-		if !f.pace.admit(aim, rank) {
+		if !f.pace.admit(urgency) {
 			f.counts.Add("turned_line_full")
 			f.turn(w, r, apierror.NoRoom)
 			return
 		}
-		defer f.pace.leave(rank)
+		defer f.pace.leave(urgency.rank)
 	}
 	left, err := strconv.ParseFloat(r.Header.Get(timeLeft), 64)
 	if err != nil {
@@ -54,7 +54,7 @@
 	}
 	s := &upstreamRequest{
 		id: r.Header.Get(attemptID), to: r.Header.Get(addressee), method: r.Method, target: r.RequestURI, host: r.Host, header: header,
-		aim: aim, rank: rank, length: max(r.ContentLength, 0), until: time.Now().Add(time.Duration(left * float64(time.Millisecond))),
+		urgency: urgency, length: max(r.ContentLength, 0), until: time.Now().Add(time.Duration(left * float64(time.Millisecond))),
 		callerGone: callerGone(r),
 	}
 	if r.ContentLength > 0 {
@@ -86,7 +86,7 @@
 	}
 	defer back.done(false)
 	into := &reply{status: back.answer.StatusCode, header: onward(back.answer.Header), length: back.answer.ContentLength,
-		flow: back.answer.Body, early: back.line.early, ended: make(chan bool, 1), pace: f.pace, rank: rank, context: r.Context()}
+		flow: back.answer.Body, early: back.line.early, ended: make(chan bool, 1), pace: f.pace, rank: urgency.rank, context: r.Context()}
 	if err := into.measure(); err != nil {
 		f.counts.Add("app_" + cut(err))
 		w.Header()[meshHeader] = []string{meshBroke}
--- a/internal/mesh/proxy/pace.go
+++ b/internal/mesh/proxy/pace.go
@@ -64,26 +64,28 @@
 // admit lets in a request whose answer is long, if it would be on its way by half of the time within which it is of full
 // worth: those in front of it, asked for or on their way, each take the line for as long as one does in the mean. A rank that is
 // owed its share has one request let in all the same.
-func (p *pacer) admit(aim time.Duration, rank priority.Rank) bool {
+func (p *pacer) admit(u urgency) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.rate == 0 {
 		return true
 	}
 	now := p.sinceStart(time.Now())
-	p.queue.Shares.Came(rank, now)
+	if !u.again {
+		p.queue.Shares.Came(u.rank, now)
+	}
 	ahead := 0
 	for other, n := range p.asked {
-		if !rank.Before(other) {
+		if !u.rank.Before(other) {
 			ahead += n
 		}
 	}
-	late := float64(ahead)*p.mean/p.rate > aim.Seconds()/2
-	if late && (p.asked[rank] > 0 || !p.queue.Shares.Owed(rank, now)) {
+	late := float64(ahead)*p.mean/p.rate > u.aim.Seconds()/2
+	if late && (p.asked[u.rank] > 0 || !p.queue.Shares.Owed(u.rank, now)) {
 		return false
 	}
-	p.queue.Shares.Served(rank, now)
-	p.asked[rank]++
+	p.queue.Shares.Served(u.rank, now)
+	p.asked[u.rank]++
 	return true
 }
 
--- a/internal/mesh/proxy/proxy_test.go
+++ b/internal/mesh/proxy/proxy_test.go
@@ -24,7 +24,7 @@
 }
 
 func asks(id string, aim time.Duration) *upstreamRequest {
-	return &upstreamRequest{to: id, aim: aim, until: time.Now().Add(time.Hour)}
+	return &upstreamRequest{to: id, urgency: urgency{aim: aim}, until: time.Now().Add(time.Hour)}
 }
 
 // A closing may have been acknowledged by the process before: from its first beat on nothing passes.
@@ -175,19 +175,19 @@
 	p := newPacer(8) // a million bytes a second, of which long answers have 880,000
 	p.mean = 88_000  // a tenth of a second each
 	in := 0
-	for p.admit(time.Second, priority.Rank{}) {
+	for p.admit(urgency{aim: time.Second}) {
 		in++
 	}
 	must.Eq(t, 6, in) // those in front take half of the aim
 	p.leave(priority.Rank{})
-	must.True(t, p.admit(time.Second, priority.Rank{}))
+	must.True(t, p.admit(urgency{aim: time.Second}))
 	now := time.Now()
 	p.at, p.level = now, paceBurst
 	must.Eq(t, 0, p.spend(paceBurst, now))
 	must.Eq(t, 100*time.Millisecond, p.spend(88_000, now))
 	wide := newPacer(1000)
 	for range 1000 {
-		must.True(t, wide.admit(time.Millisecond, priority.Rank{})) // a wide line turns nothing away
+		must.True(t, wide.admit(urgency{aim: time.Millisecond})) // a wide line turns nothing away
 	}
 }
 
@@ -222,29 +222,27 @@
 	must.NoError(t, err)
 	f := &Proxy{}
 	f.view.Store(&configurationView{table: table})
-	told := encodeUrgency(300*time.Millisecond, priority.Of(1, 0))
+	told := urgency{300 * time.Millisecond, priority.Of(1, 0), false}.encode()
 	must.Eq(t, "300", told[0]) // all that the version before reads
 	for _, c := range []struct {
 		values []string
 		path   string
 		tenant string
-		aim    time.Duration
-		rank   priority.Rank
+		want   urgency
 	}{
-		{told, "/r/x", "t", 300 * time.Millisecond, priority.Of(1, 0)},
-		{told[:1], "/r/x?y", "t", 300 * time.Millisecond, priority.Of(3, 2)}, // of the version before: by what is known here
-		{told[:1], "/r/x", "", 300 * time.Millisecond, priority.Of(0, 2)},
-		{told[:1], "/other/", "t", 300 * time.Millisecond, priority.Lowest},
-		{[]string{"1e9", "priority=no"}, "/other/", "", aimUnsaid, priority.Lowest},
-		{nil, "/other/", "", aimUnsaid, priority.Lowest},
+		{told, "/r/x", "t", urgency{300 * time.Millisecond, priority.Of(1, 0), false}},
+		{told[:1], "/r/x?y", "t", urgency{300 * time.Millisecond, priority.Of(3, 2), false}}, // of the version before: by what is known here
+		{told[:1], "/r/x", "", urgency{300 * time.Millisecond, priority.Of(0, 2), false}},
+		{urgency{300 * time.Millisecond, priority.Of(1, 0), true}.encode(), "/r/x", "t", urgency{300 * time.Millisecond, priority.Of(1, 0), true}},
+		{told[:1], "/other/", "t", urgency{300 * time.Millisecond, priority.Lowest, false}},
+		{[]string{"1e9", "priority=no"}, "/other/", "", urgency{aimUnsaid, priority.Lowest, false}},
+		{nil, "/other/", "", urgency{aimUnsaid, priority.Lowest, false}},
 	} {
 		r := httptest.NewRequest("GET", "http://a"+c.path, nil)
 		r.RequestURI, r.Host = c.path, "a"
 		r.Header[meshAimHeader] = c.values
 		r.Header[senderName] = []string{c.tenant}
-		aim, rank := f.urgency(r)
-		must.Eq(t, c.aim, aim, must.Sprint(c))
-		must.Eq(t, c.rank, rank, must.Sprint(c))
+		must.Eq(t, c.want, f.urgencyOf(r), must.Sprint(c))
 	}
 	must.SliceContains(t, setByTheHub, meshAimHeader) // what a client sends of it goes no further
 }
--- a/internal/mesh/proxy/push.go
+++ b/internal/mesh/proxy/push.go
@@ -88,7 +88,7 @@
 	s := f.requestTo(q, c, o)
 	partner, through := q.pool.partnerOf(o)
 	if o.Place.Address != f.settings.Inbound {
-		s.header[meshAimHeader] = encodeUrgency(q.aim, q.rank)
+		s.header[meshAimHeader] = s.urgency.encode()
 		if q.long {
 			s.header[meshLongHeader] = []string{"1"}
 		}
@@ -107,7 +107,7 @@
 func (f *Proxy) requestTo(q *request, c *desk.Case, o *desk.Push) *upstreamRequest {
 	s := &upstreamRequest{
 		id: q.id, to: o.Name, method: q.method, target: q.target, host: q.host, header: make(http.Header, len(q.header)+3),
-		body: q.body, rest: q.rest, length: q.length, until: o.Until, aim: q.aim, rank: q.rank,
+		body: q.body, rest: q.rest, length: q.length, until: o.Until, urgency: urgency{q.aim, q.rank, o.Number > 0},
 	}
 	for name, values := range q.header {
 		s.header[name] = values
--- a/internal/mesh/proxy/send.go
+++ b/internal/mesh/proxy/send.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"ottershift/internal/mesh/apierror"
-	"ottershift/internal/mesh/priority"
 	"ottershift/internal/roster"
 )
 
@@ -25,9 +24,8 @@
 	rest                 io.Reader
 	length               int64
 	until                time.Time
-	aim                  time.Duration // within which its answer is of full worth
-	rank                 priority.Rank
-	callerGone           func() bool // looks at the connection that it came over, nil where there is none to look at
+	urgency
+	callerGone func() bool // looks at the connection that it came over, nil where there is none to look at
 }
 
 // upstreamResponse is what comes back of it. kind Unready says that it never left, Broke that it may have run.
--- a/internal/mesh/proxy/urgency.go
+++ b/internal/mesh/proxy/urgency.go
@@ -14,33 +14,48 @@
 	aimUnsaid = 200 * time.Millisecond
 	aimMost   = 1000 * time.Second
 
-	rankPrefix = "priority=" // of the second value of meshAimHeader
+	rankPrefix  = "priority=" // of the second value of meshAimHeader
+	againSuffix = ";again"    // of the same, for a request that has been sent to another balancer before
 )
 
-// encodeUrgency tells the balancer beside an upstream how urgent a request is: the header's first value is the aim in milliseconds,
+// urgency is how urgent a request is.
+type urgency struct {
+	aim   time.Duration // within which its answer is of full worth
+	rank  priority.Rank
+	again bool // it has been sent to another balancer before
+}
+
+// encode tells the balancer beside an upstream how urgent a request is: the header's first value is the aim in milliseconds,
 // all that versions before this one read, and the second one is the rank. Every version removes the header from what clients send,
 // so nobody else can set either.
-func encodeUrgency(aim time.Duration, rank priority.Rank) []string {
-	return []string{strconv.FormatInt(aim.Milliseconds(), 10), rankPrefix + rank.String()}
+func (u urgency) encode() []string {
+	rank := rankPrefix + u.rank.String()
+	if u.again {
+		rank += againSuffix
+	}
+	return []string{strconv.FormatInt(u.aim.Milliseconds(), 10), rank}
 }
 
-// urgency is how urgent a request from another balancer is. Where that balancer is of a version that does not tell the rank, it is
+// urgencyOf is how urgent a request from another balancer is. Where that balancer is of a version that does not tell the rank, it is
 // what this one's own configuration says.
-func (f *Proxy) urgency(r *http.Request) (aim time.Duration, rank priority.Rank) {
-	aim = aimUnsaid
+func (f *Proxy) urgencyOf(r *http.Request) urgency {
+	u := urgency{aim: aimUnsaid}
 	if ms, err := strconv.ParseInt(r.Header.Get(meshAimHeader), 10, 64); err == nil && ms >= 0 {
-		aim = min(time.Duration(ms)*time.Millisecond, aimMost)
+		u.aim = min(time.Duration(ms)*time.Millisecond, aimMost)
 	}
 	for _, value := range r.Header[meshAimHeader] {
 		text, found := strings.CutPrefix(value, rankPrefix)
 		if !found {
 			continue
 		}
+		text, again := strings.CutSuffix(text, againSuffix)
 		if rank, err := priority.Parse(text); err == nil {
-			return aim, rank
+			u.rank, u.again = rank, again
+			return u
 		}
 	}
-	return aim, f.configuredRank(r)
+	u.rank = f.configuredRank(r)
+	return u
 }
 
 // configuredRank is the rank of a request by this balancer's own configuration, the lowest where it knows no route for it.
