Outbound and inbound requests are read in steps; a long body of no stated length goes on whole

Cause: where the configuration sets no ContentsBytes, a body in chunks of over 256 KiB was cut there and sent on as if it were whole.

--- a/internal/mesh/proxy/inbound.go
+++ b/internal/mesh/proxy/inbound.go
@@ -33,64 +33,70 @@
 		f.turn(w, r, apierror.NotHere)
 		return
 	}
-	header := onward(r.Header)
-	gate := r.Header.Get(meshGatewayHeader)
-	delete(header, meshGatewayHeader)
-	delete(header, meshAimHeader)
-	delete(header, meshLongHeader)
-	urgency := f.urgencyOf(r)
+	s, kind := f.readInbound(r)
+	if kind != apierror.None {
+		f.turn(w, r, kind)
+		return
+	}
 	if r.Header[meshLongHeader] != nil {
-		if !f.pace.admit(urgency) {
+		if !f.pace.admit(s.urgency) {
 			f.counts.Add("turned_line_full")
 			f.turn(w, r, apierror.NoRoom)
 			return
 		}
-		defer f.pace.leave(urgency.rank)
+		defer f.pace.leave(s.rank)
+	}
+	ctx, end := context.WithDeadline(r.Context(), s.until.Add(lateBy))
+	defer end()
+	var back *upstreamResponse
+	if partner := r.Header.Get(meshGatewayHeader); partner != "" {
+		back = f.sendToPartner(ctx, s, partner)
+	} else {
+		back = f.sendToLocalUpstream(ctx, s)
+	}
+	switch back.kind {
+	case apierror.None:
+		f.passBack(w, r, s, back)
+	case apierror.NoRoom, apierror.NotHere, apierror.Unready:
+		f.turn(w, r, back.kind)
+	default:
+		f.breakOff(w, r, back.err)
+	}
+}
+
+// readInbound reads a request of another balancer: for whom it is, how urgent, until when, and its body as far as it is held.
+func (f *Proxy) readInbound(r *http.Request) (*upstreamRequest, apierror.Kind) {
+	header := onward(r.Header)
+	for _, name := range []string{meshGatewayHeader, meshAimHeader, meshLongHeader} {
+		delete(header, name)
 	}
 	left, err := strconv.ParseFloat(r.Header.Get(timeLeft), 64)
 	if err != nil {
-		f.turn(w, r, apierror.Malformed)
-		return
+		return nil, apierror.Malformed
 	}
 	s := &upstreamRequest{
 		id: r.Header.Get(attemptID), to: r.Header.Get(addressee), method: r.Method, target: r.RequestURI, host: r.Host, header: header,
-		urgency: urgency, length: max(r.ContentLength, 0), until: time.Now().Add(time.Duration(left * float64(time.Millisecond))),
+		urgency: f.urgencyOf(r), length: max(r.ContentLength, 0), until: time.Now().Add(time.Duration(left * float64(time.Millisecond))),
 		callerGone: callerGone(r),
 	}
 	if r.ContentLength > 0 {
 		if s.body, err = io.ReadAll(io.LimitReader(r.Body, heldBody)); err != nil {
-			f.turn(w, r, apierror.Malformed)
-			return
+			return nil, apierror.Malformed
 		}
 		if int64(len(s.body)) < r.ContentLength {
 			s.rest = r.Body
 		}
 	}
-	ctx, end := context.WithDeadline(r.Context(), s.until.Add(lateBy))
-	defer end()
-	var back *upstreamResponse
-	if gate != "" {
-		back = f.sendToPartner(ctx, s, gate)
-	} else {
-		back = f.sendToLocalUpstream(ctx, s)
-	}
-	switch {
-	case back.kind == apierror.NoRoom || back.kind == apierror.NotHere || back.kind == apierror.Unready:
-		f.turn(w, r, back.kind)
-		return
-	case back.kind != apierror.None:
-		f.counts.Add("app_" + cut(back.err))
-		w.Header()[meshHeader] = []string{meshBroke}
-		f.refuse(w, r, apierror.Broke, 0)
-		return
-	}
+	return s, apierror.None
+}
+
+// passBack passes an upstream's answer back to the balancer that asked.
+func (f *Proxy) passBack(w http.ResponseWriter, r *http.Request, s *upstreamRequest, back *upstreamResponse) {
 	defer back.done(false)
 	into := &reply{status: back.answer.StatusCode, header: onward(back.answer.Header), length: back.answer.ContentLength,
-		flow: back.answer.Body, early: back.line.early, ended: make(chan bool, 1), pace: f.pace, rank: urgency.rank, context: r.Context()}
+		flow: back.answer.Body, early: back.line.early, ended: make(chan bool, 1), pace: f.pace, rank: s.rank, context: r.Context()}
 	if err := into.measure(); err != nil {
-		f.counts.Add("app_" + cut(err))
-		w.Header()[meshHeader] = []string{meshBroke}
-		f.refuse(w, r, apierror.Broke, 0)
+		f.breakOff(w, r, err)
 		return
 	}
 	if s.id != "" {
@@ -100,6 +106,13 @@
 	back.done(true)
 }
 
+// breakOff says that a request may have run, and that nothing of use came of it.
+func (f *Proxy) breakOff(w http.ResponseWriter, r *http.Request, err error) {
+	f.counts.Add("app_" + cut(err))
+	w.Header()[meshHeader] = []string{meshBroke}
+	f.refuse(w, r, apierror.Broke, 0)
+}
+
 // callerGone looks whether the other balancer has closed the connection of a request. Invariant: a process that stood still reads
 // what came meanwhile as if it came now, and its time begins anew; the request's context ends only some time after the handler has
 // begun, too late for one that is handed on at once.
--- a/internal/mesh/proxy/outbound.go
+++ b/internal/mesh/proxy/outbound.go
@@ -1,20 +1,16 @@
 package proxy
 
 import (
-	"bytes"
 	"cmp"
-	"context"
 	"io"
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"ottershift/internal/desk"
 	"ottershift/internal/mesh/apierror"
 	"ottershift/internal/mesh/burstcredit"
-	"ottershift/internal/mesh/priority"
 	"ottershift/internal/mesh/routing"
 	"ottershift/logic"
 )
@@ -23,97 +19,11 @@
 	heldBody   = 256 << 10 // of a request, so that it can be sent again; what is longer goes once
 	heldAnswer = 64 << 10  // of an answer, until it is known to be whole; what is longer flows
 	piece      = 16 << 10
-)
-
-// request is one try of a client on its way.
-type request struct {
-	pool   *pool
-	method string
-	target string // as it came
-	host   string
-	id     string
-	header http.Header
-	body   []byte
-	rest   io.Reader // behind body, nil if that is all
-	length int64
-	aim    time.Duration // within which its answer is of full worth
-	rank   priority.Rank
-	long   bool // its answer is
-	stop   time.Time
-	claim  *burstcredit.Claim // that it has drawn burst credit for, nil for none
-
-	mu        sync.Mutex
-	delivered bool // its client has all of an answer that is of use
-	closed    bool // it has its answer: nothing more goes out
-	tries     int  // upstreams that it may be sent to
-	sent      int  // pushes that have reached one, or may have
-	ran       int  // and of them, those that may have run
-	out       int  // and of them, those without an outcome
-	failed    *reply
-	replies   map[int]*reply // by push
-}
-
-// reply is an answer of an upstream, held whole or flowing.
-type reply struct {
-	status int
-	header http.Header
-	body   []byte
-	flow   io.Reader // the rest of it
-	length int64     // of all, -1 if nobody has said
-	ended  chan bool // says whether all of a flow was written
-	early  bool      // it came before the request had gone out whole: its caller may send nothing else behind that
-
-	pace    *pacer // of the line that it flows over, nil for none
-	rank    priority.Rank
-	context context.Context
-}
-
-// begin lets a push out, unless its request has been answered or has been sent to as many upstreams as it may be; what was
-// turned away before it came to one doesn't count. One beyond the first has to be paid for. Invariant: without a look at the
-// answer a push ordered before one that promises that nothing runs would go out after it.
-func (q *request) begin(paid func() bool) bool {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if q.closed || q.sent >= q.tries || q.sent > 0 && !paid() {
-		return false
-	}
-	q.sent++
-	q.ran++
-	q.out++
-	return true
-}
 
-// ended takes a push's outcome; early says that it never came to an upstream.
-func (q *request) ended(r logic.Result, early bool, failed *reply) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.out--
-	if early {
-		q.sent--
-	}
-	if r.NeverRan() {
-		q.ran--
-	}
-	if failed != nil {
-		q.failed = failed
-	}
-}
-
-// close lets nothing more out, and tells what may have run.
-func (q *request) close() (ran, out int, failed *reply) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.closed = true
-	return q.ran, q.out, q.failed
-}
-
-func (q *request) keep(n int, r *reply) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.replies[n] = r
-}
+	mostGathered = 64 << 20 // of a body of no stated length, where the configuration has no bound
+)
 
-// outbound is the life of a request that starts on this machine: read, routed, pushed as the module decides, answered
+// serveOutbound is the life of a request that starts on this machine: read, routed, pushed as the module decides, answered
 // exactly once.
 func (f *Proxy) serveOutbound(w http.ResponseWriter, r *http.Request) {
 	f.requests.Add(1)
@@ -134,9 +44,9 @@
 	} else {
 		f.promise(w, r, v.idle)
 	}
-	q, t, kind, again := f.read(v, r)
-	if kind != apierror.None {
-		f.refuse(w, r, kind, again)
+	q, t, why := f.read(v, r)
+	if why != goesOn {
+		f.refuse(w, r, why.kind, why.after)
 		return
 	}
 	defer f.settles(q)
@@ -148,106 +58,139 @@
 	f.attend(w, r, q, c)
 }
 
-// read takes a request as it came, and what it may not do.
-func (f *Proxy) read(v *configurationView, r *http.Request) (q *request, t target, kind apierror.Kind, again time.Duration) {
-	target, path := r.RequestURI, r.RequestURI
-	if at := strings.IndexByte(path, '?'); at >= 0 {
-		path = path[:at]
-	}
-	if len(r.Header[attemptID]) > 1 { // no answer could be matched to it
-		return nil, t, apierror.Malformed, 0
-	}
-	if !strings.HasPrefix(path, "/") || r.Method == http.MethodConnect {
-		return nil, t, apierror.Malformed, 0
-	}
-	rule := v.table.Find(r.Host, path)
-	if rule == nil { // a partner may let it in
-		if rule, t, kind = f.toPartner(r, path); kind != apierror.None {
-			return nil, t, kind, 0
+// refusal is why a request goes no further, and when it may come again.
+type refusal struct {
+	kind  apierror.Kind
+	after time.Duration
+}
+
+var goesOn = refusal{kind: apierror.None}
+
+func refused(kind apierror.Kind) refusal { return refusal{kind: kind} }
+
+// read takes a request as it came: its route, whose it is, its time and its body.
+func (f *Proxy) read(v *configurationView, r *http.Request) (*request, target, refusal) {
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	if !wellFormed(r, path) {
+		return nil, target{}, refused(apierror.Malformed)
+	}
+	var to target
+	route := v.table.Find(r.Host, path)
+	if route == nil { // a partner may let it in
+		var kind apierror.Kind
+		if route, to, kind = f.toPartner(r, path); kind != apierror.None {
+			return nil, to, refused(kind)
 		}
 	}
-	var drawn *burstcredit.Claim
-	rank := rankOf(rule, nil)
-	header := onward(r.Header)
+	q := &request{
+		method: r.Method, target: r.RequestURI, host: r.Host, id: r.Header.Get(attemptID), header: onward(r.Header), length: r.ContentLength,
+		aim: time.Duration(cmp.Or(route.Target, route.Dispatch.Deadline)), long: route.MailClass == routing.Streamed,
+		tries: route.Dispatch.DeliveryTries, replies: map[int]*reply{},
+	}
 	for _, name := range setByTheHub {
-		delete(header, name)
+		delete(q.header, name)
 	}
-	if v.table.RequiresKeys() && !rule.Unstamped { // partners' services too: whoever asks is a tenant of ours
-		owner := v.table.Tenant(r.Header.Get(keyName))
-		if owner == nil {
-			return nil, t, apierror.NoKey, 0
-		}
-		if !f.keys.holds(f.now()) {
-			return nil, t, apierror.Unready, 0
+	q.header[returnTo] = []string{f.settings.Destination}
+	if why := f.authorize(v, r, route, q); why != goesOn {
+		return nil, to, why
+	}
+	why := f.readTimeAndBody(v, r, route, q)
+	if why == goesOn && to.pool == nil {
+		if to = v.pick(route); to.pool == nil { // no module could be made for its service
+			why = refused(apierror.NoRoom)
 		}
-		header[senderName] = []string{owner.Name}
-		rank = rankOf(rule, owner)
-		if ok, again := f.withinQuota(r.Context(), owner.Name); !ok {
-			if !f.credit.on.Load() {
-				return nil, t, apierror.Beyond, again
-			}
-			k := f.claim(r, rule, owner)
-			if !f.draws(r.Context(), k) {
-				return nil, t, apierror.Beyond, again
-			}
-			drawn = &k
-			defer func() {
-				if kind != apierror.None { // it goes no further
-					f.drawn(k, burstcredit.NeverRan)
-				}
-			}()
+	}
+	if why != goesOn {
+		if q.claim != nil { // it goes no further
+			f.drawn(*q.claim, burstcredit.NeverRan)
 		}
+		return nil, to, why
 	}
-	header[returnTo] = []string{f.settings.Destination}
-	left := time.Duration(rule.Dispatch.Deadline)
+	q.pool = to.pool
+	return q, to, goesOn
+}
+
+// wellFormed reports whether a request may be routed at all.
+func wellFormed(r *http.Request, path string) bool {
+	// Of one with several ids no answer could be matched to it.
+	return len(r.Header[attemptID]) <= 1 && strings.HasPrefix(path, "/") && r.Method != http.MethodConnect
+}
+
+// authorize finds whose a request is, what its rank is, and whether its tenant may ask now. Partners' services need a key, too:
+// whoever asks is a tenant of ours.
+func (f *Proxy) authorize(v *configurationView, r *http.Request, route *routing.Route, q *request) refusal {
+	q.rank = rankOf(route, nil)
+	if !v.table.RequiresKeys() || route.Unstamped {
+		return goesOn
+	}
+	owner := v.table.Tenant(r.Header.Get(keyName))
+	if owner == nil {
+		return refused(apierror.NoKey)
+	}
+	if !f.keys.holds(f.now()) {
+		return refused(apierror.Unready)
+	}
+	q.header[senderName] = []string{owner.Name}
+	q.rank = rankOf(route, owner)
+	within, after := f.withinQuota(r.Context(), owner.Name)
+	if within {
+		return goesOn
+	}
+	if !f.credit.on.Load() {
+		return refusal{apierror.Beyond, after}
+	}
+	claim := f.claim(r, route, owner)
+	if !f.draws(r.Context(), claim) {
+		return refusal{apierror.Beyond, after}
+	}
+	q.claim = &claim
+	return goesOn
+}
+
+// readTimeAndBody reads how long a request may take, and its body as far as it is held.
+func (f *Proxy) readTimeAndBody(v *configurationView, r *http.Request, route *routing.Route, q *request) refusal {
+	left := time.Duration(route.Dispatch.Deadline)
 	if text := r.Header.Get(timeLeft); text != "" {
 		ms, err := strconv.ParseFloat(text, 64)
 		if err != nil || !(ms >= 0) {
-			return nil, t, apierror.Malformed, 0
+			return refused(apierror.Malformed)
 		}
 		left = min(left, time.Duration(min(ms, 1e9)*float64(time.Millisecond)))
 	}
 	most := v.table.Limits.ContentsBytes
 	if most > 0 && r.ContentLength > most {
-		return nil, t, apierror.TooLong, 0
+		return refused(apierror.TooLong)
+	}
+	q.stop = time.Now().Add(left)
+	if r.ContentLength == 0 {
+		return goesOn
 	}
-	now := time.Now()
-	q = &request{
-		method: r.Method, target: target, host: r.Host, id: r.Header.Get(attemptID), header: header,
-		rank: rank, claim: drawn, stop: now.Add(left), replies: map[int]*reply{}, length: r.ContentLength,
+	return q.readBody(r, most)
+}
+
+// readBody reads a body whole, or its beginning where it is long: the rest then goes on as it comes. One whose length is not known
+// before its end is gathered, up to the most that the configuration allows.
+func (q *request) readBody(r *http.Request, most int64) refusal {
+	body, err := io.ReadAll(io.LimitReader(r.Body, heldBody+1))
+	if err != nil {
+		return refused(apierror.Malformed)
 	}
-	if r.ContentLength != 0 {
-		body, err := io.ReadAll(io.LimitReader(r.Body, heldBody+1))
+	if len(body) > heldBody && r.ContentLength >= 0 {
+		q.body, q.rest = body, r.Body
+		return goesOn
+	}
+	if len(body) > heldBody {
+		most = cmp.Or(most, mostGathered)
+		more, err := io.ReadAll(io.LimitReader(r.Body, most-int64(len(body))+1))
 		if err != nil {
-			return nil, t, apierror.Malformed, 0
-		}
-		q.body = body
-		if len(body) > heldBody {
-			if r.ContentLength < 0 { // its length is not known before its end: it is gathered
-				more, err := io.ReadAll(io.LimitReader(r.Body, most-int64(len(body))+1))
-				if q.body = append(q.body, more...); err != nil {
-					return nil, t, apierror.Malformed, 0
-				}
-				if most > 0 && int64(len(q.body)) > most {
-					return nil, t, apierror.TooLong, 0
-				}
-			} else {
-				q.rest = r.Body
-			}
+			return refused(apierror.Malformed)
 		}
-		if q.rest == nil {
-			q.length = int64(len(q.body))
+		if body = append(body, more...); int64(len(body)) > most {
+			return refused(apierror.TooLong)
 		}
 	}
-	q.aim, q.long = time.Duration(cmp.Or(rule.Target, rule.Dispatch.Deadline)), rule.MailClass == routing.Streamed
-	if t.pool == nil {
-		t = v.pick(rule)
-	}
-	if t.pool == nil { // no module could be made for its service
-		return nil, t, apierror.NoRoom, 0
-	}
-	q.pool, q.tries = t.pool, rule.Dispatch.DeliveryTries
-	return q, t, apierror.None, 0
+	q.body, q.length = body, int64(len(body))
+	return goesOn
 }
 
 // refuse answers what goes no further.
@@ -295,15 +238,6 @@
 	}
 }
 
-func (q *request) drop(n int) {
-	q.mu.Lock()
-	r := q.replies[n]
-	q.mu.Unlock()
-	if r != nil && r.flow != nil {
-		r.ended <- false
-	}
-}
-
 // answer writes the one final answer.
 func (f *Proxy) answer(w http.ResponseWriter, r *http.Request, q *request, a desk.Answer) {
 	ran, out, failed := q.close()
@@ -330,69 +264,3 @@
 		f.refuse(w, r, apierror.Broke, 0)
 	}
 }
-
-// measure reads as much of an answer of no stated length as tells whether it is a long one. Invariant: taken for long, a small
-// one waits for its turn behind all long ones, while whoever called for it runs out of time.
-func (r *reply) measure() error {
-	if r.length >= 0 || r.pace == nil || r.pace.rate == 0 {
-		return nil
-	}
-	first, err := io.ReadAll(io.LimitReader(r.flow, longFrom+1))
-	if err != nil {
-		return err
-	}
-	if len(first) <= longFrom {
-		r.length = int64(len(first))
-	}
-	r.flow = io.MultiReader(bytes.NewReader(first), r.flow)
-	return nil
-}
-
-// write passes an upstream's answer on. Invariant: one that breaks off must not look whole.
-func (f *Proxy) write(w http.ResponseWriter, r *reply) {
-	h := w.Header()
-	for name, values := range r.header {
-		h[name] = values
-	}
-	if r.length >= 0 {
-		h["Content-Length"] = []string{strconv.FormatInt(r.length, 10)}
-	}
-	for _, name := range addedByServer { // unless it is set to nothing
-		if h[name] == nil {
-			h[name] = nil
-		}
-	}
-	if r.early {
-		h["Connection"] = []string{"close"}
-	}
-	w.WriteHeader(r.status)
-	_, err := w.Write(r.body)
-	if r.flow != nil {
-		if err == nil {
-			err = r.stream(w)
-		}
-		r.ended <- err == nil
-	}
-	if err != nil {
-		f.counts.Add("answers_cut")
-		panic(http.ErrAbortHandler)
-	}
-}
-
-var addedByServer = []string{"Date", "Content-Type"}
-
-var pieces = sync.Pool{New: func() any { b := make([]byte, piece); return &b }}
-
-// stream writes what flows, at the line's pace where it leaves the machine.
-func (r *reply) stream(w io.Writer) error {
-	if r.pace != nil && r.pace.rate > 0 && (r.length < 0 || r.length > longFrom) {
-		return r.pace.stream(r.context, w, r.flow, max(r.length, longFrom), r.rank)
-	}
-	if r.pace != nil {
-		r.pace.small(int(max(r.length, 0)))
-	}
-	b := pieces.Get().(*[]byte)
-	defer pieces.Put(b)
-	_, err := io.CopyBuffer(struct{ io.Writer }{w}, struct{ io.Reader }{r.flow}, *b)
-	return err
-}
--- a/internal/mesh/testmesh/upstream.go
+++ b/internal/mesh/testmesh/upstream.go
@@ -255,7 +255,7 @@
 		injection, u.injections = u.injections[0], u.injections[1:]
 		u.met[r.Header.Get("X-Attempt-Id")] = injection.Fault
 	}
-	for _, name := range []string{"X-Sender", "X-Return-Address", "X-Addressee", "X-Time-Left-Ms", "X-Key"} {
+	for _, name := range []string{"X-Sender", "X-Return-Address", "X-Addressee", "X-Time-Left-Ms", "X-Key", "Content-Length"} {
 		u.seen[name] = r.Header.Get(name)
 	}
 	return injection
