--- a/internal/mesh/chunked_body_test.go
+++ b/internal/mesh/chunked_body_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -34,3 +35,28 @@
 type endless struct{}
 
 func (endless) Read(b []byte) (int, error) { return len(b), nil }
+
+// A long body that goes on as it comes is handed the time that its client has, and no more.
+func TestALongBodyIsHandedItsClientsTime(t *testing.T) {
+	m := start(t, 1, 2, 0, 100)
+	m.put(1)
+	const long, left = 1 << 20, 2000
+	for n := range 8 { // at this machine and by way of the other
+		r, err := http.NewRequest(http.MethodPost, "http://"+m.plan.Proxies[0].Outbound+"/read/x", io.LimitReader(endless{}, long))
+		must.NoError(t, err)
+		r.ContentLength = long
+		r.Host, r.Header = "a.example", http.Header{"X-Attempt-Id": {fmt.Sprint("long", n)}, "X-Time-Left-Ms": {fmt.Sprint(left)}, "X-Key": {"k1"}}
+		w, err := http.DefaultClient.Do(r)
+		must.NoError(t, err)
+		w.Body.Close()
+		must.Eq(t, http.StatusOK, w.StatusCode)
+		for _, a := range m.apps {
+			if a.Runs(fmt.Sprint("long", n)) == 0 {
+				continue
+			}
+			handed, err := strconv.Atoi(a.Saw("X-Time-Left-Ms"))
+			must.NoError(t, err)
+			must.Between(t, 1, handed, left)
+		}
+	}
+}
--- a/internal/mesh/proxy/push.go
+++ b/internal/mesh/proxy/push.go
@@ -115,8 +115,8 @@
 	if _, through := q.pool.partnerOf(o); !through {
 		s.header[addressee] = []string{o.Name}
 	}
-	if q.rest != nil { // its time begins with its last byte
-		s.until = time.Now().Add(time.Until(q.stop) + time.Minute)
+	if q.rest != nil { // the module's time begins with its last byte, its client's does not
+		s.until = q.stop
 		s.rest = &lastByte{q.rest, func() { q.pool.desk.Whole(c, time.Until(q.stop)) }}
 	}
 	return s
