A list of nodes that comes late is taken once a later answer confirms it

Change: what a controller told while current, and came late, is kept aside, and confirmed by its next current answer that builds on it; then nodes that it does not name are dropped. Measured: TestAListThatComesLateIsTakenOnceItIsConfirmed and the package's tests pass.

--- a/internal/mesh/proxy/known_nodes.go
+++ b/internal/mesh/proxy/known_nodes.go
@@ -15,6 +15,56 @@
 	heard int64     // when a controller had heard of it directly, by this process's clock
 }
 
+// lateList is the nodes that a controller told of as all there are, while it was current, in an answer that came too late to be
+// acted on so. Its next answer that comes in time says whether that holds. Invariant: asked for again each time, a long list would
+// never be taken over a line on which it is always late.
+type lateList struct {
+	controller string // its life, "" for none
+	names      map[string]bool
+}
+
+// noteLate takes an answer that was not acted on as a current one: it came late, or its controller was not current.
+func (f *Proxy) noteLate(n *membership.WatchResponse, wasCurrent bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case n.Starting || !wasCurrent:
+		f.late = lateList{}
+	case n.Whole:
+		f.late = lateList{n.Controller, map[string]bool{}}
+		f.late.add(n)
+	case f.late.controller == n.Controller:
+		f.late.add(n)
+	default:
+		f.late = lateList{}
+	}
+}
+
+func (l *lateList) add(n *membership.WatchResponse) {
+	for _, t := range n.Nodes {
+		l.names[t.Name] = true
+	}
+	for _, name := range n.Gone {
+		delete(l.names, name)
+	}
+}
+
+// confirmLate drops the nodes that a late list does not name, once a current answer of the same controller builds on it. Under mu.
+func (f *Proxy) confirmLate(n *membership.WatchResponse) (confirmed bool) {
+	late := f.late
+	f.late = lateList{}
+	if n.Whole || n.Starting || late.controller == "" || late.controller != n.Controller {
+		return false
+	}
+	late.add(n)
+	for name := range f.nodes {
+		if !late.names[name] {
+			delete(f.nodes, name)
+		}
+	}
+	return true
+}
+
 // replaceNodes takes the nodes of a controller that is current. Under mu.
 func (f *Proxy) replaceNodes(n *membership.WatchResponse, asked int64) (changed bool) {
 	if n.Whole {
@@ -35,13 +85,14 @@
 		delete(f.nodes, node)
 	}
 	f.position.Controller, f.position.Seq = n.Controller, n.Seq
-	if n.Whole {
+	confirmed := f.confirmLate(n)
+	if n.Whole || confirmed {
 		f.overlaid = n.Starting
 	}
 	if f.overlaid && !n.Starting {
 		f.position.Controller = "" // all of them, next time: changes alone take nothing away that this controller never knew
 	}
-	return len(n.Nodes)+len(n.Gone) > 0 || n.Whole
+	return len(n.Nodes)+len(n.Gone) > 0 || n.Whole || confirmed
 }
 
 // overlayNodes takes what a controller that is not current has heard of later than this process. Under mu.
--- a/internal/mesh/proxy/proxy.go
+++ b/internal/mesh/proxy/proxy.go
@@ -74,6 +74,7 @@
 	seeds       []string
 	position    membership.Position
 	fetch       configurationFetch
+	late        lateList
 	overlaid    bool // nodes hold some that the controller of position never told of
 	members     int
 	warms       time.Time // when the next upstream is warm
--- a/internal/mesh/proxy/watch.go
+++ b/internal/mesh/proxy/watch.go
@@ -98,6 +98,7 @@
 		return false, err
 	}
 	late := f.now()-asked > int64(WatchTimeout) && !f.withoutResponseAge
+	wasCurrent := response.Current
 	if late { // what the controller vouched for may be long over, but what it knows may still be news
 		response.Current, response.Calm = false, false
 	}
@@ -110,6 +111,9 @@
 		}
 	}
 	f.membersNow.Store(int64(f.memberCount()))
+	if late || !wasCurrent {
+		f.noteLate(response, wasCurrent)
+	}
 	if late {
 		return false, errLateResponse
 	}
--- a/internal/mesh/proxy/watch_test.go
+++ b/internal/mesh/proxy/watch_test.go
@@ -103,6 +103,49 @@
 	}
 }
 
+// A list of all nodes that always comes late is taken once a later answer of the same controller, in time, builds on it: what it does
+// not name is dropped, and it is not asked for again.
+func TestAListThatComesLateIsTakenOnceItIsConfirmed(t *testing.T) {
+	list := func(current, whole bool, controller string, seq uint64, nodes ...membership.Record) *membership.WatchResponse {
+		return &membership.WatchResponse{Position: membership.Position{Controller: controller, Seq: seq}, Current: current, Whole: whole, Members: 3, Nodes: nodes}
+	}
+	late := func(p *Proxy, n *membership.WatchResponse) {
+		n.Current = false
+		must.NoError(t, p.applyWatchResponse(n, p.now()))
+		p.noteLate(n, true)
+	}
+	names := func(p *Proxy) []string { return slices.Sorted(maps.Keys(p.nodes)) }
+	start := func() *Proxy {
+		p := newTestProxy(nil)
+		must.NoError(t, p.applyWatchResponse(list(true, true, "one", 1, record("a", "a", 1, 0), record("gone", "g", 1, 0)), p.now()))
+		late(p, list(true, true, "two", 5, record("a", "a", 1, 0), record("b", "b", 1, 0)))
+		must.Eq(t, []string{"a", "b", "gone"}, names(p)) // nothing is taken away by what came late
+		return p
+	}
+	p := start()
+	must.NoError(t, p.applyWatchResponse(list(true, false, "two", 6, record("c", "c", 1, 0)), p.now()))
+	must.Eq(t, []string{"a", "b", "c"}, names(p))
+	must.Eq(t, "two", p.position.Controller) // all of them are not asked for again
+
+	p = start()
+	late(p, &membership.WatchResponse{Position: membership.Position{Controller: "two", Seq: 6}, Gone: []string{"b"}})
+	must.NoError(t, p.applyWatchResponse(list(true, false, "two", 7), p.now()))
+	must.Eq(t, []string{"a"}, names(p))
+
+	p = start()
+	must.NoError(t, p.applyWatchResponse(list(true, false, "three", 7), p.now())) // another's word confirms nothing
+	must.Eq(t, []string{"a", "b", "gone"}, names(p))
+	must.Eq(t, "", p.position.Controller)
+
+	p = start()
+	stale := list(false, false, "two", 6) // it was not current meanwhile: what it has told may be what one that is cut off knows
+	must.NoError(t, p.applyWatchResponse(stale, p.now()))
+	p.noteLate(stale, false)
+	must.NoError(t, p.applyWatchResponse(list(true, false, "two", 7), p.now()))
+	must.Eq(t, []string{"a", "b", "gone"}, names(p))
+	must.Eq(t, "", p.position.Controller)
+}
+
 // The first configuration of a life comes from who is current.
 func TestTheFirstConfigurationComesFromAControllerThatIsCurrent(t *testing.T) {
 	p := newTestProxy(nil)
