A fetched configuration that can't be unpacked is told again, as it is

Cause: the watch had gone on from the state that was named, so the document was not sent until the next change, and the fetch began again and again. Change: the position goes back to what is in force, and the fetch ends. Measured: TestALongConfigurationIsFetchedWhereverItIs and the package's tests pass beside the race detector.

--- a/internal/mesh/proxy/configuration.go
+++ b/internal/mesh/proxy/configuration.go
@@ -70,12 +70,20 @@
 	if err != nil {
 		f.counts.Add("configurations_not_unpacked")
 		f.log.Error("configuration", "index", index, "unpacking", err)
+		f.forgetTold()
 		return err
 	}
 	f.adoptFrom(index, t)
 	return nil
 }
 
+// forgetTold has the next watch be told again of what is not in force.
+func (f *Proxy) forgetTold() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.position.Index = f.heldIndex()
+}
+
 // heldConfiguration is the one in force, nil for none.
 func (f *Proxy) heldConfiguration() *routing.Configuration {
 	if v := f.view.Load(); v != nil {
@@ -131,6 +139,9 @@
 	if v := f.view.Load(); v != nil && (v.index >= f.fetch.index || f.position.Digest == f.fetch.digest) {
 		return ""
 	}
+	if f.unpackable.Load() { // it comes with the watch, as it is
+		return ""
+	}
 	return f.fetch.at
 }
 
--- a/internal/mesh/proxy/configuration_test.go
+++ b/internal/mesh/proxy/configuration_test.go
@@ -170,8 +170,16 @@
 	must.False(t, p.unpackable.Load())
 
 	spoilt := newProxy(true)
+	must.NoError(t, spoilt.applyConfiguration(named))
+	must.Eq(t, 9, spoilt.currentPosition().Index)
+	spoilt.fetchFrom("sound", named)
 	must.Error(t, spoilt.fetchConfiguration(context.Background(), "sound"))
 	must.True(t, spoilt.unpackable.Load())
+	must.Eq(t, "", spoilt.wanted())
 	request, _ := spoilt.watchRequest()
 	must.False(t, request.Packed)
+	must.Eq(t, 0, request.Position.Index) // it is told again
+	plain := &membership.WatchResponse{Current: true, Position: membership.Position{Index: 9, Edition: 3}, Configuration: of.Document()}
+	must.NoError(t, spoilt.applyConfiguration(plain))
+	must.Eq(t, of.Digest(), spoilt.view.Load().table.Digest())
 }
--- a/internal/mesh/proxy/proxy.go
+++ b/internal/mesh/proxy/proxy.go
@@ -54,7 +54,7 @@
 	view       atomic.Pointer[configurationView]
 	leaving    atomic.Bool // not ready any more, serves what comes
 	closed     atomic.Bool // serves what it has, and nothing new
-	unpackable atomic.Bool // the last packed configuration could not be read: it is asked for as it is
+	unpackable atomic.Bool // a packed configuration could not be read: from then on it is asked for as it is
 	open       atomic.Int64
 	membersNow atomic.Int64
 	requests   *atomic.Int64
