A service whose module failed is told again with the next version; a field nobody reads goes

Cause: read again: routes that a failed service was told counted as told, so a later version with the same routes would have skipped it; ConfigurationResponse.Edition was set and never read. That failure can't be brought about by a configuration that is valid, so it has no test of its own.

--- a/internal/mesh/controller/configurations.go
+++ b/internal/mesh/controller/configurations.go
@@ -186,7 +186,7 @@
 		}
 		out = piece(p, 0)
 	}
-	out.Index, out.Edition = s.Index, s.Edition
+	out.Index = s.Index
 	out.Current = c.replicator.confirms(s)
 	return out, nil
 }
--- a/internal/mesh/membership/membership.go
+++ b/internal/mesh/membership/membership.go
@@ -105,7 +105,6 @@
 	Offset  int
 	Total   int
 	Index   uint64 `json:",omitempty"` // of the state whose configuration it is, with a first piece
-	Edition int64  `json:",omitempty"`
 	Current bool   `json:",omitempty"` // a majority of the core confirmed Index a moment ago
 }
 
--- a/internal/mesh/proxy/configuration_test.go
+++ b/internal/mesh/proxy/configuration_test.go
@@ -106,7 +106,7 @@
 	holds(5)
 	must.NoError(t, p.applyConfiguration(answer(6, pack(4, 6)))) // of what is not held: the next answer has the right one
 	holds(5)
-	told = &membership.ConfigurationResponse{Packed: *pack(0, 4), Index: 4, Edition: 4, Current: true}
+	told = &membership.ConfigurationResponse{Packed: *pack(0, 4), Index: 4, Current: true}
 	told.Total = len(told.Packed.Data)
 	must.NoError(t, p.fetchConfiguration(context.Background(), "lags"))
 	holds(5)
@@ -143,7 +143,7 @@
 				if strings.HasPrefix(r.URL.Host, "breaks") && request.Offset > 0 {
 					return nil, io.ErrUnexpectedEOF
 				}
-				piece := membership.ConfigurationResponse{Packed: *whole, Offset: request.Offset, Total: len(whole.Data), Index: 9, Edition: 3, Current: r.URL.Host != "cut-off"}
+				piece := membership.ConfigurationResponse{Packed: *whole, Offset: request.Offset, Total: len(whole.Data), Index: 9, Current: r.URL.Host != "cut-off"}
 				piece.Packed.Data = whole.Data[request.Offset:min(request.Offset+half, len(whole.Data))]
 				if spoil {
 					piece.Packed.Result = "another"
--- a/internal/mesh/proxy/view.go
+++ b/internal/mesh/proxy/view.go
@@ -92,6 +92,7 @@
 		if err := f.retune(service, routes); err != nil {
 			f.counts.Add("retunes_failed")
 			f.log.Error("retune", "service", service, "err", err)
+			delete(byService, service) // the next version tells it again, whether these routes differ or not
 		}
 	}
 	return changed
