Sight: who ended a request without an answer; what fails in a handler; counts at the end

Need: a connection that this process closed under a request counted as a client that left, a panic of a handler was seen by nobody, and the last seconds' counts were never said. Now unanswered_closed_here, unanswered_panic with a line each, and the counts with the line of the end. A proxy takes something between it and its clients' connections, for tests. No change of what is done. Measured: the proxy package's tests pass.

--- a/internal/mesh/proxy/outbound.go
+++ b/internal/mesh/proxy/outbound.go
@@ -227,7 +227,7 @@
 		case <-r.Context().Done():
 			q.close()
 			q.pool.desk.Vanish(c)
-			f.counts.Add("clients_left")
+			f.noteClientGone(r)
 			select { // an answer that flows to nobody
 			case a := <-c.Answer:
 				q.drop(a.Push)
--- a/internal/mesh/proxy/proxy.go
+++ b/internal/mesh/proxy/proxy.go
@@ -81,6 +81,7 @@
 	ranked      [2]int
 
 	withoutResponseAge, withoutOverlay bool // guards left out, by tests
+	wrapListener                       WrapListener
 
 	clients clients
 }
@@ -88,7 +89,18 @@
 // Option changes how a proxy is made.
 type Option func(*options)
 
-type options struct{ wrapTransport rpc.WrapTransport }
+type options struct {
+	wrapTransport rpc.WrapTransport
+	wrapListener  WrapListener
+}
+
+// WrapListener puts something between a proxy and the connections that it accepts; nil for nothing. Tests inject faults with it.
+type WrapListener func(net.Listener) net.Listener
+
+// WithListener puts something between a proxy and the connections of its clients.
+func WithListener(wrap WrapListener) Option {
+	return func(o *options) { o.wrapListener = wrap }
+}
 
 // WithTransport puts something between a proxy and its connections to controllers.
 func WithTransport(wrap rpc.WrapTransport) Option {
@@ -103,7 +115,7 @@
 	}
 	f := &Proxy{
 		settings: b, log: log, counts: telemetry.NewCounters(), caller: rpc.NewCaller(chosen.wrapTransport), life: storage.NewIdentity(), epoch: time.Now(),
-		local: newLocalUpstream(b.Bounds.Drain, b.App), end: make(chan struct{}),
+		local: newLocalUpstream(b.Bounds.Drain, b.App), end: make(chan struct{}), wrapListener: chosen.wrapListener,
 		pools: map[string]*pool{}, nodes: map[string]*knownNode{}, members: 1, fetch: configurationFetch{begin: make(chan struct{}, 1)},
 	}
 	if b.Bounds.RevokedEverywhere {
@@ -144,9 +156,9 @@
 // Run serves until the context ends, and then until what is under way has ended or Grace is nearly over.
 func (f *Proxy) Run(ctx context.Context) error {
 	quiet := slog.NewLogLogger(f.log.Handler(), slog.LevelDebug)
-	out := &http.Server{Handler: http.HandlerFunc(f.serveOutbound), ReadHeaderTimeout: 15 * time.Second, MaxHeaderBytes: 64 << 10,
+	out := &http.Server{Handler: f.noteUnanswered(f.serveOutbound), ReadHeaderTimeout: 15 * time.Second, MaxHeaderBytes: 64 << 10,
 		ErrorLog: quiet, ConnState: f.clients.state, ConnContext: withConn, DisableGeneralOptionsHandler: true}
-	in := &http.Server{Handler: http.HandlerFunc(f.serveInbound), MaxHeaderBytes: 64 << 10, ErrorLog: quiet,
+	in := &http.Server{Handler: f.noteUnanswered(f.serveInbound), MaxHeaderBytes: 64 << 10, ErrorLog: quiet,
 		ConnContext: withConn, DisableGeneralOptionsHandler: true}
 	ready := &http.Server{Handler: http.HandlerFunc(f.ready), ErrorLog: quiet}
 	control := &http.Server{Handler: http.HandlerFunc(f.control), ErrorLog: quiet}
@@ -158,6 +170,9 @@
 		if err != nil {
 			return err
 		}
+		if s.server == out && f.wrapListener != nil {
+			l = f.wrapListener(l)
+		}
 		go s.server.Serve(l)
 	}
 	go f.counts.Say(f.log, 5*time.Second, f.end)
@@ -198,7 +213,7 @@
 	for _, s := range []*http.Server{out, in} {
 		s.Shutdown(last)
 	}
-	f.log.Info("left", "open", f.open.Load())
+	f.log.Info("left", append([]any{"open", f.open.Load()}, f.counts.Changed()...)...)
 	return nil
 }
 
@@ -243,8 +258,9 @@
 }
 
 type client struct {
-	idle    time.Time     // since when, zero while it has a request
-	promise time.Duration // that it has been told it may stay idle
+	idle       time.Time     // since when, zero while it has a request
+	promise    time.Duration // that it has been told it may stay idle
+	closedHere bool          // this process has closed it
 }
 
 type connKey struct{}
@@ -284,12 +300,22 @@
 	}
 }
 
+// closedHere reports whether this process has closed the connection of a request.
+func (c *clients) closedHere(r *http.Request) bool {
+	conn, _ := r.Context().Value(connKey{}).(net.Conn)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known := c.all[conn]
+	return known != nil && known.closedHere
+}
+
 // sweep closes connections that have been idle for longer than was promised, or for a moment once this process leaves.
 func (c *clients) sweep(now time.Time, leaving bool) {
 	var old []net.Conn
 	c.mu.Lock()
 	for conn, k := range c.all {
 		if quiet := now.Sub(k.idle); !k.idle.IsZero() && (quiet > k.promise+time.Second || leaving && quiet > 500*time.Millisecond) {
+			k.closedHere = true
 			old = append(old, conn)
 		}
 	}
