Reproduce: a request that crosses a close runs, and its client gets no answer

The test's listener holds each close until a request has come: while a balancer leaves, and as a connection has been idle for too long.

--- a/internal/mesh/proxy/proxy.go
+++ b/internal/mesh/proxy/proxy.go
@@ -97,7 +97,7 @@
 // WrapListener puts something between a proxy and the connections that it accepts; nil for nothing. Tests inject faults with it.
 type WrapListener func(net.Listener) net.Listener
 
-// WithListener puts something between a proxy and the connections of its clients.
+// WithListener puts something between a proxy and the connections of its clients and of other balancers.
 func WithListener(wrap WrapListener) Option {
 	return func(o *options) { o.wrapListener = wrap }
 }
@@ -170,7 +170,7 @@
 		if err != nil {
 			return err
 		}
-		if s.server == out && f.wrapListener != nil {
+		if f.wrapListener != nil && (s.server == out || s.server == in) {
 			l = f.wrapListener(l)
 		}
 		go s.server.Serve(l)
