Clients' connections of the balancer in service end by their own goroutine, too: keptconn

Change: the guard of the mesh's servers is a package of its own (keptconn), used by both; a message that has stopped is still cut by force. net/http's Shutdown at the end of a drain is left: it may drop a message that it has just read, and passes none on.

--- a/internal/httpwire/sockets.go
+++ b/internal/httpwire/sockets.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"ottershift/internal/keptconn"
 	"ottershift/internal/rawconn"
 	"ottershift/internal/shares"
 )
@@ -20,6 +21,7 @@
 	fresh       = 20 * time.Millisecond
 	looks       = 8               // at connections, for one that has really said nothing
 	idleFor     = 2 * time.Second // after which a client reckons with a close
+	stuckFor    = time.Second / 2 // that a message may stop for, once all connections are to end
 	mostHeader  = 32 << 10        // of a message, either way
 )
 
@@ -67,8 +69,12 @@
 	s.unquiet(c)
 	delete(s.bodies, c)
 	c.idle, c.moved = now == http.StateIdle, time.Now()
-	if now == http.StateIdle {
+	switch now {
+	case http.StateActive:
+		c.guard.Begin(c.TCPConn)
+	case http.StateIdle:
 		c.head.next()
+		c.guard.Rest()
 	}
 	switch {
 	case now == http.StateClosed || now == http.StateHijacked:
@@ -89,6 +95,10 @@
 		return
 	}
 	if first := s.room(time.Now()); first != nil && first != c {
+		if first.idle {
+			first.guard.EndIfIdle(first.TCPConn) // Danger: a message that has just come would be lost to its client
+			return
+		}
 		s.unquiet(first)
 		delete(s.bodies, first)
 		first.Close() // its own goroutine tells its last state
@@ -281,7 +291,8 @@
 	return slices.Collect(maps.Values(s.pools))
 }
 
-// close closes the clients' connections of a listener that are without a transaction.
+// close closes the clients' connections of a listener that are without a transaction. Danger: one on which a message has just come
+// would be lost to its client, or run for nobody, so each is closed by its own goroutine.
 func (s *sockets) close(of *Listener) {
 	var idle []*counted
 	s.mu.Lock()
@@ -292,7 +303,7 @@
 	}
 	s.mu.Unlock()
 	for _, c := range idle {
-		c.Close()
+		c.guard.EndIfIdle(c.TCPConn)
 	}
 }
 
@@ -302,18 +313,15 @@
 	var idle []*counted
 	s.mu.Lock()
 	for c := range s.place {
-		if quiet := now.Sub(c.moved); c.idle && quiet >= fresh || all && quiet >= time.Second/2 {
+		if quiet := now.Sub(c.moved); c.idle && quiet >= fresh || all && quiet >= stuckFor {
 			idle = append(idle, c)
 		}
 	}
 	s.mu.Unlock()
 	for _, c := range idle {
-		if raw, err := c.SyscallConn(); err == nil && !all {
-			if unread, _ := rawconn.Peek(raw); unread {
-				continue
-			}
+		if !c.guard.EndIfIdle(c.TCPConn) && all && now.Sub(time.Unix(0, c.heard.Load())) >= stuckFor {
+			c.Close()
 		}
-		c.Close()
 	}
 }
 
@@ -330,12 +338,13 @@
 	idle     bool         // a client's: between two messages
 	moved    time.Time    // when its state changed
 	head     heads        // a client's
-	pool     *part        // a client's: to which its last transaction came, nil for a stranger; under the lock of sockets
+	guard    keptconn.Guard
+	pool     *part // a client's: to which its last transaction came, nil for a stranger; under the lock of sockets
 }
 
 // Read has a client's heads looked at.
 func (c *counted) Read(b []byte) (int, error) {
-	n, err := c.TCPConn.Read(b)
+	n, err := c.guard.Read(c.TCPConn, b)
 	if n > 0 {
 		c.heard.Store(time.Now().UnixNano())
 		c.said.Store(true)
@@ -344,6 +353,17 @@
 	return n, err
 }
 
+// SetReadDeadline implements net.Conn.
+func (c *counted) SetReadDeadline(t time.Time) error { return c.guard.SetReadDeadline(c.TCPConn, t) }
+
+// SetDeadline implements net.Conn.
+func (c *counted) SetDeadline(t time.Time) error {
+	if err := c.SetWriteDeadline(t); err != nil {
+		return err
+	}
+	return c.SetReadDeadline(t)
+}
+
 func (c *counted) Close() error {
 	c.once.Do(func() { c.count.Add(-1) })
 	return c.TCPConn.Close()
--- a/internal/mesh/httpserver/connection.go
+++ b/internal/mesh/httpserver/connection.go
@@ -2,34 +2,25 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net"
 	"net/http"
-	"os"
 	"sync"
-	"syscall"
 	"time"
 
-	"ottershift/internal/rawconn"
+	"ottershift/internal/keptconn"
 )
 
 // keepAliveMargin is how much longer than it may be idle a connection is kept: what its client sends at the last moment is on its way.
 const keepAliveMargin = time.Second
 
-// past is a deadline that ends a read at once.
-var past = time.Unix(1, 0)
-
 // Connection is a connection of a client.
 type Connection struct {
 	net.Conn
+	guard keptconn.Guard
 
 	mu        sync.Mutex
-	active    bool          // a request is on it, or the first bytes of one
 	idleSince time.Time     // where it is not active
 	keepAlive time.Duration // that it may be idle, 0 for as long as it likes
-	ending    bool          // its reader has been woken to close it, unless a request has come
-	deadline  time.Time     // of reads, as the server set it
 	cutHere   bool          // this process has ended it under a request
 }
 
@@ -65,85 +56,47 @@
 
 // Gone reports whether the other side has ended the connection, without reading from it.
 func (c *Connection) Gone() bool {
-	_, ended, known := c.peek()
-	return known && ended
-}
-
-// Read implements net.Conn. It is where an idle connection ends: the only moment at which the connection's own goroutine knows that it
-// holds no part of a request.
-func (c *Connection) Read(b []byte) (int, error) {
-	for {
-		n, err := c.Conn.Read(b)
-		if n > 0 {
-			c.begin()
-			return n, err
-		}
-		if !c.woken(err) {
-			return n, err
-		}
-		if unread, _, _ := c.peek(); !unread {
-			return 0, io.EOF
-		}
-		c.begin() // a request has come meanwhile: it is served
-	}
-}
-
-// woken reports whether a read has ended for the connection to be closed.
-func (c *Connection) woken(err error) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.ending && errors.Is(err, os.ErrDeadlineExceeded)
+	_, ended := keptconn.Peek(c.Conn)
+	return ended
 }
 
-// begin notes that a request is on the connection, which is not closed under it.
-func (c *Connection) begin() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.active = true
-	if c.ending {
-		c.ending = false
-		c.Conn.SetReadDeadline(c.deadline)
-	}
-}
+// begin notes that a request is on the connection.
+func (c *Connection) begin() { c.guard.Begin(c.Conn) }
 
 // rest notes that the last request has been answered.
 func (c *Connection) rest(now time.Time) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.active, c.idleSince = false, now
+	c.idleSince = now
+	c.mu.Unlock()
+	c.guard.Rest()
 }
 
-// endIfIdle wakes the connection's reader to close it, if it is idle: for longer than it may be or, if it may not be at all, now.
-func (c *Connection) endIfIdle(now time.Time, atOnce bool) (woken bool) {
+// endIfOverdue ends the connection if it has been idle for longer than it may be.
+func (c *Connection) endIfOverdue(now time.Time) (ended bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	longest := c.keepAlive + keepAliveMargin
-	if c.active || c.ending || !atOnce && (c.keepAlive <= 0 || now.Sub(c.idleSince) <= longest) {
+	if c.keepAlive <= 0 || now.Sub(c.idleSince) <= c.keepAlive+keepAliveMargin {
 		return false
 	}
-	c.ending = true
-	c.Conn.SetReadDeadline(past)
-	return true
+	return c.endIfIdle()
 }
 
+func (c *Connection) endIfIdle() (ended bool) { return c.guard.EndIfIdle(c.Conn) }
+
 // cut notes that the connection is ended whatever is on it, and reports whether a request was.
 func (c *Connection) cut() (active bool) {
+	active = c.guard.Active()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.cutHere = c.active
-	return c.active
+	c.cutHere = active
+	return active
 }
 
-// SetReadDeadline implements net.Conn. A reader that has been woken stays so.
-func (c *Connection) SetReadDeadline(t time.Time) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.deadline = t
-	if c.ending {
-		return nil
-	}
-	return c.Conn.SetReadDeadline(t)
-}
+// Read implements net.Conn.
+func (c *Connection) Read(b []byte) (int, error) { return c.guard.Read(c.Conn, b) }
+
+// SetReadDeadline implements net.Conn.
+func (c *Connection) SetReadDeadline(t time.Time) error { return c.guard.SetReadDeadline(c.Conn, t) }
 
 // SetDeadline implements net.Conn.
 func (c *Connection) SetDeadline(t time.Time) error {
@@ -160,17 +113,3 @@
 	}
 	return nil
 }
-
-// peek looks at what waits to be read, where that can be looked at.
-func (c *Connection) peek() (unread, ended, known bool) {
-	source, can := c.Conn.(syscall.Conn)
-	if !can {
-		return false, false, false
-	}
-	raw, err := source.SyscallConn()
-	if err != nil {
-		return false, true, true
-	}
-	unread, ended = rawconn.Peek(raw)
-	return unread, ended, true
-}
--- a/internal/mesh/httpserver/httpserver.go
+++ b/internal/mesh/httpserver/httpserver.go
@@ -1,11 +1,5 @@
-// Package httpserver serves HTTP/1.1 on connections that are closed between requests only.
-//
-// net/http calls a connection idle until the whole head of its next request has been read, and closes idle ones from a goroutine that
-// does not serve them. A request that has been read by then is dropped, or it runs and its answer has nowhere to go.
-//
-// Invariant: a kept connection is closed by nobody but the goroutine that serves it, and by that only when it asks for the next
-// request and finds that no byte of one has come. CloseIdle and Shutdown merely wake it. What arrives later than that look has been
-// read by nobody, and the reset that it meets says so.
+// Package httpserver serves HTTP/1.1 on connections that are closed between requests only (keptconn), answers for handlers that fail,
+// and counts what it has to cut.
 package httpserver
 
 import (
@@ -97,7 +91,7 @@
 // CloseIdle closes the connections that have been idle for longer than they may.
 func (s *Server) CloseIdle(now time.Time) {
 	for _, c := range s.all() {
-		if c.endIfIdle(now, false) {
+		if c.endIfOverdue(now) {
 			s.idled.Add(1)
 		}
 	}
@@ -113,7 +107,7 @@
 	for {
 		left := s.all()
 		for _, c := range left {
-			c.endIfIdle(time.Now(), true)
+			c.endIfIdle()
 		}
 		if len(left) == 0 {
 			return 0
--- a/internal/mesh/httpserver/httpserver_test.go
+++ b/internal/mesh/httpserver/httpserver_test.go
@@ -87,7 +87,7 @@
 			must.NoError(t, err)
 		}
 		must.NoError(t, client.write(fmt.Sprintf(requestHead, 1)))
-		eventually(t, func() bool { all := s.all(); return len(all) == 1 && all[0].busy() })
+		eventually(t, func() bool { all := s.all(); return len(all) == 1 && all[0].guard.Active() })
 		s.CloseIdle(farAhead())
 		must.NoError(t, client.write(requestRest))
 		answer, err := client.receive()
@@ -96,12 +96,6 @@
 	}
 }
 
-func (c *Connection) busy() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.active
-}
-
 func TestAnIdleConnectionIsClosedAfterWhatItWasPromised(t *testing.T) {
 	s := start(t, Options{KeepAlive: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		ConnectionOf(r).KeepAlive(time.Minute)
@@ -111,12 +105,12 @@
 	must.NoError(t, client.write(request(1)))
 	_, err := client.receive()
 	must.NoError(t, err)
-	eventually(t, func() bool { return !s.all()[0].busy() })
+	eventually(t, func() bool { return !s.all()[0].guard.Active() })
 	s.CloseIdle(time.Now().Add(time.Minute))
 	must.NoError(t, client.write(request(2)))
 	_, err = client.receive()
 	must.NoError(t, err)
-	eventually(t, func() bool { return !s.all()[0].busy() })
+	eventually(t, func() bool { return !s.all()[0].guard.Active() })
 	s.CloseIdle(time.Now().Add(time.Minute + 2*keepAliveMargin))
 	_, err = client.receive()
 	must.ErrorIs(t, err, io.ErrUnexpectedEOF)
