Sight: who cut a long answer; a leaving balancer takes no long ones for its upstream

Need: answers_cut did not tell a source that broke off from a reader that left. A long answer over a narrow line may flow for longer than a leaving process has; other balancers can take it, and are told with proof that it has not run.

--- a/internal/mesh/proxy/inbound.go
+++ b/internal/mesh/proxy/inbound.go
@@ -38,6 +38,11 @@
 		return
 	}
 	if r.Header[meshLongHeader] != nil {
+		if f.leaving.Load() { // its answer may flow for longer than this process has; another balancer takes it
+			f.counts.Add("turned_leaving")
+			f.turn(w, r, apierror.NotHere)
+			return
+		}
 		if !f.pace.admit(s.urgency) {
 			f.counts.Add("turned_line_full")
 			f.turn(w, r, apierror.NoRoom)
--- a/internal/mesh/proxy/reply.go
+++ b/internal/mesh/proxy/reply.go
@@ -62,18 +62,44 @@
 	}
 	w.WriteHeader(r.status)
 	_, err := w.Write(r.body)
-	if r.flow != nil {
-		if err == nil {
-			err = r.stream(w)
-		}
-		r.ended <- err == nil
+	if r.flow == nil {
+		f.cutUnless(err == nil, countReaderGone)
+		return
 	}
-	if err != nil {
-		f.counts.Add("answers_cut")
+	source := &sourceReader{Reader: r.flow}
+	r.flow = source
+	if err == nil {
+		err = r.stream(w)
+	}
+	r.ended <- err == nil
+	if source.broke {
+		f.log.Debug("answer cut", "why", "its source broke off", "err", err)
+		f.cutUnless(err == nil, countSourceBroke)
+	}
+	f.cutUnless(err == nil, countReaderGone)
+}
+
+// cutUnless ends the connection of an answer that could not be passed on whole, and counts why.
+func (f *Proxy) cutUnless(whole bool, counter string) {
+	if !whole {
+		f.counts.Add(counter)
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// sourceReader notes whether what an answer is read from has broken off.
+type sourceReader struct {
+	io.Reader
+	broke bool
+}
+
+// Read implements io.Reader.
+func (s *sourceReader) Read(b []byte) (int, error) {
+	n, err := s.Reader.Read(b)
+	s.broke = err != nil && err != io.EOF
+	return n, err
+}
+
 var addedByServer = []string{"Date", "Content-Type"}
 
 var pieces = sync.Pool{New: func() any { b := make([]byte, piece); return &b }}
--- a/internal/mesh/proxy/unanswered.go
+++ b/internal/mesh/proxy/unanswered.go
@@ -11,6 +11,9 @@
 const (
 	countClientGone = "clients_left"           // its client closed the connection
 	countClosedHere = "unanswered_closed_here" // this process ended the connection under it
+
+	countSourceBroke = "answers_cut_source_broke" // the upstream, or the balancer beside it, broke off a long answer
+	countReaderGone  = "answers_cut_reader_gone"  // whoever it was meant for takes no more of it
 )
 
 // noteClientGone notes a request whose connection has ended before its answer.
