--- a/internal/mesh/changes_under_requests_test.go
+++ b/internal/mesh/changes_under_requests_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"ottershift/internal/mesh/rpc"
 )
 
 // changingConfig has the route of patientConfig with another deadline, or only another route.
@@ -62,4 +65,11 @@
 	t.Logf("answers under 59 changes: %v", counts)
 	must.Positive(t, counts[http.StatusOK])
 	must.Positive(t, counts[http.StatusNotFound])
+	figures, err := http.Get("http://" + m.plan.Proxies[0].Inner() + rpc.PathFigures)
+	must.NoError(t, err)
+	defer figures.Body.Close()
+	text, err := io.ReadAll(figures.Body)
+	must.NoError(t, err)
+	must.StrContains(t, string(text), "ottershift_proxy_edition 60\n")
+	must.StrContains(t, string(text), `ottershift_proxy_total{kind="answer_no_route"}`)
 }
--- a/internal/mesh/controller/status.go
+++ b/internal/mesh/controller/status.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"maps"
 	"net/http"
 	"runtime"
@@ -13,6 +12,7 @@
 	"ottershift/internal/mesh/consensus"
 	"ottershift/internal/mesh/membership"
 	"ottershift/internal/mesh/ratelimit"
+	"ottershift/internal/mesh/telemetry"
 )
 
 // StatusRequest is what an operator asks for; Newest has the core make sure that what is agreed is shown as it is now.
@@ -92,20 +92,16 @@
 	c.mu.Lock()
 	known := c.registry.Known()
 	c.mu.Unlock()
-	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
-	gauge := func(name, help string, v any) {
-		fmt.Fprintf(w, "# HELP ottershift_comb_%s %s\n# TYPE ottershift_comb_%s gauge\nottershift_comb_%s %v\n", name, help, name, name, v)
-	}
 	current := 0
 	if c.replicator.confirms(s) {
 		current = 1
 	}
-	gauge("index", "Slot of the newest decision known here.", s.Index)
-	gauge("edition", "Version of the timetable known here.", s.Edition)
-	gauge("current", "1 while a majority has confirmed the copy a moment ago.", current)
-	gauge("core_members", "Members of the core.", len(s.Core))
-	gauge("balancers", "Balancers heard of.", known)
-	gauge("goroutines", "Goroutines.", runtime.NumGoroutine())
-	fmt.Fprint(w, "# HELP ottershift_comb_total Events since the start, by kind.\n# TYPE ottershift_comb_total counter\n")
-	c.counts.Each(func(name string, n int64) { fmt.Fprintf(w, "ottershift_comb_total{kind=%q} %d\n", name, n) })
+	telemetry.WriteFigures(w, "ottershift_comb", []telemetry.Gauge{
+		{Name: "index", Help: "Slot of the newest decision known here.", Value: s.Index},
+		{Name: "edition", Help: "Version of the timetable known here.", Value: s.Edition},
+		{Name: "current", Help: "1 while a majority has confirmed the copy a moment ago.", Value: current},
+		{Name: "core_members", Help: "Members of the core.", Value: len(s.Core)},
+		{Name: "balancers", Help: "Balancers heard of.", Value: known},
+		{Name: "goroutines", Help: "Goroutines.", Value: runtime.NumGoroutine()},
+	}, c.counts)
 }
--- a/internal/mesh/proxy/lifecycle.go
+++ b/internal/mesh/proxy/lifecycle.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"net/http"
+	"runtime"
 	"strconv"
 	"sync"
 	"time"
 
 	"ottershift/internal/mesh/httpserver"
+	"ottershift/internal/mesh/rpc"
+	"ottershift/internal/mesh/telemetry"
 )
 
 const (
@@ -27,10 +30,10 @@
 )
 
 // servers are what others reach a proxy by.
-type servers struct{ outbound, inbound, ready, control *httpserver.Server }
+type servers struct{ outbound, inbound, ready, control, figures *httpserver.Server }
 
 func (s *servers) all() []*httpserver.Server {
-	return []*httpserver.Server{s.outbound, s.inbound, s.ready, s.control}
+	return []*httpserver.Server{s.outbound, s.inbound, s.ready, s.control, s.figures}
 }
 
 // listen makes all servers, or none of them.
@@ -48,6 +51,7 @@
 			Name: "inbound", Handler: http.HandlerFunc(f.serveInbound), Failed: f.inboundHandlerFailed, WrapListener: f.wrapListener}},
 		{&s.ready, f.settings.Ready, httpserver.Options{Name: "ready", Handler: http.HandlerFunc(f.ready)}},
 		{&s.control, f.settings.Control, httpserver.Options{Name: "control", Handler: http.HandlerFunc(f.control)}},
+		{&s.figures, f.settings.Inner(), httpserver.Options{Name: "figures", Handler: f.figuresHandler()}},
 	} {
 		options := server.options
 		options.MaxHeaderBytes, options.Counts, options.Log = maxHeaderBytes, f.counts, f.log
@@ -149,6 +153,23 @@
 	w.WriteHeader(http.StatusOK)
 }
 
+// figuresHandler shows the counters as Prometheus reads them.
+func (f *Proxy) figuresHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(rpc.PathFigures, func(w http.ResponseWriter, _ *http.Request) {
+		edition := int64(0)
+		if v := f.view.Load(); v != nil {
+			edition = v.table.Edition
+		}
+		telemetry.WriteFigures(w, "ottershift_proxy", []telemetry.Gauge{
+			{Name: "edition", Help: "Version of the configuration in force, 0 for none.", Value: edition},
+			{Name: "open", Help: "Requests open here.", Value: f.open.Load()},
+			{Name: "goroutines", Help: "Goroutines.", Value: runtime.NumGoroutine()},
+		}, f.counts)
+	})
+	return mux
+}
+
 // sweepConnections closes connections that have been idle for too long, and does what else is due each second.
 func (f *Proxy) sweepConnections(outbound *httpserver.Server) {
 	t := time.NewTicker(sweepInterval)
--- /dev/null
+++ b/internal/mesh/telemetry/figures.go
@@ -0,0 +1,29 @@
+package telemetry
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+)
+
+// Gauge is one figure of a process's present state.
+type Gauge struct {
+	Name, Help string
+	Value      any
+}
+
+// WriteFigures writes gauges and all counters as Prometheus reads them; prefix begins each name.
+func WriteFigures(w http.ResponseWriter, prefix string, gauges []Gauge, counts *Counters) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	for _, g := range gauges {
+		name := prefix + "_" + g.Name
+		fmt.Fprintf(w, "# HELP %s %s\n# TYPE %s gauge\n%s %v\n", name, g.Help, name, name, g.Value)
+	}
+	total := prefix + "_total"
+	fmt.Fprintf(w, "# HELP %s Events since the start, by kind.\n# TYPE %s counter\n", total, total)
+	counts.Each(func(kind string, n int64) { writeCounter(w, total, kind, n) })
+}
+
+func writeCounter(w io.Writer, name, kind string, n int64) {
+	fmt.Fprintf(w, "%s{kind=%q} %d\n", name, kind, n)
+}
