--- a/internal/mesh/proxy/burst_credit.go
+++ b/internal/mesh/proxy/burst_credit.go
@@ -28,24 +28,24 @@
 }
 
 // terms puts a configuration's in force. Under mu.
-func (f *Proxy) creditTerms(t *routing.Configuration) {
+func (p *Proxy) creditTerms(t *routing.Configuration) {
 	services := map[string]float64{}
 	for _, d := range t.Services {
 		services[d.Name] = d.BurstCreditPerSecond
 	}
-	f.credit.Lock()
-	defer f.credit.Unlock()
-	f.credit.wallet.Set(burstcredit.TermsOf(t), services, f.members, f.now())
-	f.credit.on.Store(f.credit.wallet.On())
+	p.credit.Lock()
+	defer p.credit.Unlock()
+	p.credit.wallet.Set(burstcredit.TermsOf(t), services, p.members, p.now())
+	p.credit.on.Store(p.credit.wallet.On())
 }
 
 // claim is what a request beyond its tenant's rate would draw for, and under which name: the client's key for it where it has
 // one; else an effect is its own, and pages and downloads of one tenant are one for as long as settled names are known.
-func (f *Proxy) claim(r *http.Request, rule *routing.Route, tenant *routing.Tenant) burstcredit.Claim {
+func (p *Proxy) claim(r *http.Request, rule *routing.Route, tenant *routing.Tenant) burstcredit.Claim {
 	k := burstcredit.Claim{Tenant: tenant.Name, Service: rule.Parts[0].Service, Effect: !rule.MailClass.Repeats(),
 		Rank: tenant.Precedence*1000 + rule.Precedence}
 	if host, _, err := net.SplitHostPort(r.RemoteAddr); err == nil {
-		k.Client = host != settings.Host(f.settings.App) // the upstream on this machine calls from its own address
+		k.Client = host != settings.Host(p.settings.App) // the upstream on this machine calls from its own address
 	}
 	switch key := r.Header.Get("Idempotency-Key"); {
 	case key != "":
@@ -59,16 +59,16 @@
 }
 
 // draws has a request go on out of its tenant's credit, if there is any; it waits for its turn.
-func (f *Proxy) draws(ctx context.Context, k burstcredit.Claim) bool {
-	c := &f.credit
+func (p *Proxy) draws(ctx context.Context, k burstcredit.Claim) bool {
+	c := &p.credit
 	called := make(chan bool, 1)
 	c.Lock()
-	verdict := c.wallet.Claim(k, f.now(), func(ok bool) { called <- ok })
+	verdict := c.wallet.Claim(k, p.now(), func(ok bool) { called <- ok })
 	c.Unlock()
-	f.wantCredit()
+	p.wantCredit()
 	switch verdict {
 	case burstcredit.Drawn:
-		f.counts.Add("credit_drawn")
+		p.counts.Add("credit_drawn")
 		return true
 	case burstcredit.None:
 		return false
@@ -77,7 +77,7 @@
 	defer late.Stop()
 	select {
 	case <-called:
-		f.counts.Add("credit_drawn")
+		p.counts.Add("credit_drawn")
 		return true
 	case <-late.C:
 	case <-ctx.Done():
@@ -88,36 +88,36 @@
 	if !left { // its turn came meanwhile
 		<-called
 		if ctx.Err() != nil {
-			f.drawn(k, burstcredit.NeverRan)
+			p.drawn(k, burstcredit.NeverRan)
 			return false
 		}
-		f.counts.Add("credit_drawn")
+		p.counts.Add("credit_drawn")
 		return true
 	}
-	f.counts.Add("credit_none")
+	p.counts.Add("credit_none")
 	return false
 }
 
 // drawn tells what became of it.
-func (f *Proxy) drawn(k burstcredit.Claim, end burstcredit.Outcome) {
-	c := &f.credit
+func (p *Proxy) drawn(k burstcredit.Claim, end burstcredit.Outcome) {
+	c := &p.credit
 	c.Lock()
-	c.wallet.Done(k, end, f.now())
-	c.wallet.Turn(f.now())
+	c.wallet.Done(k, end, p.now())
+	c.wallet.Turn(p.now())
 	c.Unlock()
-	f.wantCredit()
+	p.wantCredit()
 }
 
-func (f *Proxy) wantCredit() {
+func (p *Proxy) wantCredit() {
 	select {
-	case f.credit.need <- struct{}{}:
+	case p.credit.need <- struct{}{}:
 	default:
 	}
 }
 
 // report tells the core what was spent, and asks for more, for as long as there is something to tell.
-func (f *Proxy) report(ctx context.Context) {
-	c := &f.credit
+func (p *Proxy) report(ctx context.Context) {
+	c := &p.credit
 	for {
 		select {
 		case <-c.need:
@@ -125,29 +125,29 @@
 			return
 		}
 		for ctx.Err() == nil {
-			f.wallet.Lock()
-			at := f.wallet.coordinator
-			f.wallet.Unlock()
+			p.wallet.Lock()
+			at := p.wallet.coordinator
+			p.wallet.Unlock()
 			c.Lock()
-			wants := c.wallet.Wants(f.now()) && at != ""
+			wants := c.wallet.Wants(p.now()) && at != ""
 			var r *burstcredit.Report
 			if wants {
-				r = c.wallet.Report(f.now())
+				r = c.wallet.Report(p.now())
 			}
 			c.Unlock()
 			if !wants {
 				break
 			}
-			sent := f.now()
+			sent := p.now()
 			call, end := context.WithTimeout(ctx, creditWithin)
 			g := &burstcredit.Grant{}
-			err := f.caller.Call(call, at, rpc.PathCredit, r, g)
+			err := p.caller.Call(call, at, rpc.PathCredit, r, g)
 			end()
-			if f.counts.Add("credit_reports"); err != nil {
-				f.counts.Add("credit_reports_failed")
+			if p.counts.Add("credit_reports"); err != nil {
+				p.counts.Add("credit_reports_failed")
 			} else {
 				c.Lock()
-				c.wallet.ApplyGrant(g, sent, f.now())
+				c.wallet.ApplyGrant(g, sent, p.now())
 				c.Unlock()
 			}
 			pause := time.NewTimer(time.Duration(burstcredit.Every))
@@ -161,7 +161,7 @@
 }
 
 // settles tells what became of a request that drew on credit, once it has its answer.
-func (f *Proxy) settles(q *request) {
+func (p *Proxy) settles(q *request) {
 	if q.claim == nil {
 		return
 	}
@@ -174,5 +174,5 @@
 		end = burstcredit.Unknown
 	}
 	q.mu.Unlock()
-	f.drawn(*q.claim, end)
+	p.drawn(*q.claim, end)
 }
--- a/internal/mesh/proxy/configuration.go
+++ b/internal/mesh/proxy/configuration.go
@@ -25,152 +25,152 @@
 
 // applyConfiguration puts a later configuration in force. The first one of a life is taken only from a controller that is current:
 // any other may be older than what this machine went by before.
-func (f *Proxy) applyConfiguration(n *membership.WatchResponse) error {
-	position := f.currentPosition()
-	mayTake := n.Current || f.view.Load() != nil
+func (p *Proxy) applyConfiguration(n *membership.WatchResponse) error {
+	position := p.currentPosition()
+	mayTake := n.Current || p.view.Load() != nil
 	switch {
 	case n.Configuration != nil || n.Packed != nil:
 		if !mayTake {
 			return nil
 		}
-		return f.takeConfiguration(n)
+		return p.takeConfiguration(n)
 	case n.Index <= position.Index:
 	case n.Digest != "" && n.Digest != position.Digest && n.Edition != 0:
 		if mayTake { // named alone: it is fetched apart, and the watch goes on from here
-			f.setIndex(n.Index)
+			p.setIndex(n.Index)
 		}
 	case n.Digest != "" || n.Edition == position.Edition || n.Edition == 0:
-		f.setIndex(n.Index) // something else was agreed
+		p.setIndex(n.Index) // something else was agreed
 	}
 	return nil
 }
 
 // takeConfiguration reads the configuration that came with the answer to a watch. A change of another one than is in force by now
 // changes nothing: the next answer has the right one.
-func (f *Proxy) takeConfiguration(n *membership.WatchResponse) error {
+func (p *Proxy) takeConfiguration(n *membership.WatchResponse) error {
 	if n.Packed == nil {
 		t, err := routing.Load(n.Configuration)
 		if err != nil {
 			return err
 		}
-		f.adoptFrom(n.Index, t)
+		p.adoptFrom(n.Index, t)
 		return nil
 	}
-	held := f.heldConfiguration()
+	held := p.heldConfiguration()
 	if n.Packed.Base != "" && (held == nil || held.Digest() != n.Packed.Base) {
 		return nil
 	}
-	return f.unpack(n.Index, n.Packed, held)
+	return p.unpack(n.Index, n.Packed, held)
 }
 
 // unpack puts a packed configuration in force. One that can't be unpacked is asked for as it is.
-func (f *Proxy) unpack(index uint64, packed *routing.Packed, held *routing.Configuration) error {
+func (p *Proxy) unpack(index uint64, packed *routing.Packed, held *routing.Configuration) error {
 	t, err := packed.Unpack(held)
-	f.unpackable.Store(err != nil)
+	p.unpackable.Store(err != nil)
 	if err != nil {
-		f.counts.Add("configurations_not_unpacked")
-		f.log.Error("configuration", "index", index, "unpacking", err)
-		f.forgetTold()
+		p.counts.Add("configurations_not_unpacked")
+		p.log.Error("configuration", "index", index, "unpacking", err)
+		p.forgetTold()
 		return err
 	}
-	f.adoptFrom(index, t)
+	p.adoptFrom(index, t)
 	return nil
 }
 
 // forgetTold has the next watch be told again of what is not in force.
-func (f *Proxy) forgetTold() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.position.Index = f.heldIndex()
+func (p *Proxy) forgetTold() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.position.Index = p.heldIndex()
 }
 
 // heldConfiguration is the one in force, nil for none.
-func (f *Proxy) heldConfiguration() *routing.Configuration {
-	if v := f.view.Load(); v != nil {
+func (p *Proxy) heldConfiguration() *routing.Configuration {
+	if v := p.view.Load(); v != nil {
 		return v.table
 	}
 	return nil
 }
 
-func (f *Proxy) currentPosition() membership.Position {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.position
+func (p *Proxy) currentPosition() membership.Position {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.position
 }
 
 // adoptFrom puts the configuration of a state in force.
-func (f *Proxy) adoptFrom(index uint64, t *routing.Configuration) {
-	f.adopt(index, t)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.position.Index = max(f.position.Index, index)
-	if v := f.view.Load(); v.index == index {
-		f.position.Edition, f.position.Digest = t.Edition, t.Digest()
+func (p *Proxy) adoptFrom(index uint64, t *routing.Configuration) {
+	p.adopt(index, t)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.position.Index = max(p.position.Index, index)
+	if v := p.view.Load(); v.index == index {
+		p.position.Edition, p.position.Digest = t.Edition, t.Digest()
 	}
 }
 
-func (f *Proxy) setIndex(index uint64) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.position.Index = max(f.position.Index, index)
+func (p *Proxy) setIndex(index uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.position.Index = max(p.position.Index, index)
 }
 
 // fetchFrom has the configuration fetched that a controller has named and not given.
-func (f *Proxy) fetchFrom(at string, n *membership.WatchResponse) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if n.Digest == "" || n.Edition == 0 || n.Digest == f.position.Digest || n.Index < f.fetch.index {
+func (p *Proxy) fetchFrom(at string, n *membership.WatchResponse) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if n.Digest == "" || n.Edition == 0 || n.Digest == p.position.Digest || n.Index < p.fetch.index {
 		return
 	}
-	if v := f.view.Load(); v != nil && n.Index <= v.index || v == nil && !n.Current {
+	if v := p.view.Load(); v != nil && n.Index <= v.index || v == nil && !n.Current {
 		return
 	}
-	f.fetch.at, f.fetch.index, f.fetch.digest = at, n.Index, n.Digest
+	p.fetch.at, p.fetch.index, p.fetch.digest = at, n.Index, n.Digest
 	select {
-	case f.fetch.begin <- struct{}{}:
+	case p.fetch.begin <- struct{}{}:
 	default:
 	}
 }
 
 // wanted is the controller to fetch from, "" once what was named last is in force.
-func (f *Proxy) wanted() (at string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if v := f.view.Load(); v != nil && (v.index >= f.fetch.index || f.position.Digest == f.fetch.digest) {
+func (p *Proxy) wanted() (at string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if v := p.view.Load(); v != nil && (v.index >= p.fetch.index || p.position.Digest == p.fetch.digest) {
 		return ""
 	}
-	if f.unpackable.Load() { // it comes with the watch, as it is
+	if p.unpackable.Load() { // it comes with the watch, as it is
 		return ""
 	}
-	return f.fetch.at
+	return p.fetch.at
 }
 
 // fetchConfigurations fetches what is named, beside the watch: a lease must not wait for a long answer, nor a long answer for the end
 // that a watch has. What has begun is brought to its end, and what is newer by then comes as a change of it: begun anew for each newer
 // version, nothing would ever arrive while they follow one another fast.
-func (f *Proxy) fetchConfigurations(ctx context.Context) {
+func (p *Proxy) fetchConfigurations(ctx context.Context) {
 	for {
 		select {
-		case <-f.fetch.begin:
+		case <-p.fetch.begin:
 		case <-ctx.Done():
 			return
 		}
 		for tried := 0; ctx.Err() == nil; tried++ {
-			at := f.wanted()
+			at := p.wanted()
 			if at == "" {
 				break
 			}
-			if known := f.knownControllers(); tried > 0 && len(known) > 0 {
+			if known := p.knownControllers(); tried > 0 && len(known) > 0 {
 				at = known[tried%len(known)]
 			}
-			before := f.heldIndex()
-			err := f.fetchConfiguration(ctx, at)
-			if err == nil && f.heldIndex() > before {
+			before := p.heldIndex()
+			err := p.fetchConfiguration(ctx, at)
+			if err == nil && p.heldIndex() > before {
 				tried = -1
 				continue
 			}
-			f.counts.Add("configuration_fetches_failed")
-			f.log.Debug("configuration", "from", at, "err", err)
+			p.counts.Add("configuration_fetches_failed")
+			p.log.Debug("configuration", "from", at, "err", err)
 			select {
 			case <-time.After(fetchPause):
 			case <-ctx.Done():
@@ -180,8 +180,8 @@
 }
 
 // heldIndex is the state whose configuration is in force, 0 for none.
-func (f *Proxy) heldIndex() uint64 {
-	if v := f.view.Load(); v != nil {
+func (p *Proxy) heldIndex() uint64 {
+	if v := p.view.Load(); v != nil {
 		return v.index
 	}
 	return 0
@@ -193,8 +193,8 @@
 )
 
 // fetchConfiguration fetches the newest configuration of a controller, piece by piece, and puts it in force.
-func (f *Proxy) fetchConfiguration(ctx context.Context, at string) error {
-	held := f.heldConfiguration()
+func (p *Proxy) fetchConfiguration(ctx context.Context, at string) error {
+	held := p.heldConfiguration()
 	request := &membership.ConfigurationRequest{}
 	if held != nil {
 		request.Held = held.Digest()
@@ -203,7 +203,7 @@
 	var data []byte
 	for last == nil || len(data) < first.Total {
 		last = &membership.ConfigurationResponse{}
-		if err := f.caller.CallPatiently(ctx, rpc.Patience{Silence: fetchSilence}, at, rpc.PathConfiguration, request, last); err != nil {
+		if err := p.caller.CallPatiently(ctx, rpc.Patience{Silence: fetchSilence}, at, rpc.PathConfiguration, request, last); err != nil {
 			return err
 		}
 		if last.Packed.Result == request.Held {
@@ -214,7 +214,7 @@
 		}
 		data = append(data, last.Packed.Data...)
 		request.Result, request.Base, request.Offset = first.Packed.Result, first.Packed.Base, len(data)
-		f.counts.Add("configuration_pieces")
+		p.counts.Add("configuration_pieces")
 		if len(last.Packed.Data) == 0 {
 			return errNoBytes
 		}
@@ -223,5 +223,5 @@
 		return errNotCurrent
 	}
 	first.Packed.Data = data
-	return f.unpack(first.Index, &first.Packed, held)
+	return p.unpack(first.Index, &first.Packed, held)
 }
--- a/internal/mesh/proxy/control.go
+++ b/internal/mesh/proxy/control.go
@@ -24,7 +24,7 @@
 }
 
 // control takes the calls of the upstream on this machine.
-func (f *Proxy) control(w http.ResponseWriter, r *http.Request) {
+func (p *Proxy) control(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	id := q.Get("of")
 	if r.Method != http.MethodPost || r.URL.Path != "/-/rpc" || id == "" {
@@ -42,10 +42,10 @@
 			apierror.Write(w, apierror.Unreadable, 0, err.Error())
 			return
 		}
-		f.counts.Add("beats")
-		f.local.heartbeat(id, c, time.Now())
+		p.counts.Add("beats")
+		p.local.heartbeat(id, c, time.Now())
 	case "servers.sign_off":
-		f.local.signOff(id)
+		p.local.signOff(id)
 	default:
 		apierror.Write(w, apierror.NoCall, 0, "")
 		return
--- a/internal/mesh/proxy/inbound.go
+++ b/internal/mesh/proxy/inbound.go
@@ -16,61 +16,61 @@
 )
 
 // serveInbound is the second hop: a request from another balancer, for the upstream on this machine.
-func (f *Proxy) serveInbound(w http.ResponseWriter, r *http.Request) {
+func (p *Proxy) serveInbound(w http.ResponseWriter, r *http.Request) {
 	if r.Header.Get(meshHeader) == meshWell {
-		if up, _, _ := f.local.snapshot(); up != nil && !up.Closing && up.ID == r.Header.Get(addressee) {
+		if up, _, _ := p.local.snapshot(); up != nil && !up.Closing && up.ID == r.Header.Get(addressee) {
 			w.WriteHeader(http.StatusOK)
 		} else {
 			apierror.Write(w, apierror.NotHere, 0, "")
 		}
 		return
 	}
-	f.open.Add(1)
-	defer f.open.Add(-1)
-	f.inbounds.Add(1)
-	if f.closed.Load() {
-		f.turn(w, r, apierror.NotHere)
+	p.open.Add(1)
+	defer p.open.Add(-1)
+	p.inbounds.Add(1)
+	if p.closed.Load() {
+		p.turnAway(w, r, apierror.NotHere)
 		return
 	}
-	s, kind := f.readInbound(r)
+	s, kind := p.readInbound(r)
 	if kind != apierror.None {
-		f.turn(w, r, kind)
+		p.turnAway(w, r, kind)
 		return
 	}
 	if r.Header[meshLongHeader] != nil {
-		if f.leaving.Load() { // its answer may flow for longer than this process has; another balancer takes it
-			f.counts.Add("turned_leaving")
-			f.turn(w, r, apierror.NotHere)
+		if p.leaving.Load() { // its answer may flow for longer than this process has; another balancer takes it
+			p.counts.Add("turned_leaving")
+			p.turnAway(w, r, apierror.NotHere)
 			return
 		}
-		if !f.pace.admit(s.urgency) {
-			f.counts.Add("turned_line_full")
-			f.turn(w, r, apierror.NoRoom)
+		if !p.pace.admit(s.urgency) {
+			p.counts.Add("turned_line_full")
+			p.turnAway(w, r, apierror.NoRoom)
 			return
 		}
-		defer f.pace.leave(s.rank)
+		defer p.pace.leave(s.rank)
 	}
 	ctx, end := context.WithDeadline(r.Context(), s.until.Add(lateBy))
 	defer end()
-	defer context.AfterFunc(f.ending, end)() // what waits for a slot is turned away with the proof that it has not run
+	defer context.AfterFunc(p.ending, end)() // what waits for a slot is turned away with the proof that it has not run
 	var back *upstreamResponse
 	if partner := r.Header.Get(meshGatewayHeader); partner != "" {
-		back = f.sendToPartner(ctx, s, partner)
+		back = p.sendToPartner(ctx, s, partner)
 	} else {
-		back = f.sendToLocalUpstream(ctx, s)
+		back = p.sendToLocalUpstream(ctx, s)
 	}
 	switch back.kind {
 	case apierror.None:
-		f.passBack(w, r, s, back)
+		p.passBack(w, r, s, back)
 	case apierror.NoRoom, apierror.NotHere, apierror.Unready:
-		f.turn(w, r, back.kind)
+		p.turnAway(w, r, back.kind)
 	default:
-		f.breakOff(w, r, back.err)
+		p.breakOff(w, r, back.err)
 	}
 }
 
 // readInbound reads a request of another balancer: for whom it is, how urgent, until when, and its body as far as it is held.
-func (f *Proxy) readInbound(r *http.Request) (*upstreamRequest, apierror.Kind) {
+func (p *Proxy) readInbound(r *http.Request) (*upstreamRequest, apierror.Kind) {
 	header := onward(r.Header)
 	for _, name := range []string{meshGatewayHeader, meshAimHeader, meshLongHeader} {
 		delete(header, name)
@@ -81,7 +81,7 @@
 	}
 	s := &upstreamRequest{
 		id: r.Header.Get(attemptID), to: r.Header.Get(addressee), method: r.Method, target: r.RequestURI, host: r.Host, header: header,
-		urgency: f.urgencyOf(r), length: max(r.ContentLength, 0), until: time.Now().Add(time.Duration(left * float64(time.Millisecond))),
+		urgency: p.urgencyOf(r), length: max(r.ContentLength, 0), until: time.Now().Add(time.Duration(left * float64(time.Millisecond))),
 		callerGone: callerGone(r),
 	}
 	if r.ContentLength > 0 {
@@ -96,26 +96,26 @@
 }
 
 // passBack passes an upstream's answer back to the balancer that asked.
-func (f *Proxy) passBack(w http.ResponseWriter, r *http.Request, s *upstreamRequest, back *upstreamResponse) {
+func (p *Proxy) passBack(w http.ResponseWriter, r *http.Request, s *upstreamRequest, back *upstreamResponse) {
 	defer back.done(false)
 	into := &reply{status: back.answer.StatusCode, header: onward(back.answer.Header), length: back.answer.ContentLength,
-		flow: back.answer.Body, early: back.line.early, ended: make(chan bool, 1), pace: f.pace, rank: s.rank, context: r.Context()}
+		flow: back.answer.Body, early: back.line.early, ended: make(chan bool, 1), pace: p.pace, rank: s.rank, context: r.Context()}
 	if err := into.measure(); err != nil {
-		f.breakOff(w, r, err)
+		p.breakOff(w, r, err)
 		return
 	}
 	if s.id != "" {
 		into.header[attemptID] = []string{s.id} // the answer is proven to be that attempt's
 	}
-	f.write(w, into)
+	p.write(w, into)
 	back.done(true)
 }
 
 // breakOff says that a request may have run, and that nothing of use came of it.
-func (f *Proxy) breakOff(w http.ResponseWriter, r *http.Request, err error) {
-	f.counts.Add("app_" + cut(err))
+func (p *Proxy) breakOff(w http.ResponseWriter, r *http.Request, err error) {
+	p.counts.Add("app_" + cut(err))
 	w.Header()[meshHeader] = []string{meshBroke}
-	f.refuse(w, r, apierror.Broke, 0)
+	p.refuse(w, r, apierror.Broke, 0)
 }
 
 // callerGone looks whether the other balancer has closed the connection of a request. Invariant: a process that stood still reads
@@ -144,30 +144,30 @@
 	return "garbled"
 }
 
-// turn refuses a request with the proof that it has not run and never will.
-func (f *Proxy) turn(w http.ResponseWriter, r *http.Request, kind apierror.Kind) {
+// turnAway refuses a request with the proof that it has not run and never will.
+func (p *Proxy) turnAway(w http.ResponseWriter, r *http.Request, kind apierror.Kind) {
 	w.Header()[meshHeader] = []string{meshTurned}
 	w.Header()[notDelivered] = []string{"1"}
-	f.refuse(w, r, kind, 0)
+	p.refuse(w, r, kind, 0)
 }
 
 // probeUpstream asks the balancer beside an upstream whether that is well.
-func (f *Proxy) probeUpstream(ctx context.Context, p *pool, at roster.Place) bool {
+func (p *Proxy) probeUpstream(ctx context.Context, service *pool, at roster.Place) bool {
 	name := ""
-	f.mu.Lock()
-	for _, n := range f.nodes {
+	p.mu.Lock()
+	for _, n := range p.nodes {
 		if n.Inbound == at.Address && n.Upstream != nil {
 			name = n.Upstream.ID
 		}
 	}
-	f.mu.Unlock()
+	p.mu.Unlock()
 	s := &upstreamRequest{method: http.MethodGet, target: "/", host: "hive", until: time.Now().Add(asideMost),
 		header: http.Header{meshHeader: {meshWell}, addressee: {name}}}
-	if at.Address == f.settings.Inbound {
-		up, _, _ := f.local.snapshot()
+	if at.Address == p.settings.Inbound {
+		up, _, _ := p.local.snapshot()
 		return up != nil && up.ID == name
 	}
-	back := f.send(ctx, s, p.peers, at)
+	back := p.send(ctx, s, service.peers, at)
 	if back.kind != apierror.None {
 		return false
 	}
--- a/internal/mesh/proxy/known_nodes.go
+++ b/internal/mesh/proxy/known_nodes.go
@@ -24,19 +24,19 @@
 }
 
 // noteLate takes an answer that was not acted on as a current one: it came late, or its controller was not current.
-func (f *Proxy) noteLate(n *membership.WatchResponse, wasCurrent bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+func (p *Proxy) noteLate(n *membership.WatchResponse, wasCurrent bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	switch {
 	case n.Starting || !wasCurrent:
-		f.late = lateList{}
+		p.late = lateList{}
 	case n.Whole:
-		f.late = lateList{n.Controller, map[string]bool{}}
-		f.late.add(n)
-	case f.late.controller == n.Controller:
-		f.late.add(n)
+		p.late = lateList{n.Controller, map[string]bool{}}
+		p.late.add(n)
+	case p.late.controller == n.Controller:
+		p.late.add(n)
 	default:
-		f.late = lateList{}
+		p.late = lateList{}
 	}
 }
 
@@ -50,66 +50,66 @@
 }
 
 // confirmLate drops the nodes that a late list does not name, once a current answer of the same controller builds on it. Under mu.
-func (f *Proxy) confirmLate(n *membership.WatchResponse) (confirmed bool) {
-	late := f.late
-	f.late = lateList{}
+func (p *Proxy) confirmLate(n *membership.WatchResponse) (confirmed bool) {
+	late := p.late
+	p.late = lateList{}
 	if n.Whole || n.Starting || late.controller == "" || late.controller != n.Controller {
 		return false
 	}
 	late.add(n)
-	for name := range f.nodes {
+	for name := range p.nodes {
 		if !late.names[name] {
-			delete(f.nodes, name)
+			delete(p.nodes, name)
 		}
 	}
 	return true
 }
 
 // replaceNodes takes the nodes of a controller that is current. Under mu.
-func (f *Proxy) replaceNodes(n *membership.WatchResponse, asked int64) (changed bool) {
+func (p *Proxy) replaceNodes(n *membership.WatchResponse, asked int64) (changed bool) {
 	if n.Whole {
 		told := map[string]bool{}
 		for _, t := range n.Nodes {
 			told[t.Name] = true
 		}
-		for node := range f.nodes {
+		for node := range p.nodes {
 			if !told[node] && !n.Starting { // Invariant: a core that has just started has heard of nobody yet
-				delete(f.nodes, node)
+				delete(p.nodes, node)
 			}
 		}
 	}
 	for _, t := range n.Nodes {
-		f.putNode(t, asked)
+		p.putNode(t, asked)
 	}
 	for _, node := range n.Gone {
-		delete(f.nodes, node)
+		delete(p.nodes, node)
 	}
-	f.position.Controller, f.position.Seq = n.Controller, n.Seq
-	confirmed := f.confirmLate(n)
+	p.position.Controller, p.position.Seq = n.Controller, n.Seq
+	confirmed := p.confirmLate(n)
 	if n.Whole || confirmed {
-		f.overlaid = n.Starting
+		p.overlaid = n.Starting
 	}
-	if f.overlaid && !n.Starting {
-		f.position.Controller = "" // all of them, next time: changes alone take nothing away that this controller never knew
+	if p.overlaid && !n.Starting {
+		p.position.Controller = "" // all of them, next time: changes alone take nothing away that this controller never knew
 	}
 	return len(n.Nodes)+len(n.Gone) > 0 || n.Whole || confirmed
 }
 
 // overlayNodes takes what a controller that is not current has heard of later than this process. Under mu.
-func (f *Proxy) overlayNodes(n *membership.WatchResponse, asked int64) (changed bool) {
+func (p *Proxy) overlayNodes(n *membership.WatchResponse, asked int64) (changed bool) {
 	for _, t := range n.Nodes {
-		known := f.nodes[t.Name]
+		known := p.nodes[t.Name]
 		if known != nil {
 			if !known.precedes(t, asked-t.Age) {
 				continue
 			}
 			t.Lost = known.Lost && t.Lost
 		}
-		f.putNode(t, asked)
+		p.putNode(t, asked)
 		changed = true
 	}
-	f.position.Controller, f.position.Seq = n.Controller, n.Seq
-	f.overlaid = true
+	p.position.Controller, p.position.Seq = n.Controller, n.Seq
+	p.overlaid = true
 	return changed
 }
 
@@ -122,56 +122,56 @@
 }
 
 // putNode takes a record. Under mu.
-func (f *Proxy) putNode(t membership.Record, asked int64) {
+func (p *Proxy) putNode(t membership.Record, asked int64) {
 	known := &knownNode{Record: t, heard: asked - t.Age}
 	if t.Upstream != nil {
 		known.warm = time.Now().Add(time.Duration(t.Upstream.Cold))
 	}
-	f.nodes[t.Name] = known
+	p.nodes[t.Name] = known
 }
 
 // addControllers keeps those that are known. Under mu.
-func (f *Proxy) addControllers(told []membership.ControllerAddress) {
+func (p *Proxy) addControllers(told []membership.ControllerAddress) {
 	for _, c := range told {
-		if !slices.ContainsFunc(f.controllers, func(known membership.ControllerAddress) bool { return known.At == c.At }) {
-			f.controllers = append(f.controllers, c)
+		if !slices.ContainsFunc(p.controllers, func(known membership.ControllerAddress) bool { return known.At == c.At }) {
+			p.controllers = append(p.controllers, c)
 		}
 	}
 }
 
 // setMembers takes how many balancers share what all may spend; fewer only from who is current. Under mu.
-func (f *Proxy) setMembers(n *membership.WatchResponse) {
-	members := max(n.Members, len(f.nodes), 1)
+func (p *Proxy) setMembers(n *membership.WatchResponse) {
+	members := max(n.Members, len(p.nodes), 1)
 	if !n.Current {
-		members = max(members, f.members)
+		members = max(members, p.members)
 	}
-	if members == f.members {
+	if members == p.members {
 		return
 	}
-	f.members = members
-	if v := f.view.Load(); v != nil {
-		f.quota(v.table)
+	p.members = members
+	if v := p.view.Load(); v != nil {
+		p.quota(v.table)
 	}
 }
 
 // nodesChanged has the modules know of other nodes than before. Under mu.
-func (f *Proxy) nodesChanged() {
-	if count, place := f.rank(); count != f.ranked[0] || place != f.ranked[1] {
-		f.ranked = [2]int{count, place}
-		rulesOf := maps.Clone(f.rules)
-		for name, p := range f.pools {
-			if p.partners != nil {
-				rulesOf[name] = p.rules
+func (p *Proxy) nodesChanged() {
+	if count, place := p.rank(); count != p.ranked[0] || place != p.ranked[1] {
+		p.ranked = [2]int{count, place}
+		rulesOf := maps.Clone(p.rules)
+		for name, service := range p.pools {
+			if service.partners != nil {
+				rulesOf[name] = service.rules
 			}
 		}
 		for service, rules := range rulesOf {
-			if err := f.retune(service, rules); err != nil {
-				f.log.Error("retune", "service", service, "err", err)
+			if err := p.retune(service, rules); err != nil {
+				p.log.Error("retune", "service", service, "err", err)
 			}
 		}
-		if v := f.view.Load(); v != nil {
-			f.view.Store(f.viewOf(v.index, v.table))
+		if v := p.view.Load(); v != nil {
+			p.view.Store(p.viewOf(v.index, v.table))
 		}
 	}
-	f.relist()
+	p.relist()
 }
--- a/internal/mesh/proxy/lifecycle.go
+++ b/internal/mesh/proxy/lifecycle.go
@@ -37,24 +37,24 @@
 }
 
 // listen makes all servers, or none of them.
-func (f *Proxy) listen() (*servers, error) {
+func (p *Proxy) listen() (*servers, error) {
 	s := &servers{}
 	for _, server := range []struct {
 		at      **httpserver.Server
 		address string
 		options httpserver.Options
 	}{
-		{&s.outbound, f.settings.Outbound, httpserver.Options{
-			Name: "outbound", Handler: http.HandlerFunc(f.serveOutbound), Failed: f.handlerFailed, ReadHeaderTimeout: headerTimeout,
-			KeepAlive: idleFirst, WrapListener: f.wrapListener}},
-		{&s.inbound, f.settings.Inbound, httpserver.Options{
-			Name: "inbound", Handler: http.HandlerFunc(f.serveInbound), Failed: f.inboundHandlerFailed, WrapListener: f.wrapListener}},
-		{&s.ready, f.settings.Ready, httpserver.Options{Name: "ready", Handler: http.HandlerFunc(f.ready)}},
-		{&s.control, f.settings.Control, httpserver.Options{Name: "control", Handler: http.HandlerFunc(f.control)}},
-		{&s.figures, f.settings.Inner(), httpserver.Options{Name: "figures", Handler: f.figuresHandler()}},
+		{&s.outbound, p.settings.Outbound, httpserver.Options{
+			Name: "outbound", Handler: http.HandlerFunc(p.serveOutbound), Failed: p.handlerFailed, ReadHeaderTimeout: headerTimeout,
+			KeepAlive: idleFirst, WrapListener: p.wrapListener}},
+		{&s.inbound, p.settings.Inbound, httpserver.Options{
+			Name: "inbound", Handler: http.HandlerFunc(p.serveInbound), Failed: p.inboundHandlerFailed, WrapListener: p.wrapListener}},
+		{&s.ready, p.settings.Ready, httpserver.Options{Name: "ready", Handler: http.HandlerFunc(p.ready)}},
+		{&s.control, p.settings.Control, httpserver.Options{Name: "control", Handler: http.HandlerFunc(p.control)}},
+		{&s.figures, p.settings.Inner(), httpserver.Options{Name: "figures", Handler: p.figuresHandler()}},
 	} {
 		options := server.options
-		options.MaxHeaderBytes, options.Counts, options.Log = maxHeaderBytes, f.counts, f.log
+		options.MaxHeaderBytes, options.Counts, options.Log = maxHeaderBytes, p.counts, p.log
 		made, err := httpserver.Listen(server.address, options)
 		if err != nil {
 			s.close()
@@ -91,31 +91,31 @@
 }
 
 // Run serves until the context ends, and then until what is under way has ended or Grace is nearly over.
-func (f *Proxy) Run(ctx context.Context) error {
-	s, err := f.listen()
+func (p *Proxy) Run(ctx context.Context) error {
+	s, err := p.listen()
 	if err != nil {
 		return err
 	}
 	for _, server := range s.all() {
 		go server.Serve()
 	}
-	go f.counts.Say(f.log, countsInterval, f.end)
+	go p.counts.Say(p.log, countsInterval, p.end)
 	asking, stop := context.WithCancel(context.Background())
-	go f.watch(asking)
-	go f.fetchConfigurations(asking)
-	go f.draw(asking)
-	go f.report(asking)
-	go f.sweepConnections(s.outbound)
+	go p.watch(asking)
+	go p.fetchConfigurations(asking)
+	go p.draw(asking)
+	go p.report(asking)
+	go p.sweepConnections(s.outbound)
 	<-ctx.Done()
-	deadline := time.Now().Add(f.settings.Bounds.Grace)
-	f.log.Info("leaving", "open", f.open.Load())
-	f.leave(s, deadline.Add(-answerBy))
+	deadline := time.Now().Add(p.settings.Bounds.Grace)
+	p.log.Info("leaving", "open", p.open.Load())
+	p.leave(s, deadline.Add(-answerBy))
 	stop()
-	close(f.end)
-	open := f.open.Load()
-	f.endOpen()
+	close(p.end)
+	open := p.open.Load()
+	p.endOpen()
 	cut := s.shutDown(deadline.Add(-exitBy))
-	f.log.Info("left", append([]any{"open", open, "cut", cut}, f.counts.Changed()...)...)
+	p.log.Info("left", append([]any{"open", open, "cut", cut}, p.counts.Changed()...)...)
 	return nil
 }
 
@@ -123,30 +123,30 @@
 // more, and where too few balancers are left everybody goes on: so the first part of Grace serves all that comes, and the rest ends
 // that and refuses what is new. Invariant: a kept connection that is quiet stays open meanwhile, since the next request on it is
 // answered, and told that it is the last one there.
-func (f *Proxy) leave(s *servers, until time.Time) {
-	f.leaving.Store(true)
+func (p *Proxy) leave(s *servers, until time.Time) {
+	p.leaving.Store(true)
 	s.outbound.CloseConnections()
-	f.local.wakeWatchers() // others hear of it at once
-	refusing := time.AfterFunc(time.Duration(acceptShare*float64(f.settings.Bounds.Grace)), func() {
-		f.closed.Store(true)
+	p.local.wakeWatchers() // others hear of it at once
+	refusing := time.AfterFunc(time.Duration(acceptShare*float64(p.settings.Bounds.Grace)), func() {
+		p.closed.Store(true)
 		s.inbound.CloseConnections()
 	})
 	defer refusing.Stop()
 	for quiet := 0; time.Now().Before(until); {
 		time.Sleep(min(leaveStep, time.Until(until)))
-		if quiet++; f.open.Load() > 0 {
+		if quiet++; p.open.Load() > 0 {
 			quiet = 0
 		}
-		if quiet >= leaveQuiet || f.closed.Load() && quiet >= closedQuiet {
+		if quiet >= leaveQuiet || p.closed.Load() && quiet >= closedQuiet {
 			break
 		}
 	}
-	f.closed.Store(true)
+	p.closed.Store(true)
 }
 
 // ready answers the platform.
-func (f *Proxy) ready(w http.ResponseWriter, _ *http.Request) {
-	if f.view.Load() == nil || f.leaving.Load() {
+func (p *Proxy) ready(w http.ResponseWriter, _ *http.Request) {
+	if p.view.Load() == nil || p.leaving.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -154,53 +154,53 @@
 }
 
 // figuresHandler shows the counters as Prometheus reads them.
-func (f *Proxy) figuresHandler() http.Handler {
+func (p *Proxy) figuresHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc(rpc.PathFigures, func(w http.ResponseWriter, _ *http.Request) {
 		edition := int64(0)
-		if v := f.view.Load(); v != nil {
+		if v := p.view.Load(); v != nil {
 			edition = v.table.Edition
 		}
 		telemetry.WriteFigures(w, "ottershift_proxy", []telemetry.Gauge{
 			{Name: "edition", Help: "Version of the configuration in force, 0 for none.", Value: edition},
-			{Name: "open", Help: "Requests open here.", Value: f.open.Load()},
+			{Name: "open", Help: "Requests open here.", Value: p.open.Load()},
 			{Name: "goroutines", Help: "Goroutines.", Value: runtime.NumGoroutine()},
-		}, f.counts)
+		}, p.counts)
 	})
 	return mux
 }
 
 // sweepConnections closes connections that have been idle for too long, and does what else is due each second.
-func (f *Proxy) sweepConnections(outbound *httpserver.Server) {
+func (p *Proxy) sweepConnections(outbound *httpserver.Server) {
 	t := time.NewTicker(sweepInterval)
 	defer t.Stop()
 	for {
 		select {
 		case now := <-t.C:
-			f.sweepPools(now)
-			f.upstreamConnections.sweep(now)
-			f.partnerConnections.sweep(now)
+			p.sweepPools(now)
+			p.upstreamConnections.sweep(now)
+			p.partnerConnections.sweep(now)
 			outbound.CloseIdle(now)
-			f.local.checkHeartbeat(now, lostBeats*f.settings.Beat)
-		case <-f.end:
+			p.local.checkHeartbeat(now, lostBeats*p.settings.Beat)
+		case <-p.end:
 			return
 		}
 	}
 }
 
-func (f *Proxy) sweepPools(now time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, p := range f.pools {
-		p.peers.sweep(now)
+func (p *Proxy) sweepPools(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, service := range p.pools {
+		service.peers.sweep(now)
 	}
-	if !f.warms.IsZero() && now.After(f.warms) {
-		f.relist()
+	if !p.warms.IsZero() && now.After(p.warms) {
+		p.relist()
 	}
 }
 
 // promiseKeepAlive tells a client how long its connection may be idle; it is held to, whatever a later configuration says.
-func (f *Proxy) promiseKeepAlive(w http.ResponseWriter, r *http.Request, idle time.Duration) {
+func (p *Proxy) promiseKeepAlive(w http.ResponseWriter, r *http.Request, idle time.Duration) {
 	if idle <= 0 {
 		idle = idleFirst
 	}
--- a/internal/mesh/proxy/outbound.go
+++ b/internal/mesh/proxy/outbound.go
@@ -25,34 +25,34 @@
 
 // serveOutbound is the life of a request that starts on this machine: read, routed, pushed as the module decides, answered
 // exactly once.
-func (f *Proxy) serveOutbound(w http.ResponseWriter, r *http.Request) {
-	f.requests.Add(1)
-	f.open.Add(1)
-	defer f.open.Add(-1)
-	v := f.view.Load()
-	if f.closed.Load() {
-		f.refuse(w, r, apierror.NoRoom, 0)
+func (p *Proxy) serveOutbound(w http.ResponseWriter, r *http.Request) {
+	p.requests.Add(1)
+	p.open.Add(1)
+	defer p.open.Add(-1)
+	v := p.view.Load()
+	if p.closed.Load() {
+		p.refuse(w, r, apierror.NoRoom, 0)
 		return
 	}
 	if v == nil {
-		f.refuse(w, r, apierror.Unready, 0)
+		p.refuse(w, r, apierror.Unready, 0)
 		return
 	}
-	if !f.leaving.Load() {
-		f.promiseKeepAlive(w, r, v.idle)
+	if !p.leaving.Load() {
+		p.promiseKeepAlive(w, r, v.idle)
 	}
-	q, t, why := f.read(v, r)
+	q, t, why := p.read(v, r)
 	if why != goesOn {
-		f.refuse(w, r, why.kind, why.after)
+		p.refuse(w, r, why.kind, why.after)
 		return
 	}
-	defer f.settles(q)
-	now := f.now()
+	defer p.settles(q)
+	now := p.now()
 	t.pool.first(now, q.rank)
 	c := t.pool.desk.Arrive(desk.Arrival{
 		Under: t.under, Tariff: t.tariff, Customer: -1, Left: time.Until(q.stop), Unwhole: q.rest != nil,
 	})
-	f.attend(w, r, q, c)
+	p.follow(w, r, q, c)
 }
 
 // refusal is why a request goes no further, and when it may come again.
@@ -66,7 +66,7 @@
 func refused(kind apierror.Kind) refusal { return refusal{kind: kind} }
 
 // read takes a request as it came: its route, whose it is, its time and its body.
-func (f *Proxy) read(v *configurationView, r *http.Request) (*request, target, refusal) {
+func (p *Proxy) read(v *configurationView, r *http.Request) (*request, target, refusal) {
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	if !wellFormed(r, path) {
 		return nil, target{}, refused(apierror.Malformed)
@@ -75,7 +75,7 @@
 	route := v.table.Find(r.Host, path)
 	if route == nil { // a partner may let it in
 		var kind apierror.Kind
-		if route, to, kind = f.toPartner(r, path); kind != apierror.None {
+		if route, to, kind = p.toPartner(r, path); kind != apierror.None {
 			return nil, to, refused(kind)
 		}
 	}
@@ -87,11 +87,11 @@
 	for _, name := range setByTheHub {
 		delete(q.header, name)
 	}
-	q.header[returnTo] = []string{f.settings.Destination}
-	if why := f.authorize(v, r, route, q); why != goesOn {
+	q.header[returnTo] = []string{p.settings.Destination}
+	if why := p.authorize(v, r, route, q); why != goesOn {
 		return nil, to, why
 	}
-	why := f.readTimeAndBody(v, r, route, q)
+	why := p.readTimeAndBody(v, r, route, q)
 	if why == goesOn && to.pool == nil {
 		if to = v.pick(route); to.pool == nil { // no module could be made for its service
 			why = refused(apierror.NoRoom)
@@ -99,7 +99,7 @@
 	}
 	if why != goesOn {
 		if q.claim != nil { // it goes no further
-			f.drawn(*q.claim, burstcredit.NeverRan)
+			p.drawn(*q.claim, burstcredit.NeverRan)
 		}
 		return nil, to, why
 	}
@@ -115,7 +115,7 @@
 
 // authorize finds whose a request is, what its rank is, and whether its tenant may ask now. Partners' services need a key, too:
 // whoever asks is a tenant of ours.
-func (f *Proxy) authorize(v *configurationView, r *http.Request, route *routing.Route, q *request) refusal {
+func (p *Proxy) authorize(v *configurationView, r *http.Request, route *routing.Route, q *request) refusal {
 	q.rank = rankOf(route, nil)
 	if !v.table.RequiresKeys() || route.Unstamped {
 		return goesOn
@@ -124,20 +124,20 @@
 	if owner == nil {
 		return refused(apierror.NoKey)
 	}
-	if !f.keys.holds(f.now()) {
+	if !p.keys.holds(p.now()) {
 		return refused(apierror.Unready)
 	}
 	q.header[senderName] = []string{owner.Name}
 	q.rank = rankOf(route, owner)
-	within, after := f.withinQuota(r.Context(), owner.Name)
+	within, after := p.withinQuota(r.Context(), owner.Name)
 	if within {
 		return goesOn
 	}
-	if !f.credit.on.Load() {
+	if !p.credit.on.Load() {
 		return refusal{apierror.Beyond, after}
 	}
-	claim := f.claim(r, route, owner)
-	if !f.draws(r.Context(), claim) {
+	claim := p.claim(r, route, owner)
+	if !p.draws(r.Context(), claim) {
 		return refusal{apierror.Beyond, after}
 	}
 	q.claim = &claim
@@ -145,7 +145,7 @@
 }
 
 // readTimeAndBody reads how long a request may take, and its body as far as it is held.
-func (f *Proxy) readTimeAndBody(v *configurationView, r *http.Request, route *routing.Route, q *request) refusal {
+func (p *Proxy) readTimeAndBody(v *configurationView, r *http.Request, route *routing.Route, q *request) refusal {
 	left := time.Duration(route.Dispatch.Deadline)
 	if text := r.Header.Get(timeLeft); text != "" {
 		ms, err := strconv.ParseFloat(text, 64)
@@ -191,8 +191,8 @@
 }
 
 // refuse answers what goes no further.
-func (f *Proxy) refuse(w http.ResponseWriter, r *http.Request, kind apierror.Kind, again time.Duration) {
-	f.counts.Add("answer_" + kind.String())
+func (p *Proxy) refuse(w http.ResponseWriter, r *http.Request, kind apierror.Kind, again time.Duration) {
+	p.counts.Add("answer_" + kind.String())
 	if id := r.Header.Get(attemptID); id != "" {
 		w.Header()[attemptID] = []string{id}
 	}
@@ -202,8 +202,8 @@
 	apierror.Write(w, kind, again, "")
 }
 
-// attend follows a request from its arrival at the module to its answer.
-func (f *Proxy) attend(w http.ResponseWriter, r *http.Request, q *request, c *desk.Case) {
+// follow carries a request from its arrival at the module to its answer.
+func (p *Proxy) follow(w http.ResponseWriter, r *http.Request, q *request, c *desk.Case) {
 	defer func() {
 		for { // what was ordered and not begun
 			select {
@@ -217,22 +217,22 @@
 	for {
 		select {
 		case o := <-c.Pushes:
-			go f.push(q, c, o)
+			go p.push(q, c, o)
 		case a := <-c.Answer:
-			f.answer(w, r, q, a)
+			p.answer(w, r, q, a)
 			return
 		case <-r.Context().Done():
 			q.close()
 			q.pool.desk.Vanish(c)
-			f.noteClientGone(r)
+			p.noteClientGone(r)
 			select { // an answer that flows to nobody
 			case a := <-c.Answer:
 				q.drop(a.Push)
 			default:
 			}
 			panic(http.ErrAbortHandler)
-		case <-f.ending.Done():
-			f.answerAtEnd(w, r, q, c)
+		case <-p.ending.Done():
+			p.answerAtEnd(w, r, q, c)
 			return
 		}
 	}
@@ -240,34 +240,34 @@
 
 // answerAtEnd answers a request as it stands, as the process ends. Invariant: from close on nothing more of it goes out, and from Vanish
 // on no answer comes about that was not there before.
-func (f *Proxy) answerAtEnd(w http.ResponseWriter, r *http.Request, q *request, c *desk.Case) {
+func (p *Proxy) answerAtEnd(w http.ResponseWriter, r *http.Request, q *request, c *desk.Case) {
 	ran, out, failed := q.close()
 	q.pool.desk.Vanish(c)
 	select {
 	case a := <-c.Answer:
-		f.answer(w, r, q, a)
+		p.answer(w, r, q, a)
 		return
 	default:
 	}
-	f.log.Warn("answered at the end", "attempt", q.id, "ran", ran, "out", out)
+	p.log.Warn("answered at the end", "attempt", q.id, "ran", ran, "out", out)
 	switch {
 	case failed != nil:
-		f.write(w, failed)
+		p.write(w, failed)
 	case ran == 0:
-		f.refuse(w, r, apierror.NoRoom, 0)
+		p.refuse(w, r, apierror.NoRoom, 0)
 	default:
-		f.refuse(w, r, apierror.Leaving, 0)
+		p.refuse(w, r, apierror.Leaving, 0)
 	}
 }
 
 // answer writes the one final answer.
-func (f *Proxy) answer(w http.ResponseWriter, r *http.Request, q *request, a desk.Answer) {
+func (p *Proxy) answer(w http.ResponseWriter, r *http.Request, q *request, a desk.Answer) {
 	ran, out, failed := q.close()
 	if a.Ending == desk.Settled || a.Ending == desk.Rejected {
 		q.mu.Lock()
 		back := q.replies[a.Push]
 		q.mu.Unlock()
-		f.write(w, back)
+		p.write(w, back)
 		if q.claim != nil && back.status < 300 {
 			q.mu.Lock()
 			q.delivered = true
@@ -277,12 +277,12 @@
 	}
 	switch {
 	case failed != nil: // what an upstream said goes back unchanged
-		f.write(w, failed)
+		p.write(w, failed)
 	case ran == 0:
-		f.refuse(w, r, apierror.NoRoom, a.Backoff)
+		p.refuse(w, r, apierror.NoRoom, a.Backoff)
 	case out > 0 || time.Until(q.stop) <= 0:
-		f.refuse(w, r, apierror.Late, 0)
+		p.refuse(w, r, apierror.Late, 0)
 	default:
-		f.refuse(w, r, apierror.Broke, 0)
+		p.refuse(w, r, apierror.Broke, 0)
 	}
 }
--- a/internal/mesh/proxy/partner.go
+++ b/internal/mesh/proxy/partner.go
@@ -35,30 +35,30 @@
 	on         bool
 }
 
-func (f *Proxy) newExportPolicies() {
-	f.exports.is = federation.NewExportPolicy(func(town, path string) bool {
-		v := f.view.Load()
+func (p *Proxy) newExportPolicies() {
+	p.exports.is = federation.NewExportPolicy(func(town, path string) bool {
+		v := p.view.Load()
 		return v == nil || v.table.Find(town, path) != nil
 	})
-	f.exports.book, f.exports.gateways = federation.NewImportBook(), map[string]string{}
+	p.exports.book, p.exports.gateways = federation.NewImportBook(), map[string]string{}
 }
 
 // hear takes the core's word on partners; asked is when it was asked for. Ages count from then: the answer may have been long on
 // its way, or this process may have stood still.
-func (f *Proxy) hear(n *membership.WatchResponse, asked int64) {
-	d := &f.exports
+func (p *Proxy) hear(n *membership.WatchResponse, asked int64) {
+	d := &p.exports
 	d.Lock()
 	defer d.Unlock()
 	if n.Imports != nil {
 		book, err := federation.Read(n.Imports)
 		if err != nil {
-			f.log.Warn("partners", "err", err)
+			p.log.Warn("partners", "err", err)
 			return
 		}
 		if book.No >= d.book.No {
 			d.book, d.ages, d.heard = book, n.Ages, asked
-			f.partners()
-			f.log.Info("partners", "no", book.No)
+			p.partners()
+			p.log.Info("partners", "no", book.No)
 		}
 	}
 	for partner, age := range n.Ages {
@@ -70,35 +70,35 @@
 }
 
 // partners puts what is known of them in force, as the configuration names them. Under the doors' lock.
-func (f *Proxy) partners() {
-	d := &f.exports
-	v := f.view.Load()
+func (p *Proxy) partners() {
+	d := &p.exports
+	v := p.view.Load()
 	if v == nil {
 		return
 	}
 	var all []federation.Partner
 	d.gateways, d.terms = map[string]string{}, map[string]*routing.Partner{}
-	for _, p := range v.table.Partners {
-		all = append(all, federation.Partner{Name: p.Name, Gateway: p.Gateway, ReadsStale: p.ReadsStale})
-		d.gateways[p.Name], d.terms[p.Name] = p.Gateway, p
+	for _, partner := range v.table.Partners {
+		all = append(all, federation.Partner{Name: partner.Name, Gateway: partner.Gateway, ReadsStale: partner.ReadsStale})
+		d.gateways[partner.Name], d.terms[partner.Name] = partner.Gateway, partner
 	}
 	d.on = len(all) > 0
 	ages := map[string]int64{}
-	for partner, age := range d.ages {
-		ages[partner] = age + f.now() - d.heard
+	for name, age := range d.ages {
+		ages[name] = age + p.now() - d.heard
 	}
-	d.is.Hear(d.book, all, ages, int(f.membersNow.Load()), f.now())
+	d.is.Hear(d.book, all, ages, int(p.membersNow.Load()), p.now())
 }
 
 // toPartner finds a way for a request that no route of ours takes.
-func (f *Proxy) toPartner(r *http.Request, path string) (rule *routing.Route, t target, kind apierror.Kind) {
-	d := &f.exports
+func (p *Proxy) toPartner(r *http.Request, path string) (rule *routing.Route, t target, kind apierror.Kind) {
+	d := &p.exports
 	d.Lock()
 	if !d.on {
 		d.Unlock()
 		return nil, t, apierror.NoRoute
 	}
-	all, why := d.is.Decide(r.Method, hostOnly(r.Host), path, f.now())
+	all, why := d.is.Decide(r.Method, hostOnly(r.Host), path, p.now())
 	var names []string
 	for _, e := range all {
 		names = append(names, e.Partner.Name)
@@ -123,24 +123,24 @@
 	rule = &routing.Route{Name: string(class), MailClass: class, Target: of.Target}
 	rule.Parts = []routing.WeightedService{{Service: "partners", Share: 1}}
 	rule.Dispatch.Deadline, rule.Dispatch.DeliveryTries = of.Deadline, max(of.Tries, 1)
-	f.mu.Lock()
-	defer f.mu.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	name := "partners:" + strings.Join(names, ",")
-	p := f.pools[name]
-	if p == nil {
+	service := p.pools[name]
+	if service == nil {
 		reads, effects := *rule, *rule
 		reads.Name, reads.MailClass = string(routing.Repeatable), routing.Repeatable
 		effects.Name, effects.MailClass = string(routing.OnceOnly), routing.OnceOnly
 		rules := []*routing.Route{&reads, &effects}
-		if err := f.retune(name, rules); err != nil {
-			f.log.Error("retune", "service", name, "err", err)
+		if err := p.retune(name, rules); err != nil {
+			p.log.Error("retune", "service", name, "err", err)
 			return nil, t, apierror.NoRoom
 		}
-		p = f.pools[name]
-		p.partners, p.rules = names, rules
-		f.relist()
+		service = p.pools[name]
+		service.partners, service.rules = names, rules
+		p.relist()
 	}
-	t, known := p.target(rule, 1)
+	t, known := service.target(rule, 1)
 	if !known {
 		return nil, t, apierror.NoRoom
 	}
@@ -155,41 +155,41 @@
 }
 
 // gates are the ways to partners: balancers, so that each request is decided a second time where it leaves. Under mu.
-func (f *Proxy) gates(partners []string) (list []roster.Entry[string]) {
+func (p *Proxy) gates(partners []string) (list []roster.Entry[string]) {
 	var nodes []*knownNode
-	for _, n := range f.nodes {
-		if !n.Lost && !n.Leaving && n.Name != f.settings.Node {
+	for _, n := range p.nodes {
+		if !n.Lost && !n.Leaving && n.Name != p.settings.Node {
 			nodes = append(nodes, n)
 		}
 	}
-	key := func(n *knownNode) uint32 { return roster.Number(n.Name + gateMark + f.settings.Node) }
+	key := func(n *knownNode) uint32 { return roster.Number(n.Name + gateMark + p.settings.Node) }
 	slices.SortFunc(nodes, func(a, b *knownNode) int { return cmp.Or(cmp.Compare(key(a), key(b)), strings.Compare(a.Name, b.Name)) })
-	type way struct{ node, zone, address string }
-	var ways []way
+	type gatewayAddress struct{ node, zone, address string }
+	var gateways []gatewayAddress
 	for _, n := range nodes[:min(len(nodes), gateMost)] {
-		ways = append(ways, way{n.Name, n.District, n.Inbound})
+		gateways = append(gateways, gatewayAddress{n.Name, n.District, n.Inbound})
 	}
-	if len(ways) == 0 {
-		ways = append(ways, way{f.settings.Node, f.settings.District, f.settings.Inbound})
+	if len(gateways) == 0 {
+		gateways = append(gateways, gatewayAddress{p.settings.Node, p.settings.District, p.settings.Inbound})
 	}
 	for k, partner := range partners {
-		for _, w := range ways {
+		for _, gateway := range gateways {
 			weight := 1.0
 			if k > 0 {
 				weight = laterShare
 			}
-			name := partner + gateMark + w.node
-			list = append(list, roster.Entry[string]{Name: name, Zone: w.zone, Address: w.address, Up: logic.Upstream{Number: roster.Number(name), Weight: weight}})
+			name := partner + gateMark + gateway.node
+			list = append(list, roster.Entry[string]{Name: name, Zone: gateway.zone, Address: gateway.address, Up: logic.Upstream{Number: roster.Number(name), Weight: weight}})
 		}
 	}
 	return list
 }
 
 // allowed is the look before each push toward a partner, the first and each repeat and copy.
-func (f *Proxy) allowed(q *request, partner string) bool {
-	f.exports.Lock()
-	defer f.exports.Unlock()
-	return f.exports.is.Look(partner, q.method, hostOnly(q.host), pathOf(q.target), f.now()) == federation.Open
+func (p *Proxy) allowed(q *request, partner string) bool {
+	p.exports.Lock()
+	defer p.exports.Unlock()
+	return p.exports.is.Look(partner, q.method, hostOnly(q.host), pathOf(q.target), p.now()) == federation.Open
 }
 
 func pathOf(target string) string {
@@ -198,23 +198,23 @@
 }
 
 // leave sends a request on to a partner's gateway, from where it is decided a second time. What is refused here has not run.
-func (f *Proxy) sendToPartner(ctx context.Context, s *upstreamRequest, partner string) *upstreamResponse {
-	d := &f.exports
+func (p *Proxy) sendToPartner(ctx context.Context, s *upstreamRequest, partner string) *upstreamResponse {
+	d := &p.exports
 	d.Lock()
-	edition, why := d.is.May(partner, s.method, hostOnly(s.host), pathOf(s.target), f.now())
+	edition, why := d.is.May(partner, s.method, hostOnly(s.host), pathOf(s.target), p.now())
 	gateway := d.gateways[partner]
 	d.Unlock()
 	if why != federation.Open || gateway == "" {
-		f.counts.Add("gate_" + why.String())
+		p.counts.Add("gate_" + why.String())
 		return &upstreamResponse{kind: apierror.NotHere}
 	}
 	delete(s.header, addressee)
 	s.header[importEdition] = []string{strconv.FormatInt(edition, 10)}
-	back := f.send(ctx, s, f.partnerConnections, roster.Place{Host: partner, Address: gateway})
+	back := p.send(ctx, s, p.partnerConnections, roster.Place{Host: partner, Address: gateway})
 	if back.kind == apierror.Unready && ctx.Err() == nil {
 		back.kind = apierror.NoRoom // it never reached the partner
 	}
 	back.long = keptShort
-	f.counts.Add("gate_left")
+	p.counts.Add("gate_left")
 	return back
 }
--- a/internal/mesh/proxy/pools.go
+++ b/internal/mesh/proxy/pools.go
@@ -102,34 +102,34 @@
 }
 
 // retune gives a service's module the routes that lead to it. Under mu.
-func (f *Proxy) retune(service string, routes []*routing.Route) error {
-	book, order := f.bookOf(routes)
-	p := f.pools[service]
-	if p != nil {
-		if sameTerms(p.book.Terms, book.Terms) && slices.Equal(p.order, order) {
+func (p *Proxy) retune(service string, routes []*routing.Route) error {
+	book, order := p.bookOf(routes)
+	present := p.pools[service]
+	if present != nil {
+		if sameTerms(present.book.Terms, book.Terms) && slices.Equal(present.order, order) {
 			return nil
 		}
-		err := p.desk.Retune(book)
+		err := present.desk.Retune(book)
 		if err == nil {
-			p.take(book, order)
+			present.take(book, order)
 			return nil
 		}
-		f.counts.Add("modules_replaced")
-		f.log.Error("retune", "service", service, "err", err)
+		p.counts.Add("modules_replaced")
+		p.log.Error("retune", "service", service, "err", err)
 	}
-	bounds := &f.settings.Bounds
-	fresh := &pool{name: service, counts: &figures.Pool{}, peers: newConnectionPool(dialPeer, f.counts, "peer"),
+	bounds := &p.settings.Bounds
+	fresh := &pool{name: service, counts: &figures.Pool{}, peers: newConnectionPool(dialPeer, p.counts, "peer"),
 		budget: ratelimit.NewRetryBudget(int64(bounds.RetryWindow), bounds.RetryRatio, bounds.RetrySlack)}
 	fresh.take(book, order)
 	var err error
-	if fresh.desk, err = desk.New(book, fresh.counts, f.log.With("service", service), desk.Design); err != nil {
+	if fresh.desk, err = desk.New(book, fresh.counts, p.log.With("service", service), desk.Design); err != nil {
 		return err
 	}
-	if p != nil {
-		fresh.budget, fresh.partners, fresh.rules = p.budget, p.partners, p.rules
+	if present != nil {
+		fresh.budget, fresh.partners, fresh.rules = present.budget, present.partners, present.rules
 	}
-	f.pools[service] = fresh
-	go f.probe(fresh)
+	p.pools[service] = fresh
+	go p.probe(fresh)
 	return nil
 }
 
@@ -139,8 +139,8 @@
 }
 
 // bookOf is what a service's module is told: of this balancer's place among all, and of what its routes promise. Under mu.
-func (f *Proxy) bookOf(routes []*routing.Route) (b *terms.Book, order []tariffKey) {
-	balancers, place := f.rank()
+func (p *Proxy) bookOf(routes []*routing.Route) (b *terms.Book, order []tariffKey) {
+	balancers, place := p.rank()
 	t := &logic.Terms{
 		Seed: rand.Uint64(), FreeRefusals: freeRefusals, Balancers: balancers, Index: place, Layer: 1, SecondCopies: true, Cancelling: true, Probing: true,
 		AdviseBackoff: true, MaxBackoff: int64(250 * time.Millisecond), CrossZonePrice: crossing, MaxPushes: 1,
@@ -162,8 +162,8 @@
 		b.Tariffs[key.name()] = len(t.Tariffs)
 		t.Tariffs = append(t.Tariffs, key.tariff())
 	}
-	b.Zones = append(b.Zones, f.zones...)
-	b.Complete(f.settings.District)
+	b.Zones = append(b.Zones, p.zones...)
+	b.Complete(p.settings.District)
 	return b, order
 }
 
@@ -176,46 +176,46 @@
 }
 
 // rank is how many balancers there are, and this one's place in their agreed order. Under mu.
-func (f *Proxy) rank() (n, place int) {
+func (p *Proxy) rank() (n, place int) {
 	var names []string
-	for node, t := range f.nodes {
+	for node, t := range p.nodes {
 		if !t.Lost {
 			names = append(names, node)
 		}
 	}
-	if !slices.Contains(names, f.settings.Node) {
-		names = append(names, f.settings.Node)
+	if !slices.Contains(names, p.settings.Node) {
+		names = append(names, p.settings.Node)
 	}
 	slices.Sort(names)
-	return len(names), slices.Index(names, f.settings.Node)
+	return len(names), slices.Index(names, p.settings.Node)
 }
 
 // relist hands every module the list of its upstreams as it stands. Under mu.
-func (f *Proxy) relist() {
+func (p *Proxy) relist() {
 	by := map[string][]*knownNode{}
 	now := time.Now()
-	f.warms = time.Time{}
-	for _, n := range f.nodes {
-		if now.Before(n.warm) && (f.warms.IsZero() || n.warm.Before(f.warms)) {
-			f.warms = n.warm
+	p.warms = time.Time{}
+	for _, n := range p.nodes {
+		if now.Before(n.warm) && (p.warms.IsZero() || n.warm.Before(p.warms)) {
+			p.warms = n.warm
 		}
 		if n.Upstream == nil || n.Upstream.ID == "" {
 			continue
 		}
 		by[n.Upstream.Service] = append(by[n.Upstream.Service], n)
 	}
-	for service, p := range f.pools {
-		list := entries(by[service], now)
-		if p.partners != nil {
-			list = f.gates(p.partners)
+	for name, service := range p.pools {
+		list := entries(by[name], now)
+		if service.partners != nil {
+			list = p.gates(service.partners)
 		}
 		slices.SortFunc(list, func(a, b roster.Entry[string]) int { return strings.Compare(a.Name, b.Name) })
-		change := p.desk.List(list, true)
+		change := service.desk.List(list, true)
 		for _, host := range change.Left {
-			p.peers.closeHost(host)
+			service.peers.closeHost(host)
 		}
 		if change.Joined+change.Ends+change.Gone > 0 {
-			f.log.Info("list", "service", service, "listed", change.Listed, "joined", change.Joined, "end", change.Ends, "gone", change.Gone)
+			p.log.Info("list", "service", name, "listed", change.Listed, "joined", change.Joined, "end", change.Ends, "gone", change.Gone)
 		}
 	}
 }
@@ -248,16 +248,16 @@
 }
 
 // probe carries out a module's probes: a question to the balancer beside the upstream, which knows it best.
-func (f *Proxy) probe(p *pool) {
+func (p *Proxy) probe(service *pool) {
 	for {
 		select {
-		case o := <-p.desk.Probes():
+		case o := <-service.desk.Probes():
 			go func() {
 				ctx, end := context.WithTimeout(context.Background(), asideMost)
 				defer end()
-				p.desk.Probed(o.Upstream, f.probeUpstream(ctx, p, o.Place))
+				service.desk.Probed(o.Upstream, p.probeUpstream(ctx, service, o.Place))
 			}()
-		case <-f.end:
+		case <-p.end:
 			return
 		}
 	}
--- a/internal/mesh/proxy/proxy.go
+++ b/internal/mesh/proxy/proxy.go
@@ -104,28 +104,28 @@
 	for _, option := range with {
 		option(&chosen)
 	}
-	f := &Proxy{
+	p := &Proxy{
 		settings: b, log: log, counts: telemetry.NewCounters(), caller: rpc.NewCaller(chosen.wrapTransport), life: storage.NewIdentity(), epoch: time.Now(),
 		local: newLocalUpstream(b.Bounds.Drain, b.App), end: make(chan struct{}), wrapListener: chosen.wrapListener,
 		pools: map[string]*pool{}, nodes: map[string]*knownNode{}, members: 1, fetch: configurationFetch{begin: make(chan struct{}, 1)},
 	}
 	if b.Bounds.RevokedEverywhere {
-		f.keys.bound = b.Bounds.Revoke
+		p.keys.bound = b.Bounds.Revoke
 	}
-	f.ending, f.endOpen = context.WithCancel(context.Background())
-	f.pace = newPacer(b.LineMbps)
-	f.upstreamConnections = newConnectionPool(dialApp, f.counts, "app")
-	f.partnerConnections = newConnectionPool(dialApp, f.counts, "outside")
-	f.newExportPolicies()
-	f.requests, f.inbounds = f.counts.Of("requests"), f.counts.Of("inbound")
-	f.wallet = wallet{is: ratelimit.NewWallet(0), need: make(chan struct{}, 1), drawn: make(chan struct{})}
-	f.credit.wallet, f.credit.need = burstcredit.NewWallet(b.Node, f.life), make(chan struct{}, 1)
-	f.seeds = inner(b)
+	p.ending, p.endOpen = context.WithCancel(context.Background())
+	p.pace = newPacer(b.LineMbps)
+	p.upstreamConnections = newConnectionPool(dialApp, p.counts, "app")
+	p.partnerConnections = newConnectionPool(dialApp, p.counts, "outside")
+	p.newExportPolicies()
+	p.requests, p.inbounds = p.counts.Of("requests"), p.counts.Of("inbound")
+	p.wallet = wallet{is: ratelimit.NewWallet(0), need: make(chan struct{}, 1), drawn: make(chan struct{})}
+	p.credit.wallet, p.credit.need = burstcredit.NewWallet(b.Node, p.life), make(chan struct{}, 1)
+	p.seeds = inner(b)
 	for zone := range b.Districts {
-		f.zones = append(f.zones, zone)
+		p.zones = append(p.zones, zone)
 	}
-	slices.Sort(f.zones)
-	return f
+	slices.Sort(p.zones)
+	return p
 }
 
 func inner(b *settings.Settings) (all []string) {
@@ -136,10 +136,10 @@
 }
 
 // Reseed takes other seeds, as the settings name them now.
-func (f *Proxy) Reseed(b *settings.Settings) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.seeds = inner(b)
+func (p *Proxy) Reseed(b *settings.Settings) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.seeds = inner(b)
 }
 
-func (f *Proxy) now() int64 { return int64(time.Since(f.epoch)) }
+func (p *Proxy) now() int64 { return int64(time.Since(p.epoch)) }
--- a/internal/mesh/proxy/push.go
+++ b/internal/mesh/proxy/push.go
@@ -23,11 +23,11 @@
 }
 
 // push carries one order of the module out.
-func (f *Proxy) push(q *request, c *desk.Case, o *desk.Push) {
+func (p *Proxy) push(q *request, c *desk.Case, o *desk.Push) {
 	outcome := pushOutcome{result: logic.Unsent}
 	defer func() {
 		if fault := recover(); fault != nil {
-			f.log.Error("panic", "where", "push", "fault", fault, "stack", string(debug.Stack()))
+			p.log.Error("panic", "where", "push", "fault", fault, "stack", string(debug.Stack()))
 			outcome.result = logic.Broken
 		}
 		if !outcome.flowed {
@@ -35,23 +35,23 @@
 		}
 	}()
 	paid := func() bool {
-		if q.pool.more(f.now(), int(f.membersNow.Load()), q.rank) {
+		if q.pool.more(p.now(), int(p.membersNow.Load()), q.rank) {
 			return true
 		}
-		f.counts.Add("budget_spent")
+		p.counts.Add("budget_spent")
 		return false
 	}
-	if partner, through := q.pool.partnerOf(o); through && !f.allowed(q, partner) {
-		f.counts.Add("kept_back")
+	if partner, through := q.pool.partnerOf(o); through && !p.allowed(q, partner) {
+		p.counts.Add("kept_back")
 		return
 	}
 	if !q.begin(paid) {
 		return
 	}
-	outcome = f.carry(q, c, o)
+	outcome = p.carry(q, c, o)
 	q.ended(outcome.result, outcome.early, outcome.failed)
 	if outcome.result != logic.Settled {
-		f.counts.Add("push_" + outcome.result.String())
+		p.counts.Add("push_" + outcome.result.String())
 	}
 }
 
@@ -62,8 +62,8 @@
 }
 
 // carry sends a request to the balancer beside an upstream, or to the upstream if it is here, and takes what comes back.
-func (f *Proxy) carry(q *request, c *desk.Case, o *desk.Push) (outcome pushOutcome) {
-	back := f.dispatch(q, c, o)
+func (p *Proxy) carry(q *request, c *desk.Case, o *desk.Push) (outcome pushOutcome) {
+	back := p.dispatch(q, c, o)
 	defer func() {
 		if !outcome.flowed {
 			back.done(false)
@@ -73,21 +73,21 @@
 	case back.kind == apierror.NoRoom || back.kind == apierror.NotHere:
 		return pushOutcome{result: logic.TurnedAway, early: true}
 	case back.kind != apierror.None:
-		result := f.broken(o.Context, back)
+		result := p.broken(o.Context, back)
 		return pushOutcome{result: result, early: result.NeverRan()}
 	}
 	_, through := q.pool.partnerOf(o)
-	if refused, is := f.refusal(back, through); is {
+	if refused, is := p.refusal(back, through); is {
 		return refused
 	}
-	return f.takeAnswer(q, c, o, back)
+	return p.takeAnswer(q, c, o, back)
 }
 
 // dispatch sends a request on its way: through a partner's gateway, to the upstream here, or to the balancer beside another one.
-func (f *Proxy) dispatch(q *request, c *desk.Case, o *desk.Push) *upstreamResponse {
-	s := f.requestTo(q, c, o)
+func (p *Proxy) dispatch(q *request, c *desk.Case, o *desk.Push) *upstreamResponse {
+	s := p.requestTo(q, c, o)
 	partner, through := q.pool.partnerOf(o)
-	if o.Place.Address != f.settings.Inbound {
+	if o.Place.Address != p.settings.Inbound {
 		s.header[meshAimHeader] = s.urgency.encode()
 		if q.long {
 			s.header[meshLongHeader] = []string{"1"}
@@ -95,16 +95,16 @@
 		if through {
 			s.header[meshGatewayHeader] = []string{partner}
 		}
-		return f.send(o.Context, s, q.pool.peers, o.Place)
+		return p.send(o.Context, s, q.pool.peers, o.Place)
 	}
 	if through {
-		return f.sendToPartner(o.Context, s, partner)
+		return p.sendToPartner(o.Context, s, partner)
 	}
-	return f.sendToLocalUpstream(o.Context, s)
+	return p.sendToLocalUpstream(o.Context, s)
 }
 
 // requestTo is a request as it goes out by an order.
-func (f *Proxy) requestTo(q *request, c *desk.Case, o *desk.Push) *upstreamRequest {
+func (p *Proxy) requestTo(q *request, c *desk.Case, o *desk.Push) *upstreamRequest {
 	s := &upstreamRequest{
 		id: q.id, to: o.Name, method: q.method, target: q.target, host: q.host, header: make(http.Header, len(q.header)+3),
 		body: q.body, rest: q.rest, length: q.length, until: o.Until, urgency: urgency{q.aim, q.rank, o.Number > 0},
@@ -125,7 +125,7 @@
 // refusal tells what an answer's head says of a request that it does not serve. Invariant: a status by which its client would take
 // the request for not run goes on to the client only from here, as our own word, and only with the upstream's proof; a partner's
 // promises are as good as ours.
-func (f *Proxy) refusal(back *upstreamResponse, through bool) (outcome pushOutcome, is bool) {
+func (p *Proxy) refusal(back *upstreamResponse, through bool) (outcome pushOutcome, is bool) {
 	answer := back.answer
 	good := answer.StatusCode < http.StatusMultipleChoices
 	switch said := answer.Header.Get(meshHeader); {
@@ -136,23 +136,23 @@
 		back.finish()
 		return pushOutcome{result: logic.Broken}, true
 	case good && answer.Header[notDelivered] != nil:
-		f.counts.Add("answers_contradictory")
+		p.counts.Add("answers_contradictory")
 		return pushOutcome{result: logic.Broken}, true
 	case through:
 		return pushOutcome{}, false
 	case apierror.Promises(answer.StatusCode):
-		f.counts.Add("promises_unproven")
+		p.counts.Add("promises_unproven")
 		back.finish()
 		return pushOutcome{result: logic.Errored}, true
 	case good && answer.Header[postmark] == nil:
-		f.counts.Add("answers_unstamped")
+		p.counts.Add("answers_unstamped")
 		return pushOutcome{result: logic.Broken}, true
 	}
 	return pushOutcome{}, false
 }
 
 // takeAnswer reads an answer that goes on to the client: whole if it is short, as it flows if it is long and good.
-func (f *Proxy) takeAnswer(q *request, c *desk.Case, o *desk.Push, back *upstreamResponse) pushOutcome {
+func (p *Proxy) takeAnswer(q *request, c *desk.Case, o *desk.Push, back *upstreamResponse) pushOutcome {
 	answer := back.answer
 	good := answer.StatusCode < http.StatusMultipleChoices
 	into := &reply{status: answer.StatusCode, header: onward(answer.Header), length: answer.ContentLength, early: back.line.early}
@@ -160,9 +160,9 @@
 	into.body = body
 	switch {
 	case err != nil:
-		return pushOutcome{result: f.broken(o.Context, &upstreamResponse{kind: apierror.Broke, err: err})}
+		return pushOutcome{result: p.broken(o.Context, &upstreamResponse{kind: apierror.Broke, err: err})}
 	case len(body) > heldAnswer && good:
-		return f.flowAnswer(q, c, o, back, into)
+		return p.flowAnswer(q, c, o, back, into)
 	case len(body) > heldAnswer:
 		return pushOutcome{result: logic.Errored}
 	}
@@ -181,7 +181,7 @@
 }
 
 // flowAnswer hands an answer to the client as it comes.
-func (f *Proxy) flowAnswer(q *request, c *desk.Case, o *desk.Push, back *upstreamResponse, into *reply) pushOutcome {
+func (p *Proxy) flowAnswer(q *request, c *desk.Case, o *desk.Push, back *upstreamResponse, into *reply) pushOutcome {
 	into.flow, into.ended = back.answer.Body, make(chan bool, 1)
 	q.keep(o.Number, into)
 	if !q.pool.desk.Flow(c, o) {
@@ -195,7 +195,7 @@
 }
 
 // broken names the outcome of a push without a whole answer.
-func (f *Proxy) broken(ctx context.Context, b *upstreamResponse) logic.Result {
+func (p *Proxy) broken(ctx context.Context, b *upstreamResponse) logic.Result {
 	cause := context.Cause(ctx)
 	switch {
 	case !b.wrote && b.kind == apierror.Unready && (ctx.Err() != nil || heldBack(b.err)):
@@ -207,7 +207,7 @@
 	case errors.Is(cause, context.DeadlineExceeded):
 		return logic.TimedOut
 	}
-	f.counts.Add("push_cut")
+	p.counts.Add("push_cut")
 	return logic.Broken
 }
 
--- a/internal/mesh/proxy/reply.go
+++ b/internal/mesh/proxy/reply.go
@@ -44,7 +44,7 @@
 }
 
 // write passes an upstream's answer on. Invariant: one that breaks off must not look whole.
-func (f *Proxy) write(w http.ResponseWriter, r *reply) {
+func (p *Proxy) write(w http.ResponseWriter, r *reply) {
 	h := w.Header()
 	for name, values := range r.header {
 		h[name] = values
@@ -63,7 +63,7 @@
 	w.WriteHeader(r.status)
 	_, err := w.Write(r.body)
 	if r.flow == nil {
-		f.cutUnless(err == nil, countReaderGone)
+		p.cutUnless(err == nil, countReaderGone)
 		return
 	}
 	source := &sourceReader{Reader: r.flow}
@@ -73,16 +73,16 @@
 	}
 	r.ended <- err == nil
 	if source.broke {
-		f.log.Debug("answer cut", "why", "its source broke off", "err", err)
-		f.cutUnless(err == nil, countSourceBroke)
+		p.log.Debug("answer cut", "why", "its source broke off", "err", err)
+		p.cutUnless(err == nil, countSourceBroke)
 	}
-	f.cutUnless(err == nil, countReaderGone)
+	p.cutUnless(err == nil, countReaderGone)
 }
 
 // cutUnless ends the connection of an answer that could not be passed on whole, and counts why.
-func (f *Proxy) cutUnless(whole bool, counter string) {
+func (p *Proxy) cutUnless(whole bool, counter string) {
 	if !whole {
-		f.counts.Add(counter)
+		p.counts.Add(counter)
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/internal/mesh/proxy/send.go
+++ b/internal/mesh/proxy/send.go
@@ -68,13 +68,13 @@
 }
 
 // send carries a request over a connection of a pool, a kept one if there is one that may carry it.
-func (f *Proxy) send(ctx context.Context, s *upstreamRequest, pool *connectionPool, at roster.Place) *upstreamResponse {
+func (p *Proxy) send(ctx context.Context, s *upstreamRequest, pool *connectionPool, at roster.Place) *upstreamResponse {
 	if err := sendable(ctx, s); err != nil {
 		return &upstreamResponse{kind: apierror.Unready, err: err}
 	}
 	to := destination{host: at.Host, address: at.Address, kept: at.Kept}
 	for c := pool.take(to, s.id); c != nil; c = nil {
-		back := f.sendOver(ctx, s, pool, c)
+		back := p.sendOver(ctx, s, pool, c)
 		if back.kind != apierror.Unready || back.wrote || ctx.Err() != nil || heldBack(back.err) {
 			return back
 		} // it had ended before any of the request went out
@@ -83,7 +83,7 @@
 	if err != nil {
 		return &upstreamResponse{kind: apierror.Unready, err: err}
 	}
-	return f.sendOver(ctx, s, pool, c)
+	return p.sendOver(ctx, s, pool, c)
 }
 
 var (
@@ -110,7 +110,7 @@
 }
 
 // sendOver carries a request over one connection.
-func (f *Proxy) sendOver(ctx context.Context, s *upstreamRequest, pool *connectionPool, c *connection) *upstreamResponse {
+func (p *Proxy) sendOver(ctx context.Context, s *upstreamRequest, pool *connectionPool, c *connection) *upstreamResponse {
 	if err := sendable(ctx, s); err != nil {
 		c.Close()
 		return &upstreamResponse{kind: apierror.Unready, err: err}
@@ -130,43 +130,43 @@
 		}
 		return &upstreamResponse{kind: kind, err: err, wrote: wrote}
 	}
-	if pool == f.upstreamConnections || pool == f.partnerConnections {
+	if pool == p.upstreamConnections || pool == p.partnerConnections {
 		delete(answer.Header, meshHeader) // balancers alone say this
 	}
 	return &upstreamResponse{answer: answer, wrote: true, line: c, lines: pool, long: keptLong, stop: stop}
 }
 
 // sendToLocalUpstream hands a request to the upstream on this machine, if it is the one that is meant and has room.
-func (f *Proxy) sendToLocalUpstream(ctx context.Context, s *upstreamRequest) *upstreamResponse {
-	address, kind := f.local.admit(ctx, s, time.Now())
+func (p *Proxy) sendToLocalUpstream(ctx context.Context, s *upstreamRequest) *upstreamResponse {
+	address, kind := p.local.admit(ctx, s, time.Now())
 	if kind != apierror.None {
-		f.counts.Add("turned_" + kind.String())
+		p.counts.Add("turned_" + kind.String())
 		return &upstreamResponse{kind: kind}
 	}
 	began := time.Now()
-	back := f.send(ctx, s, f.upstreamConnections, roster.Place{Host: s.to, Address: address})
+	back := p.send(ctx, s, p.upstreamConnections, roster.Place{Host: s.to, Address: address})
 	if failed, known := verdict(ctx, s, back, time.Since(began)); known {
-		f.local.observe(s.to, failed, time.Now())
+		p.local.observe(s.to, failed, time.Now())
 	}
 	if back.kind == apierror.Unready {
 		switch {
 		case errors.Is(back.err, syscall.ECONNREFUSED):
-			f.local.refused(s.to)
+			p.local.refused(s.to)
 		case ctx.Err() == nil && errors.Is(back.err, os.ErrDeadlineExceeded):
-			f.local.silent(s.to)
+			p.local.silent(s.to)
 		}
-		f.local.leave(s.to)
+		p.local.leave(s.to)
 		if ctx.Err() == nil {
 			back.kind = apierror.NoRoom // it never reached the upstream
 		}
 		return back
 	}
 	if back.kind != apierror.None {
-		f.local.leave(s.to)
+		p.local.leave(s.to)
 		return back
 	}
 	back.long = keptShort
-	f.local.leave(s.to) // its work is done: what is left is bytes
+	p.local.leave(s.to) // its work is done: what is left is bytes
 	return back
 }
 
--- a/internal/mesh/proxy/unanswered.go
+++ b/internal/mesh/proxy/unanswered.go
@@ -17,22 +17,22 @@
 )
 
 // noteClientGone notes a request whose connection has ended before its answer.
-func (f *Proxy) noteClientGone(r *http.Request) {
+func (p *Proxy) noteClientGone(r *http.Request) {
 	if c := httpserver.ConnectionOf(r); c == nil || !c.CutHere() {
-		f.counts.Add(countClientGone)
+		p.counts.Add(countClientGone)
 		return
 	}
-	f.counts.Add(countClosedHere)
-	f.log.Warn("unanswered", "why", "closed here", "attempt", r.Header.Get(attemptID))
+	p.counts.Add(countClosedHere)
+	p.log.Warn("unanswered", "why", "closed here", "attempt", r.Header.Get(attemptID))
 }
 
 // handlerFailed answers a client whose request has met a fault of this process. It may have run.
-func (f *Proxy) handlerFailed(w http.ResponseWriter, r *http.Request) {
-	f.refuse(w, r, apierror.Broke, 0)
+func (p *Proxy) handlerFailed(w http.ResponseWriter, r *http.Request) {
+	p.refuse(w, r, apierror.Broke, 0)
 }
 
 // inboundHandlerFailed is the same toward another balancer.
-func (f *Proxy) inboundHandlerFailed(w http.ResponseWriter, r *http.Request) {
+func (p *Proxy) inboundHandlerFailed(w http.ResponseWriter, r *http.Request) {
 	w.Header()[meshHeader] = []string{meshBroke}
-	f.refuse(w, r, apierror.Broke, 0)
+	p.refuse(w, r, apierror.Broke, 0)
 }
--- a/internal/mesh/proxy/urgency.go
+++ b/internal/mesh/proxy/urgency.go
@@ -38,7 +38,7 @@
 
 // urgencyOf is how urgent a request from another balancer is. Where that balancer is of a version that does not tell the rank, it is
 // what this one's own configuration says.
-func (f *Proxy) urgencyOf(r *http.Request) urgency {
+func (p *Proxy) urgencyOf(r *http.Request) urgency {
 	u := urgency{aim: aimUnsaid}
 	if ms, err := strconv.ParseInt(r.Header.Get(meshAimHeader), 10, 64); err == nil && ms >= 0 {
 		u.aim = min(time.Duration(ms)*time.Millisecond, aimMost)
@@ -54,13 +54,13 @@
 			return u
 		}
 	}
-	u.rank = f.configuredRank(r)
+	u.rank = p.configuredRank(r)
 	return u
 }
 
 // configuredRank is the rank of a request by this balancer's own configuration, the lowest where it knows no route for it.
-func (f *Proxy) configuredRank(r *http.Request) priority.Rank {
-	v := f.view.Load()
+func (p *Proxy) configuredRank(r *http.Request) priority.Rank {
+	v := p.view.Load()
 	if v == nil {
 		return priority.Lowest
 	}
--- a/internal/mesh/proxy/view.go
+++ b/internal/mesh/proxy/view.go
@@ -48,10 +48,10 @@
 // adopt puts a version of the configuration in force. Invariant: an older one than was acted on, within one life, is refused. What it
 // costs goes by what differs from the version before, beside a look at each route. A service whose module refuses its terms goes on
 // under those before, and keeps no other from the new ones.
-func (f *Proxy) adopt(index uint64, t *routing.Configuration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if now := f.view.Load(); now != nil && index <= now.index {
+func (p *Proxy) adopt(index uint64, t *routing.Configuration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now := p.view.Load(); now != nil && index <= now.index {
 		return
 	}
 	byService := map[string][]*routing.Route{}
@@ -62,15 +62,15 @@
 			}
 		}
 	}
-	changed := f.retuneServices(byService)
-	f.rules = byService
-	f.view.Store(f.viewOf(index, t))
-	f.quota(t)
-	f.log.Info("configuration", "edition", t.Edition, "index", index, "routes", len(t.Routes), "services_changed", changed)
-	f.relist()
-	f.exports.Lock()
-	f.partners()
-	f.exports.Unlock()
+	changed := p.retuneServices(byService)
+	p.rules = byService
+	p.view.Store(p.viewOf(index, t))
+	p.quota(t)
+	p.log.Info("configuration", "edition", t.Edition, "index", index, "routes", len(t.Routes), "services_changed", changed)
+	p.relist()
+	p.exports.Lock()
+	p.partners()
+	p.exports.Unlock()
 }
 
 func namedBefore(parts []routing.WeightedService, service string) bool {
@@ -83,15 +83,15 @@
 }
 
 // retuneServices gives their routes to the modules whose routes are others than before, and counts these. Under mu.
-func (f *Proxy) retuneServices(byService map[string][]*routing.Route) (changed int) {
+func (p *Proxy) retuneServices(byService map[string][]*routing.Route) (changed int) {
 	for service, routes := range byService {
-		if f.pools[service] != nil && slices.Equal(f.rules[service], routes) {
+		if p.pools[service] != nil && slices.Equal(p.rules[service], routes) {
 			continue
 		}
 		changed++
-		if err := f.retune(service, routes); err != nil {
-			f.counts.Add("retunes_failed")
-			f.log.Error("retune", "service", service, "err", err)
+		if err := p.retune(service, routes); err != nil {
+			p.counts.Add("retunes_failed")
+			p.log.Error("retune", "service", service, "err", err)
 			delete(byService, service) // the next version tells it again, whether these routes differ or not
 		}
 	}
@@ -99,15 +99,15 @@
 }
 
 // viewOf is the view of a version, by the modules as they stand. Under mu.
-func (f *Proxy) viewOf(index uint64, t *routing.Configuration) *configurationView {
+func (p *Proxy) viewOf(index uint64, t *routing.Configuration) *configurationView {
 	v := &configurationView{index: index, table: t, idle: time.Duration(t.Limits.Idle), targets: make(map[*routing.Route][]target, len(t.Routes))}
 	for _, r := range t.Routes {
 		for _, part := range r.Parts {
-			p := f.pools[part.Service]
-			if p == nil {
+			service := p.pools[part.Service]
+			if service == nil {
 				continue
 			}
-			if to, known := p.target(r, part.Share); known {
+			if to, known := service.target(r, part.Share); known {
 				v.targets[r] = append(v.targets[r], to)
 			}
 		}
@@ -116,14 +116,14 @@
 }
 
 // quota gives tenants their parts. Under mu.
-func (f *Proxy) quota(t *routing.Configuration) {
-	f.wallet.Lock()
-	defer f.wallet.Unlock()
-	limits := ratelimit.LimitsOf(t, &f.settings.Bounds)
-	f.wallet.limited = false
+func (p *Proxy) quota(t *routing.Configuration) {
+	p.wallet.Lock()
+	defer p.wallet.Unlock()
+	limits := ratelimit.LimitsOf(t, &p.settings.Bounds)
+	p.wallet.limited = false
 	for _, l := range limits {
-		f.wallet.limited = f.wallet.limited || l.Rate > 0
+		p.wallet.limited = p.wallet.limited || l.Rate > 0
 	}
-	f.wallet.is.Set(limits, f.members, f.now())
-	f.creditTerms(t)
+	p.wallet.is.Set(limits, p.members, p.now())
+	p.creditTerms(t)
 }
--- a/internal/mesh/proxy/wallet.go
+++ b/internal/mesh/proxy/wallet.go
@@ -45,13 +45,13 @@
 }
 
 // within reports whether a request is within its tenant's quota. Most find a token; one that doesn't waits for a draw.
-func (f *Proxy) withinQuota(ctx context.Context, tenant string) (ok bool, again time.Duration) {
-	w := &f.wallet
+func (p *Proxy) withinQuota(ctx context.Context, tenant string) (ok bool, again time.Duration) {
+	w := &p.wallet
 	for round := 0; ; round++ {
 		w.Lock()
-		verdict, wait := w.is.Take(tenant, f.now(), round == drawRounds)
+		verdict, wait := w.is.Take(tenant, p.now(), round == drawRounds)
 		drawn := w.drawn
-		wants := verdict == ratelimit.Ask || w.is.Wants(f.now())
+		wants := verdict == ratelimit.Ask || w.is.Wants(p.now())
 		w.Unlock()
 		if wants {
 			w.want()
@@ -59,7 +59,7 @@
 		if verdict != ratelimit.Ask {
 			return verdict == ratelimit.Pass, time.Duration(wait)
 		}
-		f.counts.Add("draws_waited")
+		p.counts.Add("draws_waited")
 		late := time.NewTimer(drawWait)
 		select {
 		case <-drawn:
@@ -71,8 +71,8 @@
 }
 
 // draw keeps the wallet as full as demand wants it.
-func (f *Proxy) draw(ctx context.Context) {
-	w := &f.wallet
+func (p *Proxy) draw(ctx context.Context) {
+	w := &p.wallet
 	t := time.NewTicker(drawEvery)
 	defer t.Stop()
 	for {
@@ -83,33 +83,33 @@
 			return
 		}
 		w.Lock()
-		at, sent := w.coordinator, f.now()
+		at, sent := w.coordinator, p.now()
 		if !w.limited || at == "" {
 			w.Unlock()
 			continue
 		}
-		d := w.is.NewRequest(f.settings.Node, f.life, sent)
+		d := w.is.NewRequest(p.settings.Node, p.life, sent)
 		w.Unlock()
 		call, end := context.WithTimeout(ctx, drawWithin)
 		given := map[string]ratelimit.TokenGrant{}
-		err := f.caller.Call(call, at, rpc.PathTokens, d, &given)
+		err := p.caller.Call(call, at, rpc.PathTokens, d, &given)
 		refused := err != nil && call.Err() == nil
 		end()
 		w.Lock()
 		if err == nil {
-			w.is.ApplyGrant(given, sent, f.now())
-			if w.is.Wants(f.now()) {
+			w.is.ApplyGrant(given, sent, p.now())
+			if w.is.Wants(p.now()) {
 				w.want()
 			}
 		} else if refused {
-			w.is.GrantRefused(f.now())
+			w.is.GrantRefused(p.now())
 		}
 		close(w.drawn)
 		w.drawn = make(chan struct{})
 		w.Unlock()
-		f.counts.Add("draws")
+		p.counts.Add("draws")
 		if err != nil {
-			f.counts.Add("draws_failed")
+			p.counts.Add("draws_failed")
 		}
 		select {
 		case <-time.After(drawPause):
--- a/internal/mesh/proxy/watch.go
+++ b/internal/mesh/proxy/watch.go
@@ -26,25 +26,25 @@
 
 // watch renews this balancer's lease and takes news, from one controller at a time. Invariant: one that is cut off or stands still
 // answers nothing, or old news for new; so each request ends soon unless an answer is on its way, and who is not current is left.
-func (f *Proxy) watch(ctx context.Context) {
+func (p *Proxy) watch(ctx context.Context) {
 	choice := newControllerChoice()
 	var silence silenceClock
 	failed := 0 // in a row
 	for ctx.Err() == nil {
-		known := f.knownControllers()
-		at := choice.pick(known, f.now())
-		asked := f.now()
-		current, err := f.watchOnce(ctx, at)
-		silent := silence.observe(at, asked, f.now(), err)
+		known := p.knownControllers()
+		at := choice.pick(known, p.now())
+		asked := p.now()
+		current, err := p.watchOnce(ctx, at)
+		silent := silence.observe(at, asked, p.now(), err)
 		switch {
 		case errors.Is(err, rpc.ErrInterrupted) && !silent, errors.Is(err, errLateResponse) && !silent:
 		case err != nil:
-			f.counts.Add("asks_failed")
-			choice.failed(at, f.now())
+			p.counts.Add("asks_failed")
+			choice.failed(at, p.now())
 			failed++
 		case !current:
-			f.counts.Add("asks_not_current")
-			choice.notCurrent(at, f.now())
+			p.counts.Add("asks_not_current")
+			choice.notCurrent(at, p.now())
 			failed++
 		default:
 			choice.succeeded(at)
@@ -90,29 +90,29 @@
 }
 
 // watchOnce asks one controller, until there is something new to tell it.
-func (f *Proxy) watchOnce(ctx context.Context, at string) (current bool, err error) {
-	request, changed := f.watchRequest()
-	response, asked := &membership.WatchResponse{}, f.now()
+func (p *Proxy) watchOnce(ctx context.Context, at string) (current bool, err error) {
+	request, changed := p.watchRequest()
+	response, asked := &membership.WatchResponse{}, p.now()
 	patience := rpc.Patience{Silence: WatchTimeout, Interrupt: changed}
-	if err := f.caller.CallPatiently(ctx, patience, at, rpc.PathWatch, request, response); err != nil {
+	if err := p.caller.CallPatiently(ctx, patience, at, rpc.PathWatch, request, response); err != nil {
 		return false, err
 	}
-	late := f.now()-asked > int64(WatchTimeout) && !f.withoutResponseAge
+	late := p.now()-asked > int64(WatchTimeout) && !p.withoutResponseAge
 	wasCurrent := response.Current
 	if late { // what the controller vouched for may be long over, but what it knows may still be news
 		response.Current, response.Calm = false, false
 	}
-	err = f.applyWatchResponse(response, asked)
-	f.fetchFrom(at, response)
+	err = p.applyWatchResponse(response, asked)
+	p.fetchFrom(at, response)
 	if err == nil {
-		f.hear(response, asked)
+		p.hear(response, asked)
 		if response.Current {
-			f.keys.confirmed(asked)
+			p.keys.confirmed(asked)
 		}
 	}
-	f.membersNow.Store(int64(f.memberCount()))
+	p.membersNow.Store(int64(p.memberCount()))
 	if late || !wasCurrent {
-		f.noteLate(response, wasCurrent)
+		p.noteLate(response, wasCurrent)
 	}
 	if late {
 		return false, errLateResponse
@@ -121,54 +121,54 @@
 }
 
 // watchRequest is what a controller is told and asked, and a channel that ends when there is more to tell.
-func (f *Proxy) watchRequest() (request *membership.WatchRequest, changed <-chan struct{}) {
-	f.mu.Lock()
-	request = &membership.WatchRequest{Position: f.position, MaxWait: int64(watchWait), Packed: !f.unpackable.Load()}
-	f.mu.Unlock()
-	f.exports.Lock()
-	request.Position.Imports = f.exports.book.No
-	f.exports.Unlock()
-	upstream, seq, changed := f.local.snapshot()
-	request.Node = membership.Node{Name: f.settings.Node, Inbound: f.settings.Inbound, District: f.settings.District, Life: f.life, Seq: seq,
-		Upstream: upstream, Leaving: f.leaving.Load()}
+func (p *Proxy) watchRequest() (request *membership.WatchRequest, changed <-chan struct{}) {
+	p.mu.Lock()
+	request = &membership.WatchRequest{Position: p.position, MaxWait: int64(watchWait), Packed: !p.unpackable.Load()}
+	p.mu.Unlock()
+	p.exports.Lock()
+	request.Position.Imports = p.exports.book.No
+	p.exports.Unlock()
+	upstream, seq, changed := p.local.snapshot()
+	request.Node = membership.Node{Name: p.settings.Node, Inbound: p.settings.Inbound, District: p.settings.District, Life: p.life, Seq: seq,
+		Upstream: upstream, Leaving: p.leaving.Load()}
 	if request.Node.Leaving {
 		request.Node.Seq += 1 << 32
 	}
 	return request, changed
 }
 
-func (f *Proxy) memberCount() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.members
+func (p *Proxy) memberCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.members
 }
 
 // knownControllers are whom to ask, in the order of preference: those of this zone first.
-func (f *Proxy) knownControllers() (all []string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+func (p *Proxy) knownControllers() (all []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	add := func(at string) {
 		if !slices.Contains(all, at) {
 			all = append(all, at)
 		}
 	}
-	for _, c := range f.controllers {
-		if c.Zone == f.settings.District {
+	for _, c := range p.controllers {
+		if c.Zone == p.settings.District {
 			add(c.At)
 		}
 	}
 	local := len(all)
-	for _, c := range f.controllers {
+	for _, c := range p.controllers {
 		add(c.At)
 	}
-	for _, at := range f.seeds {
+	for _, at := range p.seeds {
 		add(at)
 	}
 	// Not all of a zone without a controller of its own ask the same one; and whom they ask does not depend on who told of whom: each
 	// controller tells of itself first.
 	if rest := all[local:]; len(rest) > 1 {
 		slices.Sort(rest)
-		by := len(f.settings.Node) + int(f.settings.Node[len(f.settings.Node)-1])
+		by := len(p.settings.Node) + int(p.settings.Node[len(p.settings.Node)-1])
 		rest = append(slices.Clone(rest[by%len(rest):]), rest[:by%len(rest)]...)
 		all = append(all[:local:local], rest...)
 	}
@@ -177,21 +177,21 @@
 
 // applyWatchResponse takes a controller's news that was asked for at a time. One that is not current may be cut off: whoever it no
 // longer hears of may be there, so that it adds to what is known, and takes nothing away.
-func (f *Proxy) applyWatchResponse(n *membership.WatchResponse, asked int64) error {
-	f.mu.Lock()
+func (p *Proxy) applyWatchResponse(n *membership.WatchResponse, asked int64) error {
+	p.mu.Lock()
 	changed := false
-	if n.Current || f.withoutOverlay {
-		changed = f.replaceNodes(n, asked)
-		f.controllers = n.Controllers
+	if n.Current || p.withoutOverlay {
+		changed = p.replaceNodes(n, asked)
+		p.controllers = n.Controllers
 	} else {
-		changed = f.overlayNodes(n, asked)
-		f.addControllers(n.Controllers)
+		changed = p.overlayNodes(n, asked)
+		p.addControllers(n.Controllers)
 	}
-	f.wallet.reigns(n.Coordinator, n.Epoch)
-	f.setMembers(n)
+	p.wallet.reigns(n.Coordinator, n.Epoch)
+	p.setMembers(n)
 	if changed {
-		f.nodesChanged()
+		p.nodesChanged()
 	}
-	f.mu.Unlock()
-	return f.applyConfiguration(n)
+	p.mu.Unlock()
+	return p.applyConfiguration(n)
 }
