A refusal arrives where its request says that it is the last and its body was not read

Cause: net/http closes such a connection with the body unread in it, which resets it, and a client may lose the answer that it has not read yet: neither an answer nor a refusal. Class: a close that overtakes what was said. Change: httpserver sends the answer, then reads what is left, 256 KB or half a second at most. A shutdown waits until the accepting loop has ended, so no accepted connection is overlooked; SIGHUP is waited for before the settings are read.

--- a/internal/mesh/httpserver/httpserver.go
+++ b/internal/mesh/httpserver/httpserver.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -15,7 +16,11 @@
 	"ottershift/internal/mesh/telemetry"
 )
 
-const shutdownPause = 5 * time.Millisecond // between two looks at the connections that are left
+const (
+	shutdownPause = 5 * time.Millisecond   // between two looks at the connections that are left
+	drainBytes    = 256 << 10              // of a body that nobody wanted, which is read for its answer to arrive
+	drainFor      = 500 * time.Millisecond // at most
+)
 
 // Options are how a server is made.
 type Options struct {
@@ -43,6 +48,8 @@
 	cut      *atomic.Int64
 	closing  atomic.Bool // each answer is the last one on its connection
 
+	accepting sync.Mutex // held while connections are accepted
+
 	mu          sync.Mutex
 	connections map[*Connection]struct{}
 }
@@ -80,7 +87,11 @@
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
 // Serve accepts connections until the server is shut down.
-func (s *Server) Serve() { s.http.Serve(trackingListener{s.listener, s}) }
+func (s *Server) Serve() {
+	s.accepting.Lock()
+	defer s.accepting.Unlock()
+	s.http.Serve(trackingListener{s.listener, s})
+}
 
 // Close ends a server that has not served.
 func (s *Server) Close() { s.listener.Close() }
@@ -102,6 +113,8 @@
 func (s *Server) Shutdown(ctx context.Context) (cut int) {
 	s.CloseConnections()
 	s.listener.Close()
+	s.accepting.Lock() // what has been accepted is known from here on
+	defer s.accepting.Unlock()
 	pause := time.NewTicker(shutdownPause)
 	defer pause.Stop()
 	for {
@@ -162,6 +175,20 @@
 	}()
 	s.options.Handler.ServeHTTP(started, r)
 	started.begin()
+	drainLast(w, r)
+}
+
+// drainLast reads what is left of the last request on a connection, once its answer is on its way. Invariant: a close with unread bytes
+// resets the connection, and its client may lose the answer that it has not read yet. net/http sees to it for all but requests that
+// themselves say that they are the last.
+func drainLast(w http.ResponseWriter, r *http.Request) {
+	if !r.Close || r.ContentLength == 0 {
+		return
+	}
+	control := http.NewResponseController(w)
+	control.Flush()
+	control.SetReadDeadline(time.Now().Add(drainFor))
+	io.CopyN(io.Discard, r.Body, drainBytes)
 }
 
 // startedWriter knows whether an answer has begun, and has it say whether it is the last one on its connection.
--- a/internal/mesh/httpserver/httpserver_test.go
+++ b/internal/mesh/httpserver/httpserver_test.go
@@ -281,3 +281,30 @@
 	must.Error(t, err)
 	must.Eq(t, 2, s.panics.Load())
 }
+
+// A request that is refused before its body has been read says that it is the last one on its connection. Its client has sent all of it,
+// and reads the answer later.
+func TestARefusalOfAnUnreadBodyArrives(t *testing.T) {
+	refuse := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "0")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	s := start(t, Options{Handler: http.HandlerFunc(refuse)})
+	for _, size := range []int{10, 20 << 10, 200 << 10} {
+		for _, connection := range []string{"keep-alive", "close"} {
+			client := dial(t, s.Address())
+			body := make([]byte, size)
+			must.NoError(t, client.write(fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\nConnection: %s\r\nContent-Length: %d\r\n\r\n", connection, size)))
+			_, err := client.Write(body)
+			must.NoError(t, err, must.Sprint(size, connection))
+			time.Sleep(20 * time.Millisecond)
+			answer, err := client.receive()
+			must.NoError(t, err, must.Sprint(size, connection))
+			must.Eq(t, http.StatusServiceUnavailable, answer.StatusCode)
+			if connection == "close" { // reset, a client may lose what it has not read yet
+				_, err = client.reader.ReadByte()
+				must.ErrorIs(t, err, io.EOF, must.Sprint(size))
+			}
+		}
+	}
+}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -41,9 +41,10 @@
 		app.FatalIfError(err, "")
 		fmt.Printf("%s: %s in %s, %d seeds\n", *path, b.Node, b.District, len(b.Seeds))
 	case command == serve.FullCommand():
+		hangUp := watch(syscall.SIGHUP) // first of all: one that nobody waits for ends the process
 		b, err := settings.Load(*path)
 		app.FatalIfError(err, "")
-		if err := run(b, *path, make); err != nil {
+		if err := run(b, *path, hangUp, make); err != nil {
 			fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
 			os.Exit(1)
 		}
@@ -51,12 +52,11 @@
 }
 
 // run holds the process to its machine, and tells it what changes.
-func run(b *settings.Settings, path string, make func(*settings.Settings, *slog.Logger) (Process, error)) error {
+func run(b *settings.Settings, path string, hangUp <-chan os.Signal, make func(*settings.Settings, *slog.Logger) (Process, error)) error {
 	runtime.GOMAXPROCS(1) // a part of one core: threads beside one another only wait
 	debug.SetMemoryLimit(b.MemoryMb << 20 / 2)
 	debug.SetGCPercent(50) // memory is scarcer here than time
 	log := telemetry.New(os.Stderr, b.Node)
-	hangUp := watch(syscall.SIGHUP)
 	ctx, end := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer end()
 	p, err := make(b, log)
