A client that sends no more is answered

Cause: a request's context ends as its client closes its sending side, and the connection was ended without a word; a client that reads on got neither an answer nor a refusal. Change: the work ends as before, and 502 (503 where nothing went out) is written; who has closed all of it loses nothing. The crossing test holds many closes at once, now that each connection ends by itself.

--- a/internal/mesh/crossing_test.go
+++ b/internal/mesh/crossing_test.go
@@ -25,8 +25,11 @@
 type heldListener struct {
 	net.Listener
 	closing chan *heldConnection
+	over    chan struct{} // closed once nothing is held any more
 }
 
+const mostHeld = 64
+
 func (l *heldListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	if err != nil {
@@ -47,8 +50,12 @@
 	c.once.Do(func() {
 		select {
 		case c.listener.closing <- c:
-			<-c.released
 		default:
+			return
+		}
+		select {
+		case <-c.released:
+		case <-c.listener.over:
 		}
 	})
 	return c.TCPConn.Close()
@@ -114,6 +121,16 @@
 	}
 }
 
+// A client that closes its sending side behind a request reads on: it gets an answer, though the work for it ends.
+func TestAClientThatSendsNoMoreIsAnswered(t *testing.T) {
+	m, _ := startHeldMesh(t, "15000ms")
+	client := dialKept(t, m)
+	must.NoError(t, client.send("half"))
+	must.True(t, m.runsWithin("half", time.Second))
+	must.NoError(t, client.Conn.(*net.TCPConn).CloseWrite())
+	must.Eq(t, http.StatusBadGateway, client.receive())
+}
+
 // startHeldMesh starts a proxy whose connections are held, and one with an upstream beside it that takes its time.
 func startHeldMesh(t *testing.T, idle string) (*mesh, *heldListener) {
 	plan, err := testmesh.Plan(1, 2, []string{"east"}, []string{"regie", "album"}, t.TempDir())
@@ -124,7 +141,8 @@
 	m.comb(plan.Controllers[0])
 	b, beside := plan.Proxies[0], plan.Proxies[1]
 	b.Bounds.Grace = 2 * time.Second
-	listener := &heldListener{closing: make(chan *heldConnection)}
+	listener := &heldListener{closing: make(chan *heldConnection, mostHeld), over: make(chan struct{})}
+	t.Cleanup(func() { close(listener.over) })
 	m.run(b.Node, heldProxy(b, listener))
 	m.proxy(beside)
 	u, err := testmesh.NewUpstream("i-0", beside.Destination, beside.App, beside.Control, 8, 150*time.Millisecond, smallAnswer)
--- a/internal/mesh/proxy/outbound.go
+++ b/internal/mesh/proxy/outbound.go
@@ -193,6 +193,10 @@
 // refuse answers what goes no further.
 func (p *Proxy) refuse(w http.ResponseWriter, r *http.Request, kind apierror.Kind, again time.Duration) {
 	p.counts.Add("answer_" + kind.String())
+	p.writeError(w, r, kind, again)
+}
+
+func (p *Proxy) writeError(w http.ResponseWriter, r *http.Request, kind apierror.Kind, again time.Duration) {
 	if id := r.Header.Get(attemptID); id != "" {
 		w.Header()[attemptID] = []string{id}
 	}
@@ -222,15 +226,8 @@
 			p.answer(w, r, q, a)
 			return
 		case <-r.Context().Done():
-			q.close()
-			q.pool.desk.Vanish(c)
-			p.noteClientGone(r)
-			select { // an answer that flows to nobody
-			case a := <-c.Answer:
-				q.drop(a.Push)
-			default:
-			}
-			panic(http.ErrAbortHandler)
+			p.clientGone(w, r, q, c)
+			return
 		case <-p.ending.Done():
 			p.answerAtEnd(w, r, q, c)
 			return
@@ -238,6 +235,24 @@
 	}
 }
 
+// clientGone ends a request whose client sends no more. One that has closed its sending side alone still reads: the two can't be told
+// apart before something is written.
+func (p *Proxy) clientGone(w http.ResponseWriter, r *http.Request, q *request, c *desk.Case) {
+	ran, _, _ := q.close()
+	q.pool.desk.Vanish(c)
+	p.noteClientGone(r)
+	select { // an answer that flows to nobody
+	case a := <-c.Answer:
+		q.drop(a.Push)
+	default:
+	}
+	kind := apierror.Broke
+	if ran == 0 {
+		kind = apierror.NoRoom
+	}
+	p.writeError(w, r, kind, 0)
+}
+
 // answerAtEnd answers a request as it stands, as the process ends. Invariant: from close on nothing more of it goes out, and from Vanish
 // on no answer comes about that was not there before.
 func (p *Proxy) answerAtEnd(w http.ResponseWriter, r *http.Request, q *request, c *desk.Case) {
