--- a/internal/mesh/simulation/core_faults.go
+++ b/internal/mesh/simulation/core_faults.go
@@ -51,11 +51,28 @@
 			w.day.Excluded++
 			return
 		}
-		w.stop(by, int64(f.For), outage{wipe: true, power: true})
+		for _, victim := range w.wipedWith(by) {
+			w.stop(victim, int64(f.For), outage{wipe: true, power: true})
+		}
 		w.stopOthers(by, 200*Ms+int64(f.For)/2, outage{power: true})
 	})
 }
 
+// wipedWith is whose disks are lost together with one: as many as may be borne, the others drawn from the core.
+func (w *coreWorld) wipedWith(first *coreProcess) []*coreProcess {
+	victims := []*coreProcess{first}
+	core := w.newestCore()
+	for _, n := range w.disks.Perm(len(core)) {
+		if len(victims) >= w.Tolerate {
+			break
+		}
+		if b := w.byAddress[core[n].At]; b != first {
+			victims = append(victims, b)
+		}
+	}
+	return victims
+}
+
 // sent is called with each order as it is given; what follows comes within the time that it takes to be decided.
 func (s *strikes) sent(order int) {
 	f, is := s.afterOrder[order]
--- a/internal/mesh/simulation/fault.go
+++ b/internal/mesh/simulation/fault.go
@@ -18,7 +18,7 @@
 	SendPower   = "send_power"       // of all of them, right after an order was sent
 	Wipe        = "wipe"             // a machine and its disk
 	WipeAlone   = "wipe_alone"       // the same while all others lose power
-	AckWipe     = "ack_wipe"         // the same of whoever gave an acknowledgement, right after it
+	AckWipe     = "ack_wipe"         // the same of whoever gave an acknowledgement, right after it, and of as many others as may be borne
 	Cut         = "cut"              // a process hears and reaches nobody
 	CutOff      = "cut_off"          // reaches nobody
 	CutDeaf     = "cut_deaf"         // hears nobody
