--- a/internal/mesh/proxy/proxy.go
+++ b/internal/mesh/proxy/proxy.go
@@ -1,5 +1,5 @@
 // Package proxy is the data plane: a balancer beside an upstream. What starts on its machine goes out through it
-// (outbound.go), by way of the balancer beside the upstream that the module chooses (push.go), and what is meant for the
+// (outbound.go, answer.go), by way of the balancer beside the upstream that the module chooses (push.go), and what is meant for the
 // upstream on its machine comes in through it (inbound.go). view.go is what it goes by, watch.go how that comes from
 // controllers, local_upstream.go its own upstream's life, connection.go the connections. It decides nothing about a request that
 // the module decides.
