A test of a second loss took a third machine, too

Each controller may report a change of the core as held, and the test lost a machine at each report; a report by the new member made it ask machine 0, which it had lost before. Change: exactly one machine is lost, at the first report, whoever reports; the two that are left are asked, as before.

--- a/internal/mesh/controller/membership_test.go
+++ b/internal/mesh/controller/membership_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -14,9 +15,9 @@
 	"ottershift/internal/mesh/rpc"
 )
 
-// lossAfterDone takes a member away, waits until its replacement counts as done, and in that moment takes the proposer
-// with its disk, too. What the proposer tells of the new core is dropped for a while, as by a bad link. It reports whether
-// the two that are left go on.
+// lossAfterDone takes a member away, waits until its replacement counts as done, and in that moment takes the controller
+// that reports so, with its disk, too: most often the proposer. What is told of the new core is dropped for a while, as by
+// a bad link. It reports whether the two that are left go on.
 func lossAfterDone(t *testing.T, variant membershipVariant) bool {
 	c := newCluster(t, 1, 1, variant)
 	added := c.nodes[3].identity()
@@ -36,18 +37,23 @@
 			}
 		})
 	}
-	done := make(chan int, 1)
-	c.heldChange(func(proposer *node, s *consensus.State) {
-		if n := c.index(proposer); s.HasMember(added) && len(done) == 0 {
-			c.lose(n)
-			done <- n
+	lost := make(chan int, 1)
+	var once sync.Once // several controllers may report the same change as held
+	c.heldChange(func(reporter *node, s *consensus.State) {
+		if !s.HasMember(added) {
+			return
 		}
+		once.Do(func() {
+			n := c.index(reporter)
+			c.lose(n)
+			lost <- n
+		})
 	})
 	must.True(t, c.put(0, 2))
 	c.lose(0)
-	proposer := <-done
-	left := 3 - proposer // of the founders 1 and 2
-	return c.within(catchUpOf(c), func() bool { return c.put(left, 3) && c.read(3) == 3 })
+	second := <-lost
+	left := slices.DeleteFunc([]int{1, 2, 3}, func(n int) bool { return n == second })
+	return c.within(catchUpOf(c), func() bool { return c.put(left[0], 3) && c.read(left[1]) == 3 })
 }
 
 // catchUpOf is the time within which a core of a test has to be whole again.
