A refused proposal leaves what is known to be held

Cause: TestAChangeOfTheMemberCountIsCheap sent 203 to 790 KB for a change of the member count beside 4,000 routes, for 100 KB. After each refusal the proposer forgot what the member holds and sent the whole document with its next request; proposals that overtake one another on a busy machine are refused often. Change: who refuses holds what it held; only a member that lacks a document, or knows no compact requests, gets it whole again.

--- a/internal/mesh/controller/replicator.go
+++ b/internal/mesh/controller/replicator.go
@@ -193,10 +193,11 @@
 	answer := k.call(ctx, at, compact)
 	if compact.IsCompact() && answer != nil && (!answer.Compact || answer.Lacking) {
 		k.counts.Add("compact_lacking")
+		k.forgetHeld(at)
 		answer = k.call(ctx, at, a)
 	}
 	if answer != nil && len(large) > 0 {
-		k.noteHeld(at, large, answer.Compact && answer.OK)
+		k.noteHeld(at, large, answer)
 	}
 	return answer
 }
@@ -219,14 +220,25 @@
 	return a.Compact(k.digests.Of, k.held[at]), a.Value.LargeParts(k.digests.Of)
 }
 
-// noteHeld notes which documents the process at an address holds: those of the value that it took last, or none.
-func (k *replicator) noteHeld(at string, large consensus.Documents, took bool) {
+// noteHeld notes which documents the process at an address holds: those of the value that it took last. One that refuses a value
+// holds what it held before, so that proposals which overtake one another don't carry whole documents.
+func (k *replicator) noteHeld(at string, large consensus.Documents, answer *consensus.Response) {
+	if !answer.Compact {
+		k.forgetHeld(at)
+		return
+	}
+	if answer.OK {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		k.held[at] = large
+	}
+}
+
+// forgetHeld has the next request to an address carry all of its value.
+func (k *replicator) forgetHeld(at string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	delete(k.held, at)
-	if took {
-		k.held[at] = large
-	}
 }
 
 // learn takes what is known to be decided. The disk takes it after that: nothing is answered on the ground of it.
