A drain ends connections between two messages

Cause: the balancer in service ended its drain with Shutdown of net/http, which calls a connection idle until the whole head of its next message has been read, and closes it under one that has come in part.

--- a/internal/httpwire/drain.go
+++ b/internal/httpwire/drain.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -15,6 +16,7 @@
 	mostDrain   = 3 * time.Second        // a longer hard stop isn't waited for
 	lastAnswers = 500 * time.Millisecond // of the 0.7 s more that there are before SIGKILL
 	mostFlow    = time.Minute            // that a drain waits for answers that flow
+	endPause    = 10 * time.Millisecond  // between two looks at connections that end
 )
 
 // Listen opens a listener; Serve takes its clients, and Close ends it.
@@ -56,6 +58,7 @@
 // Serve answers a listener's clients until it is closed or Drain has ended.
 func (f *Front) Serve(l *Listener) error {
 	f.accepts.Store(true)
+	f.serving.add(l)
 	if err := f.server.Serve(l); !errors.Is(err, http.ErrServerClosed) && !l.gone.Load() && !l.deaf.Load() {
 		return err
 	}
@@ -101,7 +104,7 @@
 
 	ctx, stop := context.WithDeadline(context.Background(), end)
 	defer stop()
-	if f.server.Shutdown(ctx) != nil {
+	if !f.endConnections(ctx) {
 		forfeited := 0
 		for _, p := range pools {
 			forfeited += p.forfeit()
@@ -112,7 +115,7 @@
 		}
 		ctx, stop := context.WithTimeout(context.Background(), 150*time.Millisecond)
 		defer stop()
-		f.server.Shutdown(ctx) // the last answers are being written
+		f.endConnections(ctx) // the last answers are being written
 		f.log.Warn("drain", "step", "forced", "forfeited", forfeited)
 	}
 	for _, p := range pools {
@@ -120,3 +123,43 @@
 	}
 	f.log.Info("drain", "step", "end", "took", time.Since(start).Round(time.Millisecond))
 }
+
+// endConnections accepts no more and ends each client's connection between two messages. It reports whether all have ended in time.
+// Danger: Shutdown of net/http closes those whose next message has been read in part, and drops it.
+func (f *Front) endConnections(ctx context.Context) (all bool) {
+	f.serving.close()
+	pause := time.NewTicker(endPause)
+	defer pause.Stop()
+	for f.sockets.in.Load() > 0 {
+		f.sockets.sweep(time.Now(), true)
+		select {
+		case <-pause.C:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
+// listeners are those that a front serves.
+type listeners struct {
+	mu  sync.Mutex
+	all []*Listener
+}
+
+func (l *listeners) add(one *Listener) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.all = append(l.all, one)
+}
+
+// close closes all, and has Serve end without an error.
+func (l *listeners) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, one := range l.all {
+		one.deaf.Store(true)
+		one.Listener.Close()
+	}
+	l.all = nil
+}
--- a/internal/httpwire/serve.go
+++ b/internal/httpwire/serve.go
@@ -31,7 +31,8 @@
 	board    atomic.Pointer[Board]
 	claims   atomic.Pointer[Claims] // nil where nothing is claimed
 	presence Presence
-	accepts  atomic.Bool  // a listener is served
+	accepts  atomic.Bool // a listener is served
+	serving  listeners
 	flows    atomic.Int64 // answers that go on without the module
 }
 
--- a/internal/httpwire/sockets.go
+++ b/internal/httpwire/sockets.go
@@ -372,7 +372,7 @@
 	called  atomic.Pointer[string]
 	sockets *sockets
 	gone    atomic.Bool // its clients' connections end with their answers
-	deaf    atomic.Bool // closed here, and open in another process
+	deaf    atomic.Bool // closed here, by a drain; another process may have it open
 }
 
 // Rename changes its name, as routes know it.
