--- a/internal/mesh/burstcredit/account.go
+++ b/internal/mesh/burstcredit/account.go
@@ -37,28 +37,28 @@
 	return all
 }
 
-func (b *Ledger) account(tenant string) *Account {
-	a := b.Accounts[tenant]
+func (l *Ledger) account(tenant string) *Account {
+	a := l.Accounts[tenant]
 	if a == nil {
 		a = &Account{}
-		b.Accounts[tenant] = a
+		l.Accounts[tenant] = a
 	}
 	return a
 }
 
-func (b *Ledger) note(a *Account, what, who, why string, tokens float64) {
-	a.History = append(a.History, Entry{b.Now, what, who, why, tokens})
+func (l *Ledger) note(a *Account, what, who, why string, tokens float64) {
+	a.History = append(a.History, Entry{l.Now, what, who, why, tokens})
 	a.History = a.History[max(0, len(a.History)-history):]
 }
 
 // save puts tokens into today's lot, up to the cap; it says how many there was room for.
-func (b *Ledger) save(a *Account, tokens, most float64) float64 {
+func (l *Ledger) save(a *Account, tokens, most float64) float64 {
 	tokens = math.Max(0, math.Min(tokens, most-a.Balance()))
 	if tokens == 0 {
 		return 0
 	}
-	if n := len(a.Lots); n == 0 || a.Lots[n-1].Day < b.Now/day {
-		a.Lots = append(a.Lots, Lot{Day: b.Now / day})
+	if n := len(a.Lots); n == 0 || a.Lots[n-1].Day < l.Now/day {
+		a.Lots = append(a.Lots, Lot{Day: l.Now / day})
 	}
 	a.Lots[len(a.Lots)-1].Left += tokens
 	return tokens
@@ -88,10 +88,10 @@
 }
 
 // Stands are all accounts, by name.
-func (b *Ledger) Status() (all []AccountStatus) {
-	for _, tenant := range slices.Sorted(maps.Keys(b.Accounts)) {
-		a := b.Accounts[tenant]
-		all = append(all, AccountStatus{tenant, a.Balance(), b.out(tenant), a.Earned, a.Granted, a.Spent, a.Expired, b.Gap(tenant), a.Frozen, a.History})
+func (l *Ledger) Status() (all []AccountStatus) {
+	for _, tenant := range slices.Sorted(maps.Keys(l.Accounts)) {
+		a := l.Accounts[tenant]
+		all = append(all, AccountStatus{tenant, a.Balance(), l.out(tenant), a.Earned, a.Granted, a.Spent, a.Expired, l.Gap(tenant), a.Frozen, a.History})
 	}
 	return all
 }
--- a/internal/mesh/burstcredit/deduplication.go
+++ b/internal/mesh/burstcredit/deduplication.go
@@ -11,28 +11,28 @@
 }
 
 // known reports whether an identity has been charged within the window.
-func (b *Ledger) known(m ClaimID) bool {
-	if b.index == nil {
-		b.index = map[uint64]bool{}
-		for _, part := range b.Seen {
+func (l *Ledger) known(m ClaimID) bool {
+	if l.index == nil {
+		l.index = map[uint64]bool{}
+		for _, part := range l.Seen {
 			for at := 0; at+8 <= len(part.IDs); at += 8 {
-				b.index[binary.LittleEndian.Uint64(part.IDs[at:])] = true
+				l.index[binary.LittleEndian.Uint64(part.IDs[at:])] = true
 			}
 		}
 	}
-	return b.index[m.key()]
+	return l.index[m.key()]
 }
 
-func (b *Ledger) learn(m ClaimID) {
-	if b.known(m) {
+func (l *Ledger) learn(m ClaimID) {
+	if l.known(m) {
 		return
 	}
-	if n := len(b.Seen); n == 0 || b.Now >= b.Seen[n-1].From+Window/slots {
-		b.Seen = append(b.Seen, slot{From: b.Now})
+	if n := len(l.Seen); n == 0 || l.Now >= l.Seen[n-1].From+Window/slots {
+		l.Seen = append(l.Seen, slot{From: l.Now})
 	}
-	last := &b.Seen[len(b.Seen)-1]
+	last := &l.Seen[len(l.Seen)-1]
 	last.IDs = binary.LittleEndian.AppendUint64(last.IDs, m.key())
-	b.index[m.key()] = true
+	l.index[m.key()] = true
 }
 
 func (m ClaimID) key() uint64 { return Identity(m.Tenant) ^ m.ID }
--- a/internal/mesh/burstcredit/ledger.go
+++ b/internal/mesh/burstcredit/ledger.go
@@ -50,8 +50,8 @@
 )
 
 // Without leaves a guard out.
-func (b *Ledger) Without(guard string) {
-	b.perTry, b.noEnd, b.alike = guard == PerTry, guard == NoEnd, guard == NoPrecedence
+func (l *Ledger) Without(guard string) {
+	l.perTry, l.noEnd, l.alike = guard == PerTry, guard == NoEnd, guard == NoPrecedence
 }
 
 // Without leaves a guard out.
@@ -82,57 +82,57 @@
 }
 
 // Write lays it out.
-func (b *Ledger) Write() (json.RawMessage, error) { return json.Marshal(b) }
+func (l *Ledger) Write() (json.RawMessage, error) { return json.Marshal(l) }
 
 // Pass lets time go by: what was saved grows old, the window of identities moves, purses of Extra fill, and balancers that have
 // been silent for Strand are closed.
-func (b *Ledger) Pass(elapsed int64, terms map[string]Terms) {
+func (l *Ledger) Pass(elapsed int64, terms map[string]Terms) {
 	if elapsed <= 0 {
 		return
 	}
-	b.Now += elapsed
-	for _, tenant := range slices.Sorted(maps.Keys(b.Accounts)) {
-		a, t := b.Accounts[tenant], terms[tenant]
+	l.Now += elapsed
+	for _, tenant := range slices.Sorted(maps.Keys(l.Accounts)) {
+		a, t := l.Accounts[tenant], terms[tenant]
 		if t.Keep > 0 {
-			for len(a.Lots) > 0 && a.Lots[0].Day*day+day+t.Keep < b.Now {
+			for len(a.Lots) > 0 && a.Lots[0].Day*day+day+t.Keep < l.Now {
 				a.Expired += a.Lots[0].Left
-				b.note(a, "expired", "", "", a.Lots[0].Left)
+				l.note(a, "expired", "", "", a.Lots[0].Left)
 				a.Lots = a.Lots[1:]
 			}
 		}
 		a.Purse = math.Min(t.Extra*float64(Ahead)/float64(s), a.Purse+t.Extra*float64(elapsed)/float64(s))
 	}
-	for len(b.Seen) > 0 && b.Seen[0].From+Window+Window/slots < b.Now {
-		b.Seen, b.index = b.Seen[1:], nil
+	for len(l.Seen) > 0 && l.Seen[0].From+Window+Window/slots < l.Now {
+		l.Seen, l.index = l.Seen[1:], nil
 	}
-	for _, node := range slices.Sorted(maps.Keys(b.Wallets)) {
-		if t := b.Wallets[node]; b.Now-t.At > Strand && t.Lost == nil {
+	for _, node := range slices.Sorted(maps.Keys(l.Wallets)) {
+		if t := l.Wallets[node]; l.Now-t.At > Strand && t.Lost == nil {
 			t.Lost, t.Out = t.Out, nil
 			for tenant, n := range t.Lost {
-				b.account(tenant).Spent += n
-				b.note(b.account(tenant), "written off, its balancer is silent", node, "", n)
+				l.account(tenant).Spent += n
+				l.note(l.account(tenant), "written off, its balancer is silent", node, "", n)
 			}
 		}
 	}
 }
 
 // Earn saves a part of what tenants left of their rates.
-func (b *Ledger) Earn(unused map[string]float64, terms map[string]Terms) {
+func (l *Ledger) Earn(unused map[string]float64, terms map[string]Terms) {
 	for _, tenant := range slices.Sorted(maps.Keys(unused)) {
 		t := terms[tenant]
 		if t.Earn <= 0 || unused[tenant] <= 0 {
 			continue
 		}
-		a := b.account(tenant)
+		a := l.account(tenant)
 		if !a.Frozen {
-			a.Earned += b.save(a, unused[tenant]*t.Earn, t.Cap-b.out(tenant))
+			a.Earned += l.save(a, unused[tenant]*t.Earn, t.Cap-l.out(tenant))
 		}
 	}
 }
 
 // out is what balancers hold of a tenant's.
-func (b *Ledger) out(tenant string) (all float64) {
-	for _, t := range b.Wallets {
+func (l *Ledger) out(tenant string) (all float64) {
+	for _, t := range l.Wallets {
 		all += t.Out[tenant]
 	}
 	return all
@@ -140,16 +140,16 @@
 
 // Take takes reports in the order in which they came, and answers each. Wants of all of them are weighed together: what is there
 // goes to requests that began at clients first, in parts by what each balancer wants.
-func (b *Ledger) Take(reports []*Report, terms map[string]Terms) []*Grant {
+func (l *Ledger) Take(reports []*Report, terms map[string]Terms) []*Grant {
 	out := make([]*Grant, len(reports))
 	live := make([]bool, len(reports))
 	for n, r := range reports {
-		t := b.Wallets[r.Node]
+		t := l.Wallets[r.Node]
 		var ended []string
 		switch {
 		case t != nil && t.Life == r.Life && r.Seq == t.Seq && t.Lost == nil:
 			out[n] = t.Last // its answer was lost
-			t.At = b.Now
+			t.At = l.Now
 			continue
 		case t != nil && t.Life == r.Life && r.Seq < t.Seq:
 			continue // late: it has been answered, and more since
@@ -157,24 +157,24 @@
 			continue // Invariant: a late word of a life that has ended would close what the present one holds
 		case t != nil && t.Life != r.Life:
 			ended = append(t.Ended, t.Life)
-			b.Close(r.Node) // that life has ended: it spends nothing any more
+			l.Close(r.Node) // that life has ended: it spends nothing any more
 			t = nil
 		}
 		reset := t != nil && t.Lost != nil // it was silent for so long that what it held is closed
 		if t == nil {
 			t = &walletRecord{Life: r.Life, Ended: ended[max(0, len(ended)-8):], Out: map[string]float64{}}
-			b.Wallets[r.Node] = t
+			l.Wallets[r.Node] = t
 		}
-		t.Seq, t.At, t.Open = r.Seq, b.Now, r.Open
+		t.Seq, t.At, t.Open = r.Seq, l.Now, r.Open
 		if t.Out == nil {
 			t.Out = map[string]float64{}
 		}
-		g := &Grant{Seq: r.Seq, Tokens: map[string]float64{}, Refunds: map[string]float64{}, Reset: reset && !b.noEnd}
+		g := &Grant{Seq: r.Seq, Tokens: map[string]float64{}, Refunds: map[string]float64{}, Reset: reset && !l.noEnd}
 		t.Last, out[n], live[n] = g, g, true
 		for _, m := range r.Settled {
-			a := b.account(m.Tenant)
+			a := l.account(m.Tenant)
 			switch {
-			case b.known(m) && !b.perTry:
+			case l.known(m) && !l.perTry:
 				if !reset {
 					g.Refunds[m.Tenant]++ // charged at another balancer; the token stays in escrow there
 				}
@@ -187,21 +187,21 @@
 			default:
 				a.Spent += a.take(1)
 			}
-			b.learn(m)
+			l.learn(m)
 		}
 		if reset {
-			b.found(t)
+			l.found(t)
 		}
 		for _, tenant := range slices.Sorted(maps.Keys(r.Asks)) {
 			back := math.Min(math.Max(r.Asks[tenant].Return, 0), t.Out[tenant])
 			t.Out[tenant] -= back
-			b.back(b.account(tenant), back)
+			l.back(l.account(tenant), back)
 		}
 	}
 	for _, tenant := range tenants(reports, live) {
-		b.share(tenant, reports, out, live, terms[tenant])
+		l.share(tenant, reports, out, live, terms[tenant])
 	}
-	for _, t := range b.Wallets {
+	for _, t := range l.Wallets {
 		maps.DeleteFunc(t.Out, func(_ string, n float64) bool { return n < 1e-9 })
 	}
 	return out
@@ -218,8 +218,8 @@
 }
 
 // share gives out what there is of one tenant's credit.
-func (b *Ledger) share(tenant string, reports []*Report, out []*Grant, live []bool, t Terms) {
-	a := b.Accounts[tenant]
+func (l *Ledger) share(tenant string, reports []*Report, out []*Grant, live []bool, t Terms) {
+	a := l.Accounts[tenant]
 	if a == nil || a.Frozen || t.Extra <= 0 {
 		return
 	}
@@ -231,7 +231,7 @@
 			}
 		}
 		there := whole(math.Min(a.Balance(), a.Purse))
-		if class == 1 && !b.alike { // half of what may go out is kept for clients that are not among these reports
+		if class == 1 && !l.alike { // half of what may go out is kept for clients that are not among these reports
 			there = whole(math.Min(a.Balance(), a.Purse-t.Extra*float64(Ahead)/float64(s)/2))
 		}
 		if all <= 0 || there <= 0 {
@@ -256,84 +256,84 @@
 			there -= give
 			a.take(give)
 			a.Purse -= give
-			b.Wallets[reports[n].Node].Out[tenant] += give
+			l.Wallets[reports[n].Node].Out[tenant] += give
 			out[n].Tokens[tenant] += give
 		}
 	}
 }
 
 // back puts tokens that were out into the account again; whatever the cap is by now, they were in it.
-func (b *Ledger) back(a *Account, tokens float64) { b.save(a, tokens, math.Inf(1)) }
+func (l *Ledger) back(a *Account, tokens float64) { l.save(a, tokens, math.Inf(1)) }
 
 // found takes back what counted as spent of a balancer that was silent, and was not.
-func (b *Ledger) found(t *walletRecord) {
+func (l *Ledger) found(t *walletRecord) {
 	for _, tenant := range slices.Sorted(maps.Keys(t.Lost)) {
-		a := b.account(tenant)
+		a := l.account(tenant)
 		a.Spent -= t.Lost[tenant]
-		b.back(a, t.Lost[tenant])
+		l.back(a, t.Lost[tenant])
 	}
 	t.Lost = nil
 }
 
 // Close ends what a balancer of a life that is over held. Effects that may have run are charged; the rest goes back.
-func (b *Ledger) Close(node string) {
-	t := b.Wallets[node]
+func (l *Ledger) Close(node string) {
+	t := l.Wallets[node]
 	if t == nil {
 		return
 	}
 	if t.Lost != nil {
 		t.Out = map[string]float64{}
 		for tenant, n := range t.Lost {
-			b.account(tenant).Spent -= n
+			l.account(tenant).Spent -= n
 			t.Out[tenant] = n
 		}
 		t.Lost = nil
 	}
 	for _, m := range t.Open {
-		if b.known(m) || t.Out[m.Tenant] < 1 {
+		if l.known(m) || t.Out[m.Tenant] < 1 {
 			continue
 		}
-		b.learn(m)
-		a := b.account(m.Tenant)
+		l.learn(m)
+		a := l.account(m.Tenant)
 		t.Out[m.Tenant]--
 		a.Spent++
-		b.note(a, "charged, its balancer is lost", node, "", 1)
+		l.note(a, "charged, its balancer is lost", node, "", 1)
 	}
 	for _, tenant := range slices.Sorted(maps.Keys(t.Out)) {
-		b.back(b.account(tenant), t.Out[tenant])
+		l.back(l.account(tenant), t.Out[tenant])
 	}
-	delete(b.Wallets, node)
+	delete(l.Wallets, node)
 }
 
 // Grant is an operator's gift, or with less than nothing a taking away of what is there.
-func (b *Ledger) Grant(tenant string, tokens float64, who, why string) float64 {
-	a := b.account(tenant)
+func (l *Ledger) Grant(tenant string, tokens float64, who, why string) float64 {
+	a := l.account(tenant)
 	if tokens < 0 {
 		tokens = -a.take(math.Min(-tokens, a.Balance()))
 		a.Granted += tokens
 	} else {
-		b.back(a, tokens)
+		l.back(a, tokens)
 		a.Granted += tokens
 	}
-	b.note(a, "granted", who, why, tokens)
+	l.note(a, "granted", who, why, tokens)
 	return tokens
 }
 
 // Freeze stops what an account earns and gives out, or lets it go on.
-func (b *Ledger) Freeze(tenant string, frozen bool, who, why string) {
-	a := b.account(tenant)
+func (l *Ledger) Freeze(tenant string, frozen bool, who, why string) {
+	a := l.account(tenant)
 	what := "thawed"
 	if a.Frozen = frozen; frozen {
 		what = "frozen"
 	}
-	b.note(a, what, who, why, 0)
+	l.note(a, what, who, why, 0)
 }
 
 // Gap is what an account does not add up to: 0.
-func (b *Ledger) Gap(tenant string) float64 {
-	a := b.Accounts[tenant]
+func (l *Ledger) Gap(tenant string) float64 {
+	a := l.Accounts[tenant]
 	if a == nil {
 		return 0
 	}
-	return a.Earned + a.Granted - a.Balance() - b.out(tenant) - a.Spent - a.Expired
+	return a.Earned + a.Granted - a.Balance() - l.out(tenant) - a.Spent - a.Expired
 }
--- a/internal/mesh/consensus/votes.go
+++ b/internal/mesh/consensus/votes.go
@@ -19,51 +19,51 @@
 }
 
 // Add counts an answer.
-func (t *VoteCount) Add(a Response) {
-	if a.Decided != nil && a.Decided.Index > t.base.Index && (t.ahead == nil || a.Decided.Index > t.ahead.Index) {
-		t.ahead = a.Decided
+func (v *VoteCount) Add(a Response) {
+	if a.Decided != nil && a.Decided.Index > v.base.Index && (v.ahead == nil || a.Decided.Index > v.ahead.Index) {
+		v.ahead = a.Decided
 	}
-	if t.highestBallot.Below(a.Promised) {
-		t.highestBallot = a.Promised
+	if v.highestBallot.Below(a.Promised) {
+		v.highestBallot = a.Promised
 	}
-	if !t.base.HasMember(a.ID) {
+	if !v.base.HasMember(a.ID) {
 		return
 	}
-	t.pending = t.pending || a.Pending && a.Index == t.base.Index
-	t.behind = t.behind || a.Index < t.base.Index
-	if !a.OK || a.Index != t.base.Index {
-		t.refused[a.ID] = true
+	v.pending = v.pending || a.Pending && a.Index == v.base.Index
+	v.behind = v.behind || a.Index < v.base.Index
+	if !a.OK || a.Index != v.base.Index {
+		v.refused[a.ID] = true
 		return
 	}
-	t.granted[a.ID] = true
-	if a.Accepted != nil && (t.highestAccepted == nil || t.highestAccepted.Ballot.Below(a.Accepted.Ballot)) {
-		t.highestAccepted = a.Accepted
+	v.granted[a.ID] = true
+	if a.Accepted != nil && (v.highestAccepted == nil || v.highestAccepted.Ballot.Below(a.Accepted.Ballot)) {
+		v.highestAccepted = a.Accepted
 	}
 }
 
 // Promised reports whether a majority has: enough to meet any quorum that accepts.
-func (t *VoteCount) Promised() bool { return len(t.granted) >= t.base.Majority() }
+func (v *VoteCount) Promised() bool { return len(v.granted) >= v.base.Majority() }
 
 // Accepted reports whether a quorum has.
-func (t *VoteCount) Accepted() bool { return len(t.granted) >= t.base.Quorum() }
+func (v *VoteCount) Accepted() bool { return len(v.granted) >= v.base.Quorum() }
 
 // Lost reports whether so many can't agree any more.
-func (t *VoteCount) Lost(need int) bool { return len(t.base.Core)-len(t.refused) < need }
+func (v *VoteCount) Lost(need int) bool { return len(v.base.Core)-len(v.refused) < need }
 
 // Refused reports whether any has refused.
-func (t *VoteCount) Refused() bool { return len(t.refused) > 0 }
+func (v *VoteCount) Refused() bool { return len(v.refused) > 0 }
 
 // Pending reports whether something is accepted for the slot.
-func (t *VoteCount) Pending() bool { return t.pending }
+func (v *VoteCount) Pending() bool { return v.pending }
 
 // Behind reports whether a member has not heard of the state.
-func (t *VoteCount) Behind() bool { return t.behind }
+func (v *VoteCount) Behind() bool { return v.behind }
 
 // High is the highest ballot that was seen.
-func (t *VoteCount) HighestBallot() Ballot { return t.highestBallot }
+func (v *VoteCount) HighestBallot() Ballot { return v.highestBallot }
 
 // Ahead is a later decided state that somebody told, nil for none.
-func (t *VoteCount) Ahead() *State { return t.ahead }
+func (v *VoteCount) Ahead() *State { return v.ahead }
 
 // Best is what was accepted under the highest ballot: an attempt has to go on with it.
-func (t *VoteCount) HighestAccepted() *AcceptedValue { return t.highestAccepted }
+func (v *VoteCount) HighestAccepted() *AcceptedValue { return v.highestAccepted }
--- a/internal/mesh/controller/change.go
+++ b/internal/mesh/controller/change.go
@@ -21,25 +21,25 @@
 // time with what is the newest beyond doubt; an error of it ends the change. A nil state asks for nothing but that it is
 // the newest. Changes from here run one after the other; one whose context ends leaves the queue with an unclear end. So
 // does one that may have been decided without this process hearing of it: it is never made twice.
-func (k *replicator) change(ctx context.Context, also func() []string, what transform) (*consensus.State, error) {
-	return k.run(ctx, &runningChange{priority: ordinaryPriority, also: also, transform: what})
+func (r *replicator) change(ctx context.Context, also func() []string, what transform) (*consensus.State, error) {
+	return r.run(ctx, &runningChange{priority: ordinaryPriority, also: also, transform: what})
 }
 
 // changeUnlessSettled is change for a function that tells by the state itself whether the change was made, and then wants
 // nothing of it. It is also called with the state that this process knows; where it wants nothing of it or fails, a read by
 // majority that this is the newest ends the change: no disk is written and no rival is overtaken.
-func (k *replicator) changeUnlessSettled(ctx context.Context, also func() []string, what transform) (*consensus.State, error) {
-	known, _ := k.state()
-	if next, err := what(known); next == nil && k.isNewest(ctx, known) {
+func (r *replicator) changeUnlessSettled(ctx context.Context, also func() []string, what transform) (*consensus.State, error) {
+	known, _ := r.state()
+	if next, err := what(known); next == nil && r.isNewest(ctx, known) {
 		return known, err
 	}
-	return k.run(ctx, &runningChange{priority: ordinaryPriority, settles: true, also: also, transform: what})
+	return r.run(ctx, &runningChange{priority: ordinaryPriority, settles: true, also: also, transform: what})
 }
 
 // changeMembership is change for a repair of the core: it runs before every other change from here, and interrupts one that
 // is running.
-func (k *replicator) changeMembership(ctx context.Context, also func() []string, what transform) (*consensus.State, error) {
-	return k.run(ctx, &runningChange{priority: membershipPriority, also: also, transform: what})
+func (r *replicator) changeMembership(ctx context.Context, also func() []string, what transform) (*consensus.State, error) {
+	return r.run(ctx, &runningChange{priority: membershipPriority, also: also, transform: what})
 }
 
 // runningChange is a change from its first attempt to its end.
@@ -52,34 +52,34 @@
 }
 
 // run takes turns for a change until it has ended: one that is interrupted waits for another.
-func (k *replicator) run(ctx context.Context, change *runningChange) (*consensus.State, error) {
+func (r *replicator) run(ctx context.Context, change *runningChange) (*consensus.State, error) {
 	for ctx.Err() == nil {
-		turn, leave, err := k.changes.enter(ctx, change.priority)
+		turn, leave, err := r.changes.enter(ctx, change.priority)
 		if err != nil {
-			k.counts.Add("changes_left_queue")
+			r.counts.Add("changes_left_queue")
 			break
 		}
-		s, ended, err := k.runTurn(turn, change)
+		s, ended, err := r.runTurn(turn, change)
 		leave()
 		if ended {
 			return s, err
 		}
 		if ctx.Err() == nil {
-			k.counts.Add("changes_interrupted")
+			r.counts.Add("changes_interrupted")
 		}
 	}
 	return nil, errNoMajority
 }
 
 // runTurn makes attempts until the change has ended, or the turn has.
-func (k *replicator) runTurn(turn context.Context, change *runningChange) (s *consensus.State, ended bool, err error) {
+func (r *replicator) runTurn(turn context.Context, change *runningChange) (s *consensus.State, ended bool, err error) {
 	for attempt := 0; turn.Err() == nil; attempt++ {
-		if known, _ := k.state(); change.settles {
-			if next, err := change.transform(known); next == nil && k.isNewest(turn, known) {
+		if known, _ := r.state(); change.settles {
+			if next, err := change.transform(known); next == nil && r.isNewest(turn, known) {
 				return known, true, err
 			}
 		}
-		if s, ended, err := k.runAttempt(turn, change, attempt); ended {
+		if s, ended, err := r.runAttempt(turn, change, attempt); ended {
 			return s, true, err
 		}
 	}
@@ -87,22 +87,22 @@
 }
 
 // runAttempt makes one attempt, and does what has to be done before the next.
-func (k *replicator) runAttempt(turn context.Context, change *runningChange, attempt int) (s *consensus.State, ended bool, err error) {
+func (r *replicator) runAttempt(turn context.Context, change *runningChange, attempt int) (s *consensus.State, ended bool, err error) {
 	began := time.Now()
-	patience := max(refusalPatience<<min(attempt, maxAttemptDoublings), k.steps.attempt())
-	if !k.hasContact(turn) {
+	patience := max(refusalPatience<<min(attempt, maxAttemptDoublings), r.steps.attempt())
+	if !r.hasContact(turn) {
 		await(turn, nil, readPause)
 		return nil, false, nil
 	}
-	base, p, request := k.propose(change.transform)
+	base, p, request := r.propose(change.transform)
 	switch {
 	case change.doubt.decided(base):
 		return base, true, nil
 	case change.doubt.lasting(base) && !change.settles:
 		return nil, true, errInDoubt
 	}
-	step := k.attempt(turn, base, p, request, patience)
-	k.sawRound(p.Round)
+	step := r.attempt(turn, base, p, request, patience)
+	r.sawRound(p.Round)
 	if p.Own && step != consensus.StepDecided {
 		change.doubt.add(base.Index+1, request.Ballot)
 	}
@@ -110,37 +110,37 @@
 	case consensus.StepUnchanged:
 		return p.State, true, p.Err
 	case consensus.StepAhead:
-		go k.learn(p.State) // Invariant: memory has it at once; a disk that hangs holds no change up
-		k.waitForIndex(turn, p.State.Index)
+		go r.learn(p.State) // Invariant: memory has it at once; a disk that hangs holds no change up
+		r.waitForIndex(turn, p.State.Index)
 		return p.State, change.doubt.decided(p.State), nil
 	case consensus.StepDecided:
-		k.spread(turn, base, p.State, change.also())
+		r.spread(turn, base, p.State, change.also())
 		return p.State, p.Own || change.doubt.decided(p.State), nil
 	case consensus.StepBehind: // members that have not heard of the last decision
-		await(turn, k.announce(base, nil), patience)
+		await(turn, r.announce(base, nil), patience)
 	case consensus.StepLost, consensus.StepWait:
-		k.waitForRival(turn, base, time.Since(began), attempt)
+		r.waitForRival(turn, base, time.Since(began), attempt)
 	}
 	return nil, false, nil
 }
 
 // hasContact reports whether a majority of the core answers this process. Invariant: no ballot goes out without it. A process
 // whose requests arrive and whose answers are lost would overtake the attempts of all others and never end its own.
-func (k *replicator) hasContact(ctx context.Context) bool {
-	if k.current() {
+func (r *replicator) hasContact(ctx context.Context) bool {
+	if r.current() {
 		return true
 	}
-	_, reading := k.read(ctx)
+	_, reading := r.read(ctx)
 	return reading.Heard()
 }
 
 // spread has this process and all others learn what it has seen decided.
-func (k *replicator) spread(turn context.Context, base, decided *consensus.State, also []string) {
-	k.counts.Add("decided")
-	go k.learn(decided)
-	announced := k.announce(decided, also)
+func (r *replicator) spread(turn context.Context, base, decided *consensus.State, also []string) {
+	r.counts.Add("decided")
+	go r.learn(decided)
+	announced := r.announce(decided, also)
 	if !sameCore(base, decided) { // a new core should hold what it begins with before the old one's disks may go
 		await(turn, announced, stepTimeout)
 	}
-	k.waitForIndex(turn, decided.Index)
+	r.waitForIndex(turn, decided.Index)
 }
--- a/internal/mesh/controller/durable_disk.go
+++ b/internal/mesh/controller/durable_disk.go
@@ -52,8 +52,8 @@
 func (d *durableDisk) unseal() { d.sealed.Store(false) }
 
 // holdsNothingBeyond reports whether the replica has neither learned nor accepted anything after a slot.
-func (k *replicator) holdsNothingBeyond(index uint64) bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.replica.Decided.Index <= index && k.replica.Accepted == nil
+func (r *replicator) holdsNothingBeyond(index uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.replica.Decided.Index <= index && r.replica.Accepted == nil
 }
--- a/internal/mesh/controller/majority_read.go
+++ b/internal/mesh/controller/majority_read.go
@@ -42,68 +42,68 @@
 	return l.lease.ConfirmedAt(s)
 }
 
-func (k *replicator) now() int64 { return int64(time.Since(k.epoch)) }
+func (r *replicator) now() int64 { return int64(time.Since(r.epoch)) }
 
 // read asks the core whether the state known here is the newest. It renews the lease, and takes a later state that it is told of.
-func (k *replicator) read(ctx context.Context) (*consensus.State, *consensus.MajorityRead) {
-	askedAt := k.now()
-	s, _ := k.state()
+func (r *replicator) read(ctx context.Context) (*consensus.State, *consensus.MajorityRead) {
+	askedAt := r.now()
+	s, _ := r.state()
 	reading, request := consensus.NewMajorityRead(s)
-	responses := k.broadcast(ctx, s, request, readTimeout)
+	responses := r.broadcast(ctx, s, request, readTimeout)
 	for range s.Core {
 		response := <-responses
 		if response == nil {
 			continue
 		}
-		k.lease.observe(*response, askedAt)
+		r.lease.observe(*response, askedAt)
 		if reading.HandleResponse(*response) {
 			break
 		}
 	}
 	if ahead := reading.Ahead(); ahead != nil {
-		k.counts.Add("copies_mended")
-		go k.learn(ahead) // in memory at once; the disk may take its time
-		k.waitForIndex(ctx, ahead.Index)
+		r.counts.Add("copies_mended")
+		go r.learn(ahead) // in memory at once; the disk may take its time
+		r.waitForIndex(ctx, ahead.Index)
 	}
 	return s, reading
 }
 
 // readMajority reads, and reports whether a majority has seen nothing decided after the state, and whether something is accepted
 // that nobody has been seen to decide.
-func (k *replicator) readMajority(ctx context.Context) (s *consensus.State, current, pending bool) {
-	s, reading := k.read(ctx)
+func (r *replicator) readMajority(ctx context.Context) (s *consensus.State, current, pending bool) {
+	s, reading := r.read(ctx)
 	return s, reading.Current(), reading.Current() && reading.Pending()
 }
 
 // confirms reports whether a majority has said of late that nothing had been decided after a state.
-func (k *replicator) confirms(s *consensus.State) bool { return k.lease.valid(s, k.now()) }
+func (r *replicator) confirms(s *consensus.State) bool { return r.lease.valid(s, r.now()) }
 
 // current reports the same of the state known here now.
-func (k *replicator) current() bool {
-	s, _ := k.state()
-	return k.confirms(s)
+func (r *replicator) current() bool {
+	s, _ := r.state()
+	return r.confirms(s)
 }
 
 // sinceConfirmed is how long ago a majority was asked that said so of a state.
-func (k *replicator) sinceConfirmed(s *consensus.State) time.Duration {
-	askedAt, known := k.lease.confirmedAt(s)
+func (r *replicator) sinceConfirmed(s *consensus.State) time.Duration {
+	askedAt, known := r.lease.confirmedAt(s)
 	if !known {
 		return neverConfirmed
 	}
-	return time.Duration(k.now() - askedAt)
+	return time.Duration(r.now() - askedAt)
 }
 
 // newest is the newest state beyond doubt: a majority that is asked from now on says that nothing came after it, or what stands
 // accepted is decided first. Where no majority answers, nothing is proposed either.
-func (k *replicator) newest(ctx context.Context, also func() []string) (*consensus.State, error) {
-	arrived := k.now()
+func (r *replicator) newest(ctx context.Context, also func() []string) (*consensus.State, error) {
+	arrived := r.now()
 	for heard := 0; heard < settledReads; {
-		read, reading := k.read(ctx)
+		read, reading := r.read(ctx)
 		if reading.Current() && reading.Pending() {
-			k.waitBriefly(ctx, read.Index+1)
+			r.waitBriefly(ctx, read.Index+1)
 		}
-		s, _ := k.state()
-		if askedAt, known := k.lease.confirmedAt(s); known && askedAt >= arrived {
+		s, _ := r.state()
+		if askedAt, known := r.lease.confirmedAt(s); known && askedAt >= arrived {
 			return s, nil
 		}
 		if reading.Heard() || reading.Ahead() != nil {
@@ -116,13 +116,13 @@
 			return nil, apierror.New(apierror.Unclear, "no majority of the core has answered in time")
 		}
 	}
-	k.counts.Add("reads_settled")
-	return k.change(ctx, also, func(*consensus.State) (*consensus.State, error) { return nil, nil })
+	r.counts.Add("reads_settled")
+	return r.change(ctx, also, func(*consensus.State) (*consensus.State, error) { return nil, nil })
 }
 
 // waitBriefly waits for a decision that is likely to be on its way to this replica.
-func (k *replicator) waitBriefly(ctx context.Context, index uint64) {
+func (r *replicator) waitBriefly(ctx context.Context, index uint64) {
 	ctx, end := context.WithTimeout(ctx, decisionWait)
 	defer end()
-	k.waitForIndex(ctx, index)
+	r.waitForIndex(ctx, index)
 }
--- a/internal/mesh/controller/proposer.go
+++ b/internal/mesh/controller/proposer.go
@@ -23,23 +23,23 @@
 // announce tells controllers a decided state, its core and others. The channel is closed once all of the core have
 // answered, or a quorum has and the rest had a moment more, or the step's time is over; for the others nobody waits. Who
 // does not hear it finds out by gossip.
-func (k *replicator) announce(s *consensus.State, also []string) (done <-chan struct{}) {
+func (r *replicator) announce(s *consensus.State, also []string) (done <-chan struct{}) {
 	ctx, end := context.WithTimeout(context.Background(), stepTimeout)
 	var all sync.WaitGroup
-	told := map[string]bool{k.self: true}
+	told := map[string]bool{r.self: true}
 	answers := make(chan bool, len(s.Core))
 	for _, m := range s.Core {
-		if m.At == k.self {
+		if m.At == r.self {
 			answers <- true
 			continue
 		}
 		told[m.At] = true
-		all.Go(func() { answers <- k.send(ctx, m.At, consensus.Request{Kind: consensus.Learn, Value: s}) != nil })
+		all.Go(func() { answers <- r.send(ctx, m.At, consensus.Request{Kind: consensus.Learn, Value: s}) != nil })
 	}
 	for _, at := range also {
 		if !told[at] {
 			told[at] = true
-			all.Go(func() { k.send(ctx, at, consensus.Request{Kind: consensus.Learn, Value: s}) })
+			all.Go(func() { r.send(ctx, at, consensus.Request{Kind: consensus.Learn, Value: s}) })
 		}
 	}
 	announced := make(chan struct{})
@@ -53,12 +53,12 @@
 }
 
 // propose begins an attempt on top of what is decided as far as this copy knows.
-func (k *replicator) propose(what transform) (base *consensus.State, p *consensus.Proposal, request consensus.Request) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	base = k.replica.Decided
-	k.round = max(k.round, k.replica.Promised.Round) + 1
-	p, request = consensus.Propose(base, consensus.Ballot{Round: k.round, By: k.proposer}, what)
+func (r *replicator) propose(what transform) (base *consensus.State, p *consensus.Proposal, request consensus.Request) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	base = r.replica.Decided
+	r.round = max(r.round, r.replica.Promised.Round) + 1
+	p, request = consensus.Propose(base, consensus.Ballot{Round: r.round, By: r.proposer}, what)
 	return base, p, request
 }
 
@@ -81,18 +81,18 @@
 }
 
 // sawRound notes a round, so that the next attempt is above it.
-func (k *replicator) sawRound(round uint64) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.round = max(k.round, round)
+func (r *replicator) sawRound(round uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.round = max(r.round, round)
 }
 
 // waitForRival waits after an attempt that a rival has overtaken: until a decision is heard of, or for a time drawn at
 // random, longer with each attempt and with how long an attempt takes. Invariant: two that go on at the same pace overtake
 // one another for ever.
-func (k *replicator) waitForRival(ctx context.Context, base *consensus.State, took time.Duration, attempt int) {
-	longest := max(took, k.steps.attempt()) + firstAttemptPause<<min(attempt, maxAttemptDoublings)
-	s, decided := k.state()
+func (r *replicator) waitForRival(ctx context.Context, base *consensus.State, took time.Duration, attempt int) {
+	longest := max(took, r.steps.attempt()) + firstAttemptPause<<min(attempt, maxAttemptDoublings)
+	s, decided := r.state()
 	if s.Index > base.Index {
 		return
 	}
@@ -110,18 +110,18 @@
 
 // attempt carries one proposal to its last step, or to StepWait where answers stay away. Once a member has refused, the
 // others get no more than some patience.
-func (k *replicator) attempt(ctx context.Context, s *consensus.State, p *consensus.Proposal, request consensus.Request, patience time.Duration) (step consensus.Step) {
+func (r *replicator) attempt(ctx context.Context, s *consensus.State, p *consensus.Proposal, request consensus.Request, patience time.Duration) (step consensus.Step) {
 	for step = consensus.StepSend; step == consensus.StepSend; {
-		step = k.attemptStep(ctx, s, p, request, patience)
+		step = r.attemptStep(ctx, s, p, request, patience)
 		request = p.Request()
 	}
 	return step
 }
 
 // attemptStep sends one request of a proposal to all of the core and takes the answers until there is a step.
-func (k *replicator) attemptStep(ctx context.Context, s *consensus.State, p *consensus.Proposal, request consensus.Request, patience time.Duration) consensus.Step {
+func (r *replicator) attemptStep(ctx context.Context, s *consensus.State, p *consensus.Proposal, request consensus.Request, patience time.Duration) consensus.Step {
 	began := time.Now()
-	answers := k.broadcast(ctx, s, request, stepTimeout)
+	answers := r.broadcast(ctx, s, request, stepTimeout)
 	var impatient <-chan time.Time
 	for range s.Core {
 		select {
@@ -132,7 +132,7 @@
 			switch step := p.HandleResponse(*answer); step {
 			case consensus.StepWait:
 			case consensus.StepSend, consensus.StepDecided:
-				k.steps.add(time.Since(began))
+				r.steps.add(time.Since(began))
 				return step
 			default:
 				return step
@@ -151,9 +151,9 @@
 
 // isNewest reports whether a majority says that nothing came after a state and that nothing else stands accepted. It needs
 // no disk, and no turn in the queue.
-func (k *replicator) isNewest(ctx context.Context, s *consensus.State) bool {
+func (r *replicator) isNewest(ctx context.Context, s *consensus.State) bool {
 	read, request := consensus.NewMajorityRead(s)
-	answers := k.broadcast(ctx, s, request, readTimeout)
+	answers := r.broadcast(ctx, s, request, readTimeout)
 	for range s.Core {
 		if answer := <-answers; answer != nil && read.HandleResponse(*answer) {
 			return read.Newest()
@@ -163,9 +163,9 @@
 }
 
 // waitForIndex waits until this copy knows a decision that is on its way to it.
-func (k *replicator) waitForIndex(ctx context.Context, index uint64) {
+func (r *replicator) waitForIndex(ctx context.Context, index uint64) {
 	for {
-		s, more := k.state()
+		s, more := r.state()
 		if s.Index >= index {
 			return
 		}
--- a/internal/mesh/controller/replicator.go
+++ b/internal/mesh/controller/replicator.go
@@ -62,76 +62,76 @@
 }
 
 // state is what is decided as far as this copy knows, and a channel that ends when there is more.
-func (k *replicator) state() (*consensus.State, <-chan struct{}) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.replica.Decided, k.news
+func (r *replicator) state() (*consensus.State, <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.replica.Decided, r.news
 }
 
-func (k *replicator) identity() string {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.replica.ID
+func (r *replicator) identity() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.replica.ID
 }
 
 // handle answers another process's request, after the sync that it needs. A Learn that is answered with OK is on disk.
-func (k *replicator) handle(_ context.Context, a *consensus.Request) (*consensus.Response, error) {
-	request, lacking := k.expand(*a)
+func (r *replicator) handle(_ context.Context, a *consensus.Request) (*consensus.Response, error) {
+	request, lacking := r.expand(*a)
 	if lacking != nil {
 		return lacking, nil
 	}
 	if request.Kind == consensus.ReadState {
-		return k.handleRead(request), nil
+		return r.handleRead(request), nil
 	}
 	if request.Kind == consensus.Learn && request.Value != nil { // Invariant: behind a disk that hangs, news would wait for nothing
-		if out := k.learnInMemory(request); out != nil {
+		if out := r.learnInMemory(request); out != nil {
 			return out, nil
 		}
 	}
-	k.written.Lock()
-	defer k.written.Unlock()
-	k.mu.Lock()
-	if request.Kind != consensus.Learn && !k.mayVote() {
-		defer k.mu.Unlock()
-		return k.withoutVote(request), nil
+	r.written.Lock()
+	defer r.written.Unlock()
+	r.mu.Lock()
+	if request.Kind != consensus.Learn && !r.mayVote() {
+		defer r.mu.Unlock()
+		return r.withoutVote(request), nil
 	}
-	out, keep := k.replica.Handle(request)
+	out, keep := r.replica.Handle(request)
 	out.Compact = true
-	now := k.replica
-	unsaved := request.Kind == consensus.Learn && k.saved < now.Decided.Index
-	k.mu.Unlock()
+	now := r.replica
+	unsaved := request.Kind == consensus.Learn && r.saved < now.Decided.Index
+	r.mu.Unlock()
 	if !keep && !unsaved {
 		return &out, nil
 	}
-	if err := k.save(&now); err != nil {
+	if err := r.save(&now); err != nil {
 		return nil, err
 	}
 	return &out, nil
 }
 
 // save writes a replica to the disk. Under written.
-func (k *replicator) save(replica *consensus.Replica) error {
-	if err := k.disk.Save(replica); err != nil {
-		k.counts.Add("disk_refused")
+func (r *replicator) save(replica *consensus.Replica) error {
+	if err := r.disk.Save(replica); err != nil {
+		r.counts.Add("disk_refused")
 		return err
 	}
-	k.counts.Add("syncs")
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.saved = replica.Decided.Index
+	r.counts.Add("syncs")
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.saved = replica.Decided.Index
 	return nil
 }
 
 // learnInMemory takes a decision before the disk has it; the response is nil while the disk has still to take it.
-func (k *replicator) learnInMemory(request consensus.Request) *consensus.Response {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	out, news := k.replica.Handle(request)
+func (r *replicator) learnInMemory(request consensus.Request) *consensus.Response {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out, news := r.replica.Handle(request)
 	if news {
-		close(k.news)
-		k.news = make(chan struct{})
+		close(r.news)
+		r.news = make(chan struct{})
 	}
-	if k.saved < request.Value.Index {
+	if r.saved < request.Value.Index {
 		return nil
 	}
 	out.Compact = true
@@ -139,21 +139,21 @@
 }
 
 // expand puts into a compact request what it left out; the response is nil unless this replica lacks that.
-func (k *replicator) expand(a consensus.Request) (whole consensus.Request, lacking *consensus.Response) {
+func (r *replicator) expand(a consensus.Request) (whole consensus.Request, lacking *consensus.Response) {
 	if !a.IsCompact() {
 		return a, nil
 	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	whole, ok := k.replica.Expand(a, k.digests.Of)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	whole, ok := r.replica.Expand(a, r.digests.Of)
 	if !ok {
-		return a, &consensus.Response{Kind: a.Kind, Slot: a.Slot, ID: k.replica.ID, Index: k.replica.Decided.Index, Compact: true, Lacking: true}
+		return a, &consensus.Response{Kind: a.Kind, Slot: a.Slot, ID: r.replica.ID, Index: r.replica.Decided.Index, Compact: true, Lacking: true}
 	}
 	return whole, nil
 }
 
 // broadcast puts the same question to all members of a core; the answers come as they do, nil for none.
-func (k *replicator) broadcast(ctx context.Context, of *consensus.State, a consensus.Request, within time.Duration) <-chan *consensus.Response {
+func (r *replicator) broadcast(ctx context.Context, of *consensus.State, a consensus.Request, within time.Duration) <-chan *consensus.Response {
 	ctx, end := context.WithTimeout(ctx, within)
 	answers := make(chan *consensus.Response, len(of.Core))
 	var wait sync.WaitGroup
@@ -161,7 +161,7 @@
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
-			answers <- k.send(ctx, m.At, a)
+			answers <- r.send(ctx, m.At, a)
 		}()
 	}
 	go func() { wait.Wait(); end() }() // the slower ones go on: what they keep counts too
@@ -170,97 +170,97 @@
 
 // send puts a request to the process at an address; nil for no answer. The request goes without the large
 // documents that the process there holds.
-func (k *replicator) send(ctx context.Context, at string, a consensus.Request) *consensus.Response {
-	if at == k.self {
-		answer, err := k.handle(ctx, &a)
+func (r *replicator) send(ctx context.Context, at string, a consensus.Request) *consensus.Response {
+	if at == r.self {
+		answer, err := r.handle(ctx, &a)
 		if err != nil {
 			return nil
 		}
 		return answer
 	}
 	if a.Kind == consensus.ReadState {
-		k.mu.Lock()
-		life := k.replica.Life
-		k.mu.Unlock()
+		r.mu.Lock()
+		life := r.replica.Life
+		r.mu.Unlock()
 		a.Life = &life
-		answer := k.call(ctx, at, a)
+		answer := r.call(ctx, at, a)
 		if answer != nil {
-			k.noteVouched(life, answer)
+			r.noteVouched(life, answer)
 		}
 		return answer
 	}
-	compact, large := k.compactFor(at, a)
-	answer := k.call(ctx, at, compact)
+	compact, large := r.compactFor(at, a)
+	answer := r.call(ctx, at, compact)
 	if compact.IsCompact() && answer != nil && (!answer.Compact || answer.Lacking) {
-		k.counts.Add("compact_lacking")
-		k.forgetHeld(at)
-		answer = k.call(ctx, at, a)
+		r.counts.Add("compact_lacking")
+		r.forgetHeld(at)
+		answer = r.call(ctx, at, a)
 	}
 	if answer != nil && len(large) > 0 {
-		k.noteHeld(at, large, answer)
+		r.noteHeld(at, large, answer)
 	}
 	return answer
 }
 
-func (k *replicator) call(ctx context.Context, at string, a consensus.Request) *consensus.Response {
+func (r *replicator) call(ctx context.Context, at string, a consensus.Request) *consensus.Response {
 	answer := &consensus.Response{}
-	if err := k.caller.Call(ctx, at, rpc.PathConsensus, a, answer); err != nil {
+	if err := r.caller.Call(ctx, at, rpc.PathConsensus, a, answer); err != nil {
 		return nil
 	}
 	return answer
 }
 
 // compactFor is a request without what the process at an address holds of it, and the large documents of its value.
-func (k *replicator) compactFor(at string, a consensus.Request) (compact consensus.Request, large consensus.Documents) {
+func (r *replicator) compactFor(at string, a consensus.Request) (compact consensus.Request, large consensus.Documents) {
 	if a.Value == nil {
 		return a, nil
 	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return a.Compact(k.digests.Of, k.held[at]), a.Value.LargeParts(k.digests.Of)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return a.Compact(r.digests.Of, r.held[at]), a.Value.LargeParts(r.digests.Of)
 }
 
 // noteHeld notes which documents the process at an address holds: those of the value that it took last. One that refuses a value
 // holds what it held before, so that proposals which overtake one another don't carry whole documents.
-func (k *replicator) noteHeld(at string, large consensus.Documents, answer *consensus.Response) {
+func (r *replicator) noteHeld(at string, large consensus.Documents, answer *consensus.Response) {
 	if !answer.Compact {
-		k.forgetHeld(at)
+		r.forgetHeld(at)
 		return
 	}
 	if answer.OK {
-		k.mu.Lock()
-		defer k.mu.Unlock()
-		k.held[at] = large
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.held[at] = large
 	}
 }
 
 // forgetHeld has the next request to an address carry all of its value.
-func (k *replicator) forgetHeld(at string) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	delete(k.held, at)
+func (r *replicator) forgetHeld(at string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.held, at)
 }
 
 // learn takes what is known to be decided. The disk takes it after that: nothing is answered on the ground of it.
-func (k *replicator) learn(s *consensus.State) {
+func (r *replicator) learn(s *consensus.State) {
 	request := consensus.Request{Kind: consensus.Learn, Value: s}
-	if k.learnInMemory(request) == nil && k.saving.CompareAndSwap(false, true) {
-		go k.saveDecided()
+	if r.learnInMemory(request) == nil && r.saving.CompareAndSwap(false, true) {
+		go r.saveDecided()
 	}
 }
 
 // saveDecided saves until the disk has the newest decision, or refuses; the next vote or decision then saves it, too.
-func (k *replicator) saveDecided() {
-	defer k.saving.Store(false)
+func (r *replicator) saveDecided() {
+	defer r.saving.Store(false)
 	for saved := false; !saved; {
-		k.written.Lock()
-		k.mu.Lock()
-		now := k.replica
-		saved = k.saved >= now.Decided.Index
-		k.mu.Unlock()
-		if !saved && k.save(&now) != nil {
+		r.written.Lock()
+		r.mu.Lock()
+		now := r.replica
+		saved = r.saved >= now.Decided.Index
+		r.mu.Unlock()
+		if !saved && r.save(&now) != nil {
 			saved = true
 		}
-		k.written.Unlock()
+		r.written.Unlock()
 	}
 }
--- a/internal/mesh/proxy/admission.go
+++ b/internal/mesh/proxy/admission.go
@@ -18,26 +18,26 @@
 // slots are taken it waits for a quarter of its aim, in the order of priority.Queue: the most urgent rank first and, within a rank,
 // who is due first. Invariant: first come, first served, the short calls of work that is under way elsewhere stand behind long
 // ones, and fail all that they are a part of.
-func (b *localUpstream) admit(ctx context.Context, s *upstreamRequest, now time.Time) (address string, kind apierror.Kind) {
-	b.mu.Lock()
-	if address, kind = b.addressOf(s.to, now); kind != apierror.None {
-		b.mu.Unlock()
+func (u *localUpstream) admit(ctx context.Context, s *upstreamRequest, now time.Time) (address string, kind apierror.Kind) {
+	u.mu.Lock()
+	if address, kind = u.addressOf(s.to, now); kind != apierror.None {
+		u.mu.Unlock()
 		return address, kind
 	}
-	at := b.sinceStart(now)
+	at := u.sinceStart(now)
 	if !s.again {
-		b.queue.Shares.Came(s.rank, at)
+		u.queue.Shares.Came(s.rank, at)
 	}
-	if b.id == "" || b.up.Capacity <= 0 || b.open < b.slots() {
-		b.open++
-		b.queue.Shares.Served(s.rank, at)
-		b.mu.Unlock()
+	if u.id == "" || u.up.Capacity <= 0 || u.open < u.slots() {
+		u.open++
+		u.queue.Shares.Served(s.rank, at)
+		u.mu.Unlock()
 		return address, apierror.None
 	}
 	waiting := &priority.Waiter[waitingRequest]{Rank: s.rank, Due: at + int64(s.aim), Request: waitingRequest{s.to, make(chan bool, 1)}}
-	joined := b.queue.Join(waiting, queuePerSlot*b.up.Capacity, at)
-	b.mu.Unlock()
-	if joined && b.wait(ctx, s, waiting) {
+	joined := u.queue.Join(waiting, queuePerSlot*u.up.Capacity, at)
+	u.mu.Unlock()
+	if joined && u.wait(ctx, s, waiting) {
 		return address, apierror.None
 	}
 	return "", apierror.NoRoom
@@ -47,7 +47,7 @@
 const queuePerSlot = 2
 
 // wait reports whether a request in the queue got a slot.
-func (b *localUpstream) wait(ctx context.Context, s *upstreamRequest, waiting *priority.Waiter[waitingRequest]) bool {
+func (u *localUpstream) wait(ctx context.Context, s *upstreamRequest, waiting *priority.Waiter[waitingRequest]) bool {
 	late := time.NewTimer(min(s.aim/4, time.Until(s.until)/4))
 	defer late.Stop()
 	select {
@@ -56,43 +56,43 @@
 	case <-late.C:
 	case <-ctx.Done():
 	}
-	b.mu.Lock()
-	removed := b.queue.Remove(waiting)
-	b.mu.Unlock()
+	u.mu.Lock()
+	removed := u.queue.Remove(waiting)
+	u.mu.Unlock()
 	if removed || !<-waiting.Request.granted {
 		return false
 	}
 	if ctx.Err() != nil { // it got one meanwhile, and has no use for it
-		b.leave(s.to)
+		u.leave(s.to)
 		return false
 	}
 	return true
 }
 
 // slots is how many requests may be at the upstream: those that it works on, and few that it need not wait for.
-func (b *localUpstream) slots() int { return b.up.Capacity + b.up.Capacity/8 + 1 }
+func (u *localUpstream) slots() int { return u.up.Capacity + u.up.Capacity/8 + 1 }
 
 // leave ends a request at the upstream; the next that waits has its slot.
-func (b *localUpstream) leave(id string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if id != b.id && b.id != "" {
+func (u *localUpstream) leave(id string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if id != u.id && u.id != "" {
 		return // of a life that has ended
 	}
-	b.open = max(0, b.open-1)
+	u.open = max(0, u.open-1)
 	now := time.Now()
-	for b.open < b.slots() {
-		next := b.queue.Next(b.sinceStart(now))
+	for u.open < u.slots() {
+		next := u.queue.Next(u.sinceStart(now))
 		if next == nil {
 			return
 		}
-		_, kind := b.addressOf(next.Request.id, now)
+		_, kind := u.addressOf(next.Request.id, now)
 		if next.Request.granted <- kind == apierror.None; kind == apierror.None {
-			b.open++
-			b.queue.Shares.Served(next.Rank, b.sinceStart(now))
+			u.open++
+			u.queue.Shares.Served(next.Rank, u.sinceStart(now))
 		}
 	}
 }
 
 // sinceStart is a time as state without a clock is told it.
-func (b *localUpstream) sinceStart(now time.Time) int64 { return int64(now.Sub(b.epoch)) }
+func (u *localUpstream) sinceStart(now time.Time) int64 { return int64(now.Sub(u.epoch)) }
--- a/internal/mesh/proxy/local_upstream.go
+++ b/internal/mesh/proxy/local_upstream.go
@@ -42,10 +42,10 @@
 }
 
 // heartbeat takes an upstream's word about itself; what is late changes nothing.
-func (b *localUpstream) heartbeat(id string, c *checkIn, now time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if slices.Contains(b.ended, id) || id == b.id && c.Status.PostmarkNo <= b.revision {
+func (u *localUpstream) heartbeat(id string, c *checkIn, now time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if slices.Contains(u.ended, id) || id == u.id && c.Status.PostmarkNo <= u.revision {
 		return
 	}
 	cold, _ := settings.Span(c.Status.Cold_time)
@@ -53,141 +53,141 @@
 		ID: id, Service: c.Notice.Destination, Edition: c.Notice.Edition, Capacity: c.Notice.Capacity,
 		Closing: c.Status.Condition == "closing", Cold: int64(cold),
 	}
-	first := id != b.id
+	first := id != u.id
 	if first {
-		b.end()
-		b.id, b.closing, b.open, b.detector = id, time.Time{}, 0, outlier.Detector{}
+		u.end()
+		u.id, u.closing, u.open, u.detector = id, time.Time{}, 0, outlier.Detector{}
 	}
-	up.Ill = b.detector.Level()
-	if up.Closing && b.closing.IsZero() {
-		b.closing = now
+	up.Ill = u.detector.Level()
+	if up.Closing && u.closing.IsZero() {
+		u.closing = now
 		if first { // Invariant: the process before this one may have acknowledged it, and Drain counts from then
-			b.closing = now.Add(-b.drain)
+			u.closing = now.Add(-u.drain)
 		}
 	}
 	same := up
-	same.Cold = b.up.Cold
-	news := same != b.up || b.dead
-	b.up, b.revision, b.lastHeartbeat, b.dead, b.unanswered = up, c.Status.PostmarkNo, now, false, 0
+	same.Cold = u.up.Cold
+	news := same != u.up || u.dead
+	u.up, u.revision, u.lastHeartbeat, u.dead, u.unanswered = up, c.Status.PostmarkNo, now, false, 0
 	if c.Address != "" {
-		b.address = c.Address
+		u.address = c.Address
 	}
 	if news {
-		b.notify()
+		u.notify()
 	}
 }
 
 // signOff ends a life.
-func (b *localUpstream) signOff(id string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if id == b.id {
-		b.end()
-		b.notify()
+func (u *localUpstream) signOff(id string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if id == u.id {
+		u.end()
+		u.notify()
 	}
 }
 
 // end notes that the present life is over: what comes of it later is late. Under mu.
-func (b *localUpstream) end() {
-	if b.id != "" {
-		b.ended = append(b.ended, b.id)
-		b.ended = b.ended[max(0, len(b.ended)-8):]
+func (u *localUpstream) end() {
+	if u.id != "" {
+		u.ended = append(u.ended, u.id)
+		u.ended = u.ended[max(0, len(u.ended)-8):]
 	}
-	b.id, b.up = "", membership.Upstream{}
+	u.id, u.up = "", membership.Upstream{}
 }
 
 // observe takes what came of a request at the upstream.
-func (b *localUpstream) observe(id string, failed bool, now time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if id != b.id || id == "" {
+func (u *localUpstream) observe(id string, failed bool, now time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if id != u.id || id == "" {
 		return
 	}
-	b.unanswered = 0
-	b.reportLevel(b.detector.Observe(failed, int64(now.Sub(b.epoch))))
+	u.unanswered = 0
+	u.reportLevel(u.detector.Observe(failed, int64(now.Sub(u.epoch))))
 }
 
 // reportLevel has others told of a level that has changed. Under mu.
-func (b *localUpstream) reportLevel(changed bool) {
-	if changed && b.up.Ill != b.detector.Level() {
-		b.up.Ill = b.detector.Level()
-		b.notify()
+func (u *localUpstream) reportLevel(changed bool) {
+	if changed && u.up.Ill != u.detector.Level() {
+		u.up.Ill = u.detector.Level()
+		u.notify()
 	}
 }
 
 // silent notes that a connection to the upstream was not answered: an upstream that is dark refuses nothing.
-func (b *localUpstream) silent(id string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if id != b.id || b.dead {
+func (u *localUpstream) silent(id string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if id != u.id || u.dead {
 		return
 	}
-	if b.unanswered++; b.unanswered >= mostUnanswered {
-		b.dead = true // until its next heartbeat
-		b.notify()
+	if u.unanswered++; u.unanswered >= mostUnanswered {
+		u.dead = true // until its next heartbeat
+		u.notify()
 	}
 }
 
 // refused notes that nobody listens at the upstream's address.
-func (b *localUpstream) refused(id string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if id == b.id && !b.dead {
-		b.dead = true
-		b.notify()
+func (u *localUpstream) refused(id string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if id == u.id && !u.dead {
+		u.dead = true
+		u.notify()
 	}
 }
 
 // checkHeartbeat notes that heartbeats have stopped for so long that its address may be refused without a try.
-func (b *localUpstream) checkHeartbeat(now time.Time, after time.Duration) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.id != "" && !b.dead && now.Sub(b.lastHeartbeat) > after {
-		b.dead = true
-		b.notify()
-	}
-	b.reportLevel(b.detector.Refresh(int64(now.Sub(b.epoch))))
+func (u *localUpstream) checkHeartbeat(now time.Time, after time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.id != "" && !u.dead && now.Sub(u.lastHeartbeat) > after {
+		u.dead = true
+		u.notify()
+	}
+	u.reportLevel(u.detector.Refresh(int64(now.Sub(u.epoch))))
 }
 
 // notify wakes who waits for a change of what the core is told. Under mu.
-func (b *localUpstream) notify() {
-	b.seq++
-	close(b.changed)
-	b.changed = make(chan struct{})
+func (u *localUpstream) notify() {
+	u.seq++
+	close(u.changed)
+	u.changed = make(chan struct{})
 }
 
 // wakeWatchers has the core told again.
-func (b *localUpstream) wakeWatchers() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.notify()
+func (u *localUpstream) wakeWatchers() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.notify()
 }
 
 // snapshot is what the core is told, and a channel that ends once there is more to tell.
-func (b *localUpstream) snapshot() (up *membership.Upstream, seq uint64, changed <-chan struct{}) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.id == "" || b.dead {
-		return nil, b.seq, b.changed
-	}
-	copied := b.up
-	if past := int64(time.Since(b.lastHeartbeat)); copied.Cold > 0 {
+func (u *localUpstream) snapshot() (up *membership.Upstream, seq uint64, changed <-chan struct{}) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.id == "" || u.dead {
+		return nil, u.seq, u.changed
+	}
+	copied := u.up
+	if past := int64(time.Since(u.lastHeartbeat)); copied.Cold > 0 {
 		copied.Cold = max(0, copied.Cold-past)
 	}
-	return &copied, b.seq, b.changed
+	return &copied, u.seq, u.changed
 }
 
 // addressOf is where a request would go, whether there is room or not. Under mu.
-func (b *localUpstream) addressOf(id string, now time.Time) (address string, kind apierror.Kind) {
+func (u *localUpstream) addressOf(id string, now time.Time) (address string, kind apierror.Kind) {
 	switch {
-	case b.id != "" && id != b.id:
+	case u.id != "" && id != u.id:
 		return "", apierror.NotHere
-	case b.id == "" && slices.Contains(b.ended, id):
+	case u.id == "" && slices.Contains(u.ended, id):
 		return "", apierror.NotHere
-	case !b.closing.IsZero() && now.Sub(b.closing) > b.drain*3/4: // the rest is for what is under way
+	case !u.closing.IsZero() && now.Sub(u.closing) > u.drain*3/4: // the rest is for what is under way
 		return "", apierror.NotHere
-	case b.dead:
+	case u.dead:
 		return "", apierror.NoRoom
 	}
-	return b.address, apierror.None
+	return u.address, apierror.None
 }
