A drain waits for what its listeners have accepted, and keeps none that have gone

Cause: found when reading the drain again: a connection that is accepted as listeners close was not counted yet, so a drain could end before it; listeners that had closed stayed in the front's list. Change: Serve takes its listener off the list, and a drain waits until all have returned; none is served after it.

--- a/internal/httpwire/drain.go
+++ b/internal/httpwire/drain.go
@@ -58,7 +58,10 @@
 // Serve answers a listener's clients until it is closed or Drain has ended.
 func (f *Front) Serve(l *Listener) error {
 	f.accepts.Store(true)
-	f.serving.add(l)
+	if !f.serving.add(l) {
+		return l.Listener.Close()
+	}
+	defer f.serving.remove(l)
 	if err := f.server.Serve(l); !errors.Is(err, http.ErrServerClosed) && !l.gone.Load() && !l.deaf.Load() {
 		return err
 	}
@@ -143,23 +146,42 @@
 
 // listeners are those that a front serves.
 type listeners struct {
-	mu  sync.Mutex
-	all []*Listener
+	mu     sync.Mutex
+	all    map[*Listener]struct{}
+	closed bool
+	served sync.WaitGroup // until Serve has returned
 }
 
-func (l *listeners) add(one *Listener) {
+// add reports whether a listener may be served: none is any more once all have been closed.
+func (l *listeners) add(one *Listener) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.all = append(l.all, one)
+	if l.closed {
+		return false
+	}
+	if l.all == nil {
+		l.all = map[*Listener]struct{}{}
+	}
+	l.all[one] = struct{}{}
+	l.served.Add(1)
+	return true
 }
 
-// close closes all, and has Serve end without an error.
-func (l *listeners) close() {
+func (l *listeners) remove(one *Listener) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, one := range l.all {
+	delete(l.all, one)
+	l.served.Done()
+}
+
+// close closes all, and returns once what they have accepted is counted.
+func (l *listeners) close() {
+	l.mu.Lock()
+	l.closed = true
+	for one := range l.all {
 		one.deaf.Store(true)
 		one.Listener.Close()
 	}
-	l.all = nil
+	l.mu.Unlock()
+	l.served.Wait()
 }
--- a/internal/mesh/controller/burst_credit.go
+++ b/internal/mesh/controller/burst_credit.go
@@ -71,7 +71,7 @@
 	}
 }
 
-// earn has what tenants left of their rates saved, now and then, where no report does.
+// accrueCredit has what tenants left of their rates saved, now and then, where no report does.
 func (c *Controller) accrueCredit(s *consensus.State) {
 	if s.Coordinator.Life != c.life {
 		return
