--- a/internal/httpwire/drain.go
+++ b/internal/httpwire/drain.go
@@ -57,11 +57,11 @@
 
 // Serve answers a listener's clients until it is closed or Drain has ended.
 func (f *Front) Serve(l *Listener) error {
-	f.accepts.Store(true)
 	if !f.serving.add(l) {
 		return l.Listener.Close()
 	}
 	defer f.serving.remove(l)
+	f.accepts.Store(true)
 	if err := f.server.Serve(l); !errors.Is(err, http.ErrServerClosed) && !l.gone.Load() && !l.deaf.Load() {
 		return err
 	}
--- a/internal/mesh/strictjson/fields.go
+++ b/internal/mesh/strictjson/fields.go
@@ -95,9 +95,11 @@
 
 // literal passes over a number, true, false or null.
 func (f *fieldScanner) literal() {
-	for f.at < len(f.text) && !bytes.ContainsRune([]byte(",]} \t\n\r"), rune(f.text[f.at])) {
-		f.at++
+	length := bytes.IndexAny(f.text[f.at:], ",]} \t\n\r")
+	if length < 0 {
+		length = len(f.text) - f.at
 	}
+	f.at += length
 }
 
 // fieldName is what a quoted string says.
