--- a/review/standin/upstream.go
+++ b/review/standin/upstream.go
@@ -252,3 +252,8 @@
 	}
 	return response.StatusCode, string(raw)
 }
+
+// NewKeptClient returns a client that keeps connections for many requests.
+func NewKeptClient(most int) *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: most, IdleConnTimeout: 5 * time.Second, DisableCompression: true}}
+}
