Review case 2: a download taken after SIGTERM is cut midway as Grace ends

Need: LOST counts a request that the machine took between its SIGTERM and the end of Grace, was passed on, and is cut before its deadline though its upstream is no longer at work.

--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -40,6 +40,7 @@
 // Deployment is a small mesh: controllers and, beside each upstream, a proxy. Each machine has a loopback address.
 type Deployment struct {
 	Record *Record
+	Change map[string]string // settings of all machines that differ from the usual ones, by key
 
 	dir, network string
 	port         int
@@ -52,6 +53,7 @@
 	Name, IP  string
 	Service   string // of its upstream, "" on a controller's machine
 	MemoryMB  int
+	LineMbps  string
 	Counted   bool
 	StartedAt time.Time // of the present process
 
@@ -71,7 +73,7 @@
 	}
 	d := &Deployment{Record: record, dir: dir}
 	add := func(name, program, service string, n int) *Machine {
-		return &Machine{Name: name, program: program, Service: service, deployment: d, IP: fmt.Sprint(n), MemoryMB: 284}
+		return &Machine{Name: name, program: program, Service: service, deployment: d, IP: fmt.Sprint(n), MemoryMB: 284, LineMbps: "1000.0"}
 	}
 	for n := range controllers {
 		m := add(fmt.Sprintf("sorting-%d", n+1), "controller", "", n+1)
@@ -144,7 +146,7 @@
 		"Self.Node=" + m.Name, "Self.Role=" + m.program, "Self.Ip=" + m.IP, "Self.District=" + zone, "Self.Province=" + region,
 		fmt.Sprintf("Self.Counted=%v", m.Counted), fmt.Sprintf("Self.FirstStart=%v", !m.started),
 		"Self.SizeLimits.CpuShare=0.48", "Self.SizeLimits.Cores=1", fmt.Sprintf("Self.SizeLimits.MemoryMb=%d", m.MemoryMB),
-		"Self.SizeLimits.Fds=4096", "Self.SizeLimits.LineMbps=1000.0",
+		"Self.SizeLimits.Fds=4096", "Self.SizeLimits.LineMbps=" + m.LineMbps,
 		"Network.Counters.Control=" + m.Control(),
 		fmt.Sprintf("Network.InnerPorts=%d,%d", d.port+portInner, d.port+portCount-1),
 		"Network.SeedOffices=" + strings.Join(seeds, ","), "Network.Districts." + zone + "=" + region,
@@ -166,6 +168,12 @@
 			"Self.App="+m.App(), "Self.Destination="+m.Service, "Network.Counters.Inbound="+m.address(portInbound),
 			"Network.Counters.Outbound="+m.Outbound(), "Network.Counters.Ready="+m.Ready())
 	}
+	for n, line := range lines {
+		key, _, _ := strings.Cut(line, "=")
+		if value, changed := d.Change[key]; changed {
+			lines[n] = key + "=" + value
+		}
+	}
 	return strings.Join(lines, "\n") + "\n"
 }
 
@@ -240,3 +248,13 @@
 		fmt.Println("kept", d.dir)
 	}
 }
+
+// Await waits until the machine's process has ended, at most for a time, and reports whether it did.
+func (m *Machine) Await(limit time.Duration) bool {
+	select {
+	case <-m.ended:
+		return true
+	case <-time.After(limit):
+		return false
+	}
+}
--- a/review/standin/upstream.go
+++ b/review/standin/upstream.go
@@ -17,6 +17,7 @@
 type Upstream struct {
 	ID, Service string
 	Work        time.Duration
+	AnswerBytes int // of an answer's body, 0 for a short one
 
 	machine *Machine
 	record  *Record
@@ -33,7 +34,8 @@
 	ID, Method, Target string
 	At                 time.Time
 	Body               int64 // bytes that were read
-	Complete           bool  // the answer was written
+	Complete           bool  // the whole answer was written
+	DoneAt             time.Time
 }
 
 // capacity is the number of requests that an upstream works on at once.
@@ -128,13 +130,13 @@
 		w.Header().Set("X-Delivered-By", u.ID)
 		return
 	}
-	body, err := io.Copy(io.Discard, r.Body)
+	read, err := io.Copy(io.Discard, r.Body)
 	if err != nil {
 		return // the request did not come whole
 	}
 	u.slots <- struct{}{}
 	defer func() { <-u.slots }()
-	run := &Run{ID: id, Method: r.Method, Target: r.RequestURI, At: time.Now(), Body: body}
+	run := &Run{ID: id, Method: r.Method, Target: r.RequestURI, At: time.Now(), Body: read}
 	u.mu.Lock()
 	u.runs = append(u.runs, run)
 	u.mu.Unlock()
@@ -146,9 +148,17 @@
 		return
 	}
 	w.Header().Set("X-Postmark", "3e1b.07."+u.ID)
-	w.Write([]byte("whole body of " + id))
+	body := []byte("whole body of " + id)
+	if u.AnswerBytes > 0 {
+		body = bytes.Repeat([]byte{'z'}, u.AnswerBytes)
+		w.Header().Set("Content-Length", fmt.Sprint(u.AnswerBytes))
+	}
+	if _, err := w.Write(body); err != nil {
+		u.record.Add("%s: the answer to %s could not be written: %v", u.ID, id, err)
+		return
+	}
 	u.mu.Lock()
-	run.Complete = true
+	run.Complete, run.DoneAt = true, time.Now()
 	u.mu.Unlock()
 }
 
