--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -23,7 +23,8 @@
 }
 
 var scripts = map[string]entry{
-	"late-work": {largeBounds, lateWork},
+	"late-work":  {largeBounds, lateWork},
+	"slow-store": {largeBounds, slowStore},
 }
 
 // largeBounds are the bounds of the large albumnet deployment.
--- a/review/rig2/mesh.go
+++ b/review/rig2/mesh.go
@@ -125,7 +125,7 @@
 		lines = append(lines, "Self.Serves=dispatch_office", "Self.Counted=true", "Self.DataDir="+data, "Self.SizeLimits.MemoryMb=280",
 			"Self.SizeLimits.Fds=4096", "Self.SizeLimits.LineMbps=1000.0", "Self.SizeLimits.CpuShare=0.48", "Self.SizeLimits.DiskMb=256")
 	} else {
-		lines = append(lines, "Self.Serves=branch", "Self.Counted=false", "Self.SizeLimits.MemoryMb=284", "Self.SizeLimits.Fds=4100",
+		lines = append(lines, "Self.Serves=branch", "Self.Counted=false", "Self.SizeLimits.MemoryMb=184", "Self.SizeLimits.Fds=4100",
 			"Self.SizeLimits.LineMbps=1000.0", "Self.SizeLimits.CpuShare=0.32", "Self.SizeLimits.DiskMb=0",
 			"Self.App="+c.at("App"), "Self.Destination="+c.service, "Network.Counters.Inbound="+c.at("Inbound"),
 			"Network.Counters.Outbound="+c.at("Outbound"), "Network.Counters.Ready="+c.at("Ready"))
@@ -177,6 +177,23 @@
 	c.command.Process.Signal(s)
 }
 
+// memoryPeak returns the peak of the process's resident memory in megabytes.
+func (c *machine) memoryPeak() (megabytes int, err error) {
+	c.mu.Lock()
+	pid := c.command.Process.Pid
+	c.mu.Unlock()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0, err
+	}
+	for line := range strings.Lines(string(status)) {
+		if _, err := fmt.Sscanf(line, "VmHWM: %d kB", &megabytes); err == nil {
+			return megabytes >> 10, nil
+		}
+	}
+	return 0, fmt.Errorf("no peak in the status of process %d", pid)
+}
+
 // stop kills the process, if it runs, and waits for its end.
 func (c *machine) stop() {
 	c.mu.Lock()
