Amendments keep routes of the same name at other hosts

Cause: Configuration.Amend matched delivered routes by name alone and removed every other route with that name. Hosts were compared letter by letter, although requests are matched without regard to case. Change: routes are matched by host (without case) and name, and by prefix where a host has a name twice. A delivery at several hosts at once is accepted. A delivery for a host without that route is an addition. Tests: TestAmendKeepsRoutesOfTheSameNameAtOtherHosts, TestAmendTellsRoutesOfTheSameNameAtOneHostApart and TestRandomAmendmentsChangeOnlyWhatTheyName failed before and pass now. TestAmendReplacesByNameAndKeepsTheRest expected that a route of A.example disappears when a route of that name is delivered for B.example and nothing is withdrawn: the fault itself, with one host. It now withdraws the name as well and checks the same results; the new tests check that without a withdrawal the route stays.

--- a/internal/mesh/routing/ambiguity.go
+++ b/internal/mesh/routing/ambiguity.go
@@ -82,14 +82,20 @@
 	var faults errs.Group
 	seen := map[string]bool{}
 	for _, item := range items {
-		switch n := name(item); {
-		case n == "":
-			faults.Add(Error.New("Deliver: %s: Name: must not be empty", list))
-		case seen[n]:
+		n := name(item)
+		faults.Add(checkName(list, n))
+		if seen[n] && n != "" {
 			faults.Add(Error.New("Deliver: %s %s: Name: duplicate name", list, n))
-		default:
-			seen[n] = true
 		}
+		seen[n] = true
 	}
 	return faults.Err()
 }
+
+// checkName rejects an item of an amendment without a name.
+func checkName(list, name string) error {
+	if name == "" {
+		return Error.New("Deliver: %s: Name: must not be empty", list)
+	}
+	return nil
+}
--- a/internal/mesh/routing/amend.go
+++ b/internal/mesh/routing/amend.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"slices"
-	"strings"
 
 	"github.com/zeebo/errs"
 
@@ -34,15 +33,6 @@
 	for name, raw := range c.other {
 		next.other[name] = raw
 	}
-	withdrawn := func(lists ...string) map[string]bool {
-		names := map[string]bool{}
-		for _, list := range lists {
-			for _, name := range request.Withdraw[list] {
-				names[name] = true
-			}
-		}
-		return names
-	}
 	delivered := &Configuration{}
 	if err := delivered.decodeLists(request.Deliver, nil); err != nil {
 		return nil, err
@@ -60,55 +50,9 @@
 			next.other[name] = raw
 		}
 	}
-	next.Tenants = mergeByName(c.Tenants, delivered.Tenants, withdrawn("Senders"), func(t *Tenant) string { return t.Name })
-	next.Services = mergeByName(c.Services, delivered.Services, withdrawn("Depots", "Destinations"), func(s *Service) string { return s.Name })
-
-	// Routes are replaced at their position. A route that is delivered for another host is removed from its previous
-	// one.
-	withdrawnRoutes, withdrawnHosts := withdrawn("Routes", "Regulations"), map[string]bool{}
-	for host := range withdrawn("PostOffices", "Towns") {
-		withdrawnHosts[strings.ToLower(host)] = true
-	}
-	replacements, placed := map[string]*Route{}, map[*Route]bool{}
-	for _, entry := range delivered.hosts {
-		for _, r := range entry.Routes {
-			replacements[r.Name] = r
-		}
-	}
-	byHost := map[string]*hostRoutes{}
-	for _, entry := range c.hosts {
-		if withdrawnHosts[strings.ToLower(entry.Host)] {
-			continue
-		}
-		updated := &hostRoutes{Host: entry.Host}
-		for _, r := range entry.Routes {
-			if replacement := replacements[r.Name]; replacement != nil && replacement.Host == entry.Host && !placed[replacement] {
-				updated.Routes, placed[replacement] = append(updated.Routes, replacement), true
-			} else if replacement == nil && !withdrawnRoutes[r.Name] {
-				updated.Routes = append(updated.Routes, r)
-			}
-		}
-		byHost[entry.Host] = updated
-		next.hosts = append(next.hosts, updated)
-	}
-	for _, entry := range delivered.hosts {
-		if byHost[entry.Host] == nil {
-			byHost[entry.Host] = &hostRoutes{Host: entry.Host}
-			next.hosts = append(next.hosts, byHost[entry.Host])
-		}
-		for _, r := range entry.Routes {
-			if !placed[r] && replacements[r.Name] == r {
-				byHost[entry.Host].Routes = append(byHost[entry.Host].Routes, r)
-			}
-		}
-	}
-	kept := next.hosts[:0]
-	for _, entry := range next.hosts {
-		if len(entry.Routes) > 0 || entry.Host == "" {
-			kept = append(kept, entry)
-		}
-	}
-	next.hosts = kept
+	next.Tenants = mergeByName(c.Tenants, delivered.Tenants, request.withdrawn("Senders"), func(t *Tenant) string { return t.Name })
+	next.Services = mergeByName(c.Services, delivered.Services, request.withdrawn("Depots", "Destinations"), func(s *Service) string { return s.Name })
+	next.hosts = mergeHosts(c.hosts, delivered.hosts, request.withdrawn("Routes", "Regulations"), request.withdrawn("PostOffices", "Towns"))
 	if err := next.indexAndValidate(); err != nil {
 		return nil, err
 	}
@@ -118,6 +62,17 @@
 	return next, next.encodeDocument()
 }
 
+// withdrawn returns the names in the given lists of withdrawn items.
+func (a *amendment) withdrawn(lists ...string) map[string]bool {
+	names := map[string]bool{}
+	for _, list := range lists {
+		for _, name := range a.Withdraw[list] {
+			names[name] = true
+		}
+	}
+	return names
+}
+
 // checkLists rejects unknown lists in an amendment. If they were ignored, the amendment would be acknowledged without
 // taking full effect.
 func (a *amendment) checkLists() error {
@@ -140,14 +95,15 @@
 	withdrawableLists = []string{"Routes", "Regulations", "PostOffices", "Towns", "Depots", "Destinations", "Senders"}
 )
 
-// checkDeliveredNames rejects delivered items that make an amendment ambiguous.
+// checkDeliveredNames rejects delivered items that make an amendment ambiguous. Routes of the same name are told apart by
+// their hosts and prefixes, which findAmbiguities checks.
 func (c *Configuration) checkDeliveredNames() error {
-	var routes []*Route
+	var faults errs.Group
 	for _, host := range c.hosts {
-		routes = append(routes, host.Routes...)
+		for _, r := range host.Routes {
+			faults.Add(checkName("route", r.Name))
+		}
 	}
-	var faults errs.Group
-	faults.Add(checkUniqueNames("route", routes, func(r *Route) string { return r.Name }))
 	faults.Add(checkUniqueNames("Depots", c.Services, func(s *Service) string { return s.Name }))
 	faults.Add(checkUniqueNames("Senders", c.Tenants, func(t *Tenant) string { return t.Name }))
 	return faults.Err()
