Amendments keep the partners that they do not name

Seen: TestAmendKeepsUnnamedPartners failed before: an amendment that delivers one partner removed the others. Cause: the list of partners was replaced as a whole, unlike all other lists of an amendment. Change: partners are merged by name, and Withdraw accepts Partners.

--- a/internal/mesh/routing/amend.go
+++ b/internal/mesh/routing/amend.go
@@ -45,10 +45,11 @@
 			return nil, err
 		}
 	}
-	for _, name := range []string{"Mesh", "Partners"} { // replaced as a whole
-		if raw := request.Deliver[name]; len(raw) > 0 {
-			next.other[name] = raw
-		}
+	if raw := request.Deliver["Mesh"]; len(raw) > 0 {
+		next.other["Mesh"] = raw
+	}
+	if err := next.amendPartners(request.Deliver["Partners"], request.withdrawn("Partners")); err != nil {
+		return nil, err
 	}
 	next.Tenants = mergeByName(c.Tenants, delivered.Tenants, request.withdrawn("Senders"), func(t *Tenant) string { return t.Name })
 	next.Services = mergeByName(c.Services, delivered.Services, request.withdrawn("Depots", "Destinations"), func(s *Service) string { return s.Name })
@@ -92,7 +93,7 @@
 
 var (
 	deliverableLists  = []string{"PostOffices", "Depots", "Senders", "SizeLimits", "Mesh", "Partners"}
-	withdrawableLists = []string{"Routes", "Regulations", "PostOffices", "Towns", "Depots", "Destinations", "Senders"}
+	withdrawableLists = []string{"Routes", "Regulations", "PostOffices", "Towns", "Depots", "Destinations", "Senders", "Partners"}
 )
 
 // checkDeliveredNames rejects delivered items that make an amendment ambiguous. Routes of the same name are told apart by
@@ -109,6 +110,36 @@
 	return faults.Err()
 }
 
+// namedItem is an item of which an amendment needs only the name.
+type namedItem struct {
+	Name string
+	raw  json.RawMessage
+}
+
+// amendPartners changes the partners that the amendment delivers or withdraws and keeps the others.
+func (c *Configuration) amendPartners(deliver json.RawMessage, withdrawn map[string]bool) error {
+	var existing, delivered []*namedItem
+	for list, raw := range map[*[]*namedItem]json.RawMessage{&existing: c.other["Partners"], &delivered: deliver} {
+		if err := decodeItems(raw, "Partners", func(partner *namedItem, raw json.RawMessage) {
+			partner.raw = raw
+			*list = append(*list, partner)
+		}); err != nil {
+			return err
+		}
+	}
+	if len(delivered)+len(withdrawn) == 0 {
+		return nil
+	}
+	name := func(partner *namedItem) string { return partner.Name }
+	if err := checkUniqueNames("Partners", delivered, name); err != nil {
+		return err
+	}
+	merged := mergeByName(existing, delivered, withdrawn, name)
+	raw, err := json.Marshal(rawItems(merged, func(partner *namedItem) json.RawMessage { return partner.raw }))
+	c.other["Partners"] = raw
+	return Error.Wrap(err)
+}
+
 // amendLimits changes the limits that the amendment names and keeps the others.
 func (c *Configuration) amendLimits(raw json.RawMessage) error {
 	if len(raw) == 0 || string(raw) == "null" {
--- a/internal/mesh/routing/amend_test.go
+++ b/internal/mesh/routing/amend_test.go
@@ -164,3 +164,28 @@
 	slices.SortFunc(sorted, func(a, b testRoute) int { return strings.Compare(a.host+" "+a.name, b.host+" "+b.name) })
 	return sorted
 }
+
+// An amendment that delivers one partner must not lose the others.
+func TestAmendKeepsUnnamedPartners(t *testing.T) {
+	partner := func(name, deadline string) string {
+		return fmt.Sprintf(`{"Name":%q,"Gateway":"127.0.0.1:1","Deadline":%q}`, name, deadline)
+	}
+	base, err := Parse([]byte(`{"Edition":7,"Mesh":"west","Partners":[` + partner("east", "1s") + `,` + partner("south", "1s") + `],"Depots":[]}`))
+	must.NoError(t, err)
+	for name, c := range map[string]struct{ change, want string }{
+		"replaced":  {`"Deliver":{"Partners":[` + partner("east", "2s") + `]}`, "east 2s, south 1s"},
+		"added":     {`"Deliver":{"Partners":[` + partner("north", "2s") + `]}`, "east 1s, south 1s, north 2s"},
+		"withdrawn": {`"Withdraw":{"Partners":["east"]}`, "south 1s"},
+	} {
+		amended, err := base.Amend([]byte(`{"Edition":8,` + c.change + `}`))
+		must.NoError(t, err, must.Sprint(name))
+		var got []string
+		for _, p := range amended.Partners {
+			got = append(got, p.Name+" "+strings.TrimSuffix(fmt.Sprint(p.Deadline), "000000000")+"s")
+		}
+		must.Eq(t, c.want, strings.Join(got, ", "), must.Sprint(name))
+		again, err := Parse(amended.Document())
+		must.NoError(t, err, must.Sprint(name))
+		must.Eq(t, amended.Digest(), again.Digest(), must.Sprint(name))
+	}
+}
