Diff tells routes of the same name at several hosts apart

Seen: TestDiffTellsRoutesOfTheSameNameApart failed before: the removal of one host's route was shown as a change of the other host's route. Cause: routes were compared by name and position. Change: a route is named "NAME at HOST" in the output.

--- a/internal/mesh/routing/amend_test.go
+++ b/internal/mesh/routing/amend_test.go
@@ -189,3 +189,10 @@
 		must.Eq(t, amended.Digest(), again.Digest(), must.Sprint(name))
 	}
 }
+
+// The removal of one of two routes of the same name must be shown as the removal of that one, at its host.
+func TestDiffTellsRoutesOfTheSameNameApart(t *testing.T) {
+	a, b := testRoute{"a.example", "issue", "/i/", "x"}, testRoute{"b.example", "issue", "/i/", "x"}
+	must.Eq(t, []string{"- route issue at a.example"}, Diff(parseRoutes(t, a, b), parseRoutes(t, b)))
+	must.Eq(t, []string{"+ route issue at a.example"}, Diff(parseRoutes(t, b), parseRoutes(t, a, b)))
+}
--- a/internal/mesh/routing/diff.go
+++ b/internal/mesh/routing/diff.go
@@ -12,7 +12,7 @@
 	if from.Edition != to.Edition {
 		lines = append(lines, fmt.Sprintf("~ Edition %d -> %d", from.Edition, to.Edition))
 	}
-	lines = append(lines, diffItems("route", from.Routes, to.Routes, func(r *Route) (string, string) { return r.Name, r.Host + " " + canonicalJSON(r.raw) })...)
+	lines = append(lines, diffItems("route", from.Routes, to.Routes, describeRoute)...)
 	lines = append(lines, diffItems("sender", from.Tenants, to.Tenants, func(t *Tenant) (string, string) { return t.Name, canonicalJSON(t.raw) })...)
 	lines = append(lines, diffItems("depot", from.Services, to.Services, func(s *Service) (string, string) { return s.Name, canonicalJSON(s.raw) })...)
 	if a, b := canonicalJSON(from.other["SizeLimits"]), canonicalJSON(to.other["SizeLimits"]); a != b {
@@ -21,6 +21,11 @@
 	return lines
 }
 
+// describeRoute names a route by its host and name, since several hosts may have routes of the same name.
+func describeRoute(r *Route) (name, text string) {
+	return r.Name + " at " + r.Host, canonicalJSON(r.raw)
+}
+
 // canonicalJSON returns JSON with sorted fields and without white space. Text that is not valid JSON is returned as it
 // is.
 func canonicalJSON(raw json.RawMessage) string {
