Acknowledged departures of upstreams outlive the process of their proxy

Cause: that an instance had signed off, or was closing, was known to the memory of one process. The next process took the first heartbeat for news, and before any heartbeat it passed requests on unchecked. A new process learns the departures of its node by a majority read and holds heartbeats and requests until then. An instance that this process never heard of can sign off. Why it works: a decided state is on the disks of a quorum; the read begins after the new process has started, so it sees each departure that was acknowledged before. Tests of internal/mesh passed.

--- a/internal/mesh/consensus/state.go
+++ b/internal/mesh/consensus/state.go
@@ -35,6 +35,8 @@
 	Epoch           uint64          `json:"Reign"`      // increases with each change of the coordinator
 	Credit          json.RawMessage `json:",omitempty"` // burst credit accounts of the tenants (burstcredit)
 	Imports         json.RawMessage `json:",omitempty"` // exports of partner meshes that are in use (federation)
+
+	Departures []NodeDepartures `json:",omitempty"` // upstream instances that no request may reach any more
 }
 
 // Majority is the number of core members that intersects with every quorum.
--- a/internal/mesh/controller/controller.go
+++ b/internal/mesh/controller/controller.go
@@ -65,6 +65,7 @@
 	wake           chan struct{}
 	tokenGranter   tokenGranter
 	credit         creditSettler
+	departures     departureRecorder
 	partnerState   partnerTracker
 
 	coordinating       atomic.Bool // the tasks of the coordinator are running
@@ -243,6 +244,7 @@
 	mux.HandleFunc(rpc.PathGossip, rpc.Handle(c.handleGossip))
 	mux.HandleFunc(rpc.PathWatch, rpc.Handle(c.handleWatch))
 	mux.HandleFunc(rpc.PathConfiguration, rpc.Handle(c.handleConfiguration))
+	mux.HandleFunc(rpc.PathDepartures, rpc.Handle(c.handleDeparture))
 	mux.HandleFunc(rpc.PathTokens, rpc.Handle(c.handleTokenRequest))
 	mux.HandleFunc(rpc.PathPartnerOrder, rpc.Handle(c.handlePartnerOrder))
 	mux.HandleFunc(rpc.PathCreditReport, rpc.Handle(c.handleCreditReport))
--- a/internal/mesh/membership/membership.go
+++ b/internal/mesh/membership/membership.go
@@ -118,6 +118,18 @@
 	Current bool   `json:",omitempty"` // a majority of the core recently confirmed Index as the newest state
 }
 
+// DepartureRequest asks for the departed upstream instances on the machine of a proxy. If Instance is set, the departure
+// of this instance is recorded first.
+type DepartureRequest struct {
+	Node     string
+	Instance string `json:",omitempty"`
+}
+
+// DepartureResponse has all departures of a node that had been recorded when the request arrived, and the requested one.
+type DepartureResponse struct {
+	Departed []string `json:",omitempty"`
+}
+
 // ControllerAddress is the address and the zone of a controller.
 type ControllerAddress struct {
 	Address string `json:"At"`
--- a/internal/mesh/proxy/lifecycle.go
+++ b/internal/mesh/proxy/lifecycle.go
@@ -94,6 +94,7 @@
 
 // Run serves until the context ends, and then until open requests have ended or Grace is nearly over.
 func (p *Proxy) Run(ctx context.Context) error {
+	p.local.holdHeartbeats()
 	running, err := p.listen()
 	if err != nil {
 		return err
@@ -103,6 +104,7 @@
 	}
 	go p.counters.LogPeriodically(p.log, countersInterval, p.done)
 	watchContext, cancelWatch := context.WithCancel(context.Background())
+	go p.learnDepartures(watchContext)
 	go p.watch(watchContext)
 	go p.fetchConfigurations(watchContext)
 	go p.runTokenDraws(watchContext)
--- a/internal/mesh/proxy/local_upstream.go
+++ b/internal/mesh/proxy/local_upstream.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -9,7 +8,6 @@
 	"ottershift/internal/mesh/membership"
 	"ottershift/internal/mesh/outlier"
 	"ottershift/internal/mesh/priority"
-	"ottershift/internal/mesh/settings"
 )
 
 // maxUnanswered is the number of consecutive connection attempts without an answer after which the upstream counts as
@@ -22,8 +20,10 @@
 type localUpstream struct {
 	mu            sync.Mutex
 	drain         time.Duration
-	id            string   // of the present instance, "" for none
-	endedIDs      []string // of previous instances, the last 8
+	id            string // of the present instance, "" for none
+	instances     instanceHistory
+	learning      bool            // the departures before this process are not known yet
+	held          []heldHeartbeat // heartbeats that arrived meanwhile
 	address       string
 	reported      membership.Upstream
 	revision      int64
@@ -39,35 +39,90 @@
 	changed       chan struct{} // closed at the next change
 }
 
+// maxHeldHeartbeats is the number of heartbeats that are kept until the departures are known. The oldest is dropped.
+const maxHeldHeartbeats = 16
+
+// heldHeartbeat is a heartbeat that is applied once the departures are known.
+type heldHeartbeat struct {
+	id      string
+	message *heartbeatMessage
+}
+
 // newLocalUpstream returns the state of an upstream that has sent no heartbeat yet.
 func newLocalUpstream(drain time.Duration, app string) *localUpstream {
 	return &localUpstream{drain: drain, address: app, changed: make(chan struct{}), epoch: time.Now()}
 }
 
+// holdHeartbeats keeps heartbeats and refuses requests until applyDepartures.
+func (u *localUpstream) holdHeartbeats() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.learning = true
+}
+
+// applyDepartures records the instances that departed before this process started, then applies the held heartbeats.
+func (u *localUpstream) applyDepartures(departed []string, now time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, id := range departed {
+		u.instances.end(id)
+		u.instances.record(id)
+	}
+	u.learning = false
+	for _, heartbeat := range u.held {
+		u.applyHeartbeat(heartbeat.id, heartbeat.message, now)
+	}
+	u.held = nil
+}
+
+// isRecorded reports whether the core has agreed that an instance has departed.
+func (u *localUpstream) isRecorded(id string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.instances.isRecorded(id)
+}
+
+// setRecorded notes that the core has agreed that an instance has departed.
+func (u *localUpstream) setRecorded(id string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.instances.record(id)
+}
+
 // heartbeat applies a heartbeat of the upstream. One that is out of order or belongs to an ended instance is ignored.
 func (u *localUpstream) heartbeat(id string, message *heartbeatMessage, now time.Time) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if slices.Contains(u.endedIDs, id) || id == u.id && message.Status.PostmarkNo <= u.revision {
+	if u.learning {
+		u.held = append(u.held, heldHeartbeat{id, message})
+		u.held = u.held[max(0, len(u.held)-maxHeldHeartbeats):]
 		return
 	}
-	cold, _ := settings.ParseDuration(message.Status.Cold_time)
-	reported := membership.Upstream{
-		ID: id, Service: message.Notice.Destination, Version: message.Notice.Edition, Capacity: message.Notice.Capacity,
-		Draining: message.Status.Condition == "closing", WarmupRemaining: int64(cold),
+	u.applyHeartbeat(id, message, now)
+}
+
+// applyHeartbeat is heartbeat with mu held.
+func (u *localUpstream) applyHeartbeat(id string, message *heartbeatMessage, now time.Time) {
+	closing := message.isClosing()
+	if u.instances.hasEnded(id) || id == u.id && message.Status.PostmarkNo <= u.revision {
+		return
 	}
 	first := id != u.id
 	if first {
-		u.endCurrent()
-		u.id, u.closingAt, u.active, u.detector = id, time.Time{}, 0, outlier.Detector{}
+		if u.id != "" {
+			u.instances.end(u.id)
+		}
+		u.id, u.reported = id, membership.Upstream{}
+		u.closingAt, u.active, u.detector = time.Time{}, 0, outlier.Detector{}
 	}
-	reported.OutlierLevel = u.detector.Level()
-	if reported.Draining && u.closingAt.IsZero() {
+	if closing && u.closingAt.IsZero() {
 		u.closingAt = now
 		if first { // a previous proxy process may have acknowledged the closing, and Drain counts from then
 			u.closingAt = now.Add(-u.drain)
 		}
 	}
+	reported := message.upstream(id)
+	reported.OutlierLevel = u.detector.Level()
 	normalized := reported
 	normalized.WarmupRemaining = u.reported.WarmupRemaining
 	altered := normalized != u.reported || u.unreachable
@@ -80,24 +135,19 @@
 	}
 }
 
-// signOff ends an instance.
+// signOff ends an instance, also one that has sent no heartbeat to this process.
 func (u *localUpstream) signOff(id string) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.instances.end(id)
 	if id == u.id {
-		u.endCurrent()
+		u.clearInstance()
 		u.notify()
 	}
 }
 
-// endCurrent marks the present instance as ended, so that later messages about it are ignored. The caller holds mu.
-func (u *localUpstream) endCurrent() {
-	if u.id != "" {
-		u.endedIDs = append(u.endedIDs, u.id)
-		u.endedIDs = u.endedIDs[max(0, len(u.endedIDs)-8):]
-	}
-	u.id, u.reported = "", membership.Upstream{}
-}
+// clearInstance leaves no present instance. The caller holds mu.
+func (u *localUpstream) clearInstance() { u.id, u.reported = "", membership.Upstream{} }
 
 // observe records the outcome of a request at the upstream for outlier detection.
 func (u *localUpstream) observe(id string, failed bool, now time.Time) {
@@ -186,9 +236,11 @@
 // addressOf returns the address for a request to an instance, regardless of free slots. The caller holds mu.
 func (u *localUpstream) addressOf(id string, now time.Time) (address string, kind apierror.Kind) {
 	switch {
+	case u.learning:
+		return "", apierror.NoCapacity
 	case u.id != "" && id != u.id:
 		return "", apierror.Misdirected
-	case u.id == "" && slices.Contains(u.endedIDs, id):
+	case u.id == "" && u.instances.hasEnded(id):
 		return "", apierror.Misdirected
 	case !u.closingAt.IsZero() && now.Sub(u.closingAt) > u.drain*3/4: // the last quarter of Drain is for requests under way
 		return "", apierror.Misdirected
--- a/internal/mesh/rpc/paths.go
+++ b/internal/mesh/rpc/paths.go
@@ -7,6 +7,7 @@
 	PathGossip        = "/hive/mingle"        // gossip about registered proxies and peers between controllers
 	PathWatch         = "/hive/ask"           // a proxy's watch of its controller
 	PathConfiguration = "/mesh/configuration" // chunks of the configuration for a proxy
+	PathDepartures    = "/mesh/departures"    // records and returns departed upstream instances of a proxy's machine
 	PathTokens        = "/hive/draw"          // quota tokens for a proxy
 	PathPartnerOrder  = "/hive/partner"       // an operator's order on a partner mesh
 	PathCreditReport  = "/hive/nectar"        // a proxy's report on its burst credit
--- a/internal/mesh/rpc/rpc.go
+++ b/internal/mesh/rpc/rpc.go
@@ -21,6 +21,9 @@
 // Error is the class of errors of failed calls.
 var Error = errs.Class("rpc")
 
+// ErrUnknownPath is returned by calls to a process of a previous release that does not have the path.
+var ErrUnknownPath = Error.New("the process has no such path")
+
 const (
 	maxBodyBytes = 64 << 20
 	peerTimeout  = time.Second // after which a peer that acknowledges no data is considered unreachable
@@ -99,7 +102,11 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	if httpResponse.StatusCode != http.StatusOK {
+	switch httpResponse.StatusCode {
+	case http.StatusOK:
+	case http.StatusNotFound:
+		return ErrUnknownPath
+	default:
 		return Error.New("%s returned status %d: %.200s", name, httpResponse.StatusCode, raw)
 	}
 	return Error.Wrap(json.Unmarshal(raw, response))
--- a/internal/mesh/testmesh/upstream.go
+++ b/internal/mesh/testmesh/upstream.go
@@ -28,6 +28,7 @@
 	controlAddress  string
 	heartbeatSeq    atomic.Int64
 	draining        atomic.Bool
+	paused          atomic.Bool // no heartbeats are sent by themselves
 	stop            chan struct{}
 	stopOnce        sync.Once
 
@@ -128,6 +129,23 @@
 	return u.sendHeartbeat()
 }
 
+// SignOff announces that the upstream ends, and reports whether the proxy acknowledged it. The upstream goes on serving
+// and sends no more heartbeats.
+func (u *Upstream) SignOff() bool {
+	u.PauseHeartbeats()
+	return u.callProxy("servers.sign_off", nil)
+}
+
+// PauseHeartbeats ends the heartbeats that the upstream sends by itself.
+func (u *Upstream) PauseHeartbeats() { u.paused.Store(true) }
+
+// LateHeartbeat returns a function that sends a heartbeat as it is due now, and reports whether the proxy acknowledged
+// it.
+func (u *Upstream) LateHeartbeat() (send func() bool) {
+	body := u.heartbeatBody()
+	return func() bool { return u.callProxy("servers.check_in", body) }
+}
+
 // Stop stops the upstream without announcing it.
 func (u *Upstream) Stop() {
 	u.stopOnce.Do(func() { close(u.stop) })
@@ -152,7 +170,9 @@
 	ticker := time.NewTicker(100 * time.Millisecond)
 	defer ticker.Stop()
 	for {
-		u.sendHeartbeat()
+		if !u.paused.Load() {
+			u.sendHeartbeat()
+		}
 		select {
 		case <-ticker.C:
 		case <-u.stop:
@@ -163,7 +183,10 @@
 
 var heartbeatClient = http.Client{Timeout: time.Second}
 
-func (u *Upstream) sendHeartbeat() bool {
+func (u *Upstream) sendHeartbeat() bool { return u.callProxy("servers.check_in", u.heartbeatBody()) }
+
+// heartbeatBody returns the body of the next heartbeat.
+func (u *Upstream) heartbeatBody() []byte {
 	state := "accepting"
 	if u.draining.Load() {
 		state = "closing"
@@ -172,7 +195,12 @@
 		"Address": u.address, "Notice": map[string]any{"Destination": u.Service, "Edition": "v1", "District": "z", "Capacity": u.Capacity},
 		"Status": map[string]any{"Condition": state, "PostmarkNo": u.heartbeatSeq.Add(1), "Cold_time": "0ms"},
 	})
-	response, err := heartbeatClient.Post("http://"+u.controlAddress+"/-/rpc?call=servers.check_in&of="+u.ID, "application/json", bytes.NewReader(body))
+	return body
+}
+
+// callProxy calls the proxy beside the upstream and reports whether the proxy acknowledged the call.
+func (u *Upstream) callProxy(call string, body []byte) bool {
+	response, err := heartbeatClient.Post("http://"+u.controlAddress+"/-/rpc?call="+call+"&of="+u.ID, "application/json", bytes.NewReader(body))
 	if err != nil {
 		return false
 	}
