A late heartbeat neither displaces a running instance for good nor revokes a closing

After a restart of the proxy, one late heartbeat of an earlier instance made all later heartbeats of the running one count as those of an ended instance: the upstream was lost until its next start. A closing with an earlier number than the last heartbeat was acknowledged and ignored, and a heartbeat after a closing listed the instance as accepting again. Cause: an instance was known as the newer one by the order in which heartbeats arrive, and whether a closing counts by its number. Change: an instance that was replaced without a sign-off returns after two heartbeats in a row; a closing is final in any order and never makes its instance the present one in place of another.

--- a/internal/mesh/proxy/local_upstream.go
+++ b/internal/mesh/proxy/local_upstream.go
@@ -104,14 +104,21 @@
 // applyHeartbeat is heartbeat with mu held.
 func (u *localUpstream) applyHeartbeat(id string, message *heartbeatMessage, now time.Time) {
 	closing := message.isClosing()
-	if u.instances.hasEnded(id) || id == u.id && message.Status.PostmarkNo <= u.revision {
+	switch {
+	case id == u.id && message.Status.PostmarkNo <= u.revision:
+		if closing { // a closing is final, in whatever order it arrives
+			u.startClosing(now)
+		}
+		return
+	case id != u.id && closing && u.id != "": // a late message: the present instance has replaced it
+		u.instances.end(id)
+		return
+	case !u.instances.accept(id, message.Status.PostmarkNo, u.id):
 		return
 	}
 	first := id != u.id
 	if first {
-		if u.id != "" {
-			u.instances.end(u.id)
-		}
+		u.instances.supersede(u.id, u.revision)
 		u.id, u.reported = id, membership.Upstream{}
 		u.closingAt, u.active, u.detector = time.Time{}, 0, outlier.Detector{}
 	}
@@ -122,6 +129,7 @@
 		}
 	}
 	reported := message.upstream(id)
+	reported.Draining = !u.closingAt.IsZero()
 	reported.OutlierLevel = u.detector.Level()
 	normalized := reported
 	normalized.WarmupRemaining = u.reported.WarmupRemaining
@@ -135,6 +143,14 @@
 	}
 }
 
+// startClosing marks the present instance as closing. The caller holds mu.
+func (u *localUpstream) startClosing(now time.Time) {
+	if u.closingAt.IsZero() {
+		u.closingAt, u.reported.Draining = now, true
+		u.notify()
+	}
+}
+
 // signOff ends an instance, also one that has sent no heartbeat to this process.
 func (u *localUpstream) signOff(id string) {
 	u.mu.Lock()
@@ -240,7 +256,7 @@
 		return "", apierror.NoCapacity
 	case u.id != "" && id != u.id:
 		return "", apierror.Misdirected
-	case u.id == "" && u.instances.hasEnded(id):
+	case u.id == "" && u.instances.isPrevious(id):
 		return "", apierror.Misdirected
 	case !u.closingAt.IsZero() && now.Sub(u.closingAt) > u.drain*3/4: // the last quarter of Drain is for requests under way
 		return "", apierror.Misdirected
