meshsim run: soak with departures, late heartbeats and amendments of several hosts

Change: a run with soak = true draws faults of all kinds from its seed, has upstreams crash, close, sign off, serve on and return, sends heartbeats seconds late, amends several hosts at once, and judges departures, acknowledgements, upstreams without requests, and routes. Two more kinds of faults; a killed process is waited for before its successor starts.

--- a/cmd/meshsim/run.go
+++ b/cmd/meshsim/run.go
@@ -19,11 +19,14 @@
 	file := run.Arg("file", "Question, TOML, with a table [run].").Required().ExistingFile()
 	seed := run.Flag("seed", "Seed of the clients.").Uint64()
 	short := run.Flag("short", "Run the short form.").Bool()
+	proxies := run.Flag("proxies", "Number of proxies, in place of the question's.").Int()
+	controllers := run.Flag("controllers", "Number of controllers, in place of the question's.").Int()
 	return command{run.FullCommand(), func(app *kingpin.Application) {
 		q := readQuestion(app, *file)
 		if *seed > 0 {
 			q.Seed = *seed
 		}
+		app.FatalIfError(q.Resize(*controllers, *proxies), "")
 		playProcesses(app, flags, q, *short)
 	}}
 }
--- a/internal/mesh/simulation/processes/configuration_judge.go
+++ b/internal/mesh/simulation/processes/configuration_judge.go
@@ -50,8 +50,13 @@
 
 // connected reports whether the proxy had no outage from reconnectBound before the probe until the end of the probe.
 func (j *configurationJudge) connected(p *probe) bool {
-	return !slices.ContainsFunc(j.outages, func(t outage) bool {
-		return (t.proxy < 0 || t.proxy == p.proxy) && p.done >= t.start && p.sent <= t.end+reconnectBound
+	return connected(j.outages, p.proxy, p.sent, p.done)
+}
+
+// connected reports whether a proxy had no outage from reconnectBound before a time until another one.
+func connected(outages []outage, proxy int, from, until time.Duration) bool {
+	return !slices.ContainsFunc(outages, func(t outage) bool {
+		return (t.proxy < 0 || t.proxy == proxy) && until >= t.start && from <= t.end+reconnectBound
 	})
 }
 
--- a/internal/mesh/simulation/processes/faults.go
+++ b/internal/mesh/simulation/processes/faults.go
@@ -17,10 +17,12 @@
 	FreezeProxy      = "freeze_proxy"
 	WipeController   = "wipe_controller" // killed, and its data directory emptied
 	TermProxy        = "term_proxy"
+	TermController   = "term_controller"
+	HangUpProxy      = "hup_proxy" // reads its settings again
 )
 
 // Kinds lists all kinds of faults.
-var Kinds = []string{KillController, KillProxy, KillAll, FreezeController, FreezeProxy, WipeController, TermProxy}
+var Kinds = []string{KillController, KillProxy, KillAll, FreezeController, FreezeProxy, WipeController, TermProxy, TermController, HangUpProxy}
 
 // Fault is a fault that begins at a given time and lasts for a given duration.
 type Fault struct {
@@ -45,7 +47,9 @@
 		switch {
 		case strings.HasPrefix(f.Kind, "freeze"):
 			p.signal(syscall.SIGSTOP, false)
-		case f.Kind == TermProxy:
+		case f.Kind == HangUpProxy:
+			p.signal(syscall.SIGHUP, false)
+		case f.Kind == TermProxy || f.Kind == TermController:
 			p.signal(syscall.SIGTERM, true)
 		default:
 			p.signal(syscall.SIGKILL, true)
@@ -57,7 +61,10 @@
 			p.signal(syscall.SIGCONT, false)
 			continue
 		}
-		p.signal(syscall.SIGKILL, true) // a process that was sent SIGTERM has exited by now
+		if f.Kind == HangUpProxy {
+			continue
+		}
+		p.kill() // a process that was sent SIGTERM has exited by now
 		if f.Kind == WipeController {
 			os.RemoveAll(p.settings.DataDir)
 			os.MkdirAll(p.settings.DataDir, 0o755)
@@ -81,9 +88,9 @@
 	switch f.Kind {
 	case KillAll:
 		return true
-	case KillController, FreezeController, WipeController:
+	case KillController, FreezeController, WipeController, TermController:
 		return n == f.Who%h.Controllers
-	case KillProxy, FreezeProxy, TermProxy:
+	case KillProxy, FreezeProxy, TermProxy, HangUpProxy:
 		return n == h.Controllers+f.Who%h.Proxies
 	}
 	return false
--- a/internal/mesh/simulation/processes/judge.go
+++ b/internal/mesh/simulation/processes/judge.go
@@ -22,6 +22,15 @@
 			h.outcome.ByProxy[n].Runs += count
 		}
 	}
+	for _, life := range h.lives {
+		if life.upstream == h.upstreams[life.proxy] {
+			continue
+		}
+		for id, count := range life.upstream.RunsByAttempt() {
+			runs[id] += count
+			h.outcome.ByProxy[life.proxy].Runs += count
+		}
+	}
 	if h.partner != nil {
 		ran, effects := h.partner.Runs()
 		for id, count := range ran {
@@ -129,6 +138,14 @@
 	if len(o.NarrowingDelays) > 0 {
 		fmt.Fprintf(out, "partner: %d writes ran, %d narrowings complete, after at most %v\n", o.PartnerEffects, len(o.NarrowingDelays), slices.Max(o.NarrowingDelays).Round(time.Millisecond))
 	}
+	if o.Departures > 0 {
+		slices.Sort(o.DepartureDelays)
+		acknowledged := "none acknowledged"
+		if n := len(o.DepartureDelays); n > 0 {
+			acknowledged = fmt.Sprintf("%d acknowledged, after %v (median), %v (maximum)", n, o.DepartureDelays[n/2].Round(100*time.Microsecond), o.DepartureDelays[n-1].Round(time.Millisecond))
+		}
+		fmt.Fprintf(out, "upstreams: %d departures, %s; %d crashes; %d probes of routes\n", o.Departures, acknowledged, o.Crashes, o.RouteProbes)
+	}
 	verdict := "held"
 	if len(o.Violations) > 0 {
 		verdict = "broken"
--- a/internal/mesh/simulation/processes/processes.go
+++ b/internal/mesh/simulation/processes/processes.go
@@ -38,6 +38,7 @@
 	ExtraRate            float64       // largest rate above the limit while burst credit is spent
 	PartnerInterval      time.Duration // between two changes of the partner's exports, 0 for no partner
 	VersionInterval      time.Duration // between two probed configuration versions, 0 for a version every 3 s and no probes
+	Soak                 bool          // faults are drawn, upstreams come and go, and amendments concern several hosts
 	Logs                 string        // folder for the log files of the processes, "" for none
 }
 
@@ -67,6 +68,10 @@
 	InForceDelays   []time.Duration // from the acknowledgement of a version until it was seen in force, for each proxy
 	AddedRoutes     servedCount     // probes of routes added by versions
 	FirstRoutes     servedCount     // probes of routes of the first version
+	Departures      int             // closings and sign-offs of upstreams
+	DepartureDelays []time.Duration // until those that were acknowledged were
+	Crashes         int             // ends of upstreams without a word
+	RouteProbes     int             // requests that probe for the routes of several hosts
 }
 
 type process struct {
@@ -75,7 +80,8 @@
 	settingsFile  string
 	mu            sync.Mutex
 	cmd           *exec.Cmd
-	exitExpected  bool // set while a fault has stopped the process
+	exited        chan struct{} // closed when cmd has exited
+	exitExpected  bool          // set while a fault has stopped the process
 }
 
 type harness struct {
@@ -92,6 +98,8 @@
 	startedAt time.Time
 
 	versionLog versionLog
+	lives      []*upstreamLife // of a soak, guarded by mu
+	routeLog   routeLog
 
 	afterFaults [2]int // requests sent and served after the end of all faults
 	exits       sync.WaitGroup
@@ -136,20 +144,26 @@
 	ctx, cancel := context.WithTimeout(ctx, m.Length)
 	defer cancel()
 	var tasks sync.WaitGroup
+	if m.Soak {
+		h.Faults = append(h.Faults, drawFaults(&h.Mesh)...)
+	}
 	faultsEnd := time.Duration(0)
-	for _, f := range m.Faults {
+	for _, f := range h.Faults {
 		faultsEnd = max(faultsEnd, f.At+f.For)
 		tasks.Go(func() { h.injectFault(ctx, f, logf) })
 	}
 	h.startedAt = time.Now()
-	if m.VersionInterval > 0 {
+	switch {
+	case m.Soak:
+		h.startSoak(ctx, &tasks, logf)
+	case m.VersionInterval > 0:
 		h.versionLog.recordSent(firstVersion, 0, 0)
 		h.versionLog.recordAcknowledged(firstVersion, 1)
 		tasks.Go(func() { h.changeVersions(ctx, logf) })
 		for n := range h.plan.Proxies {
 			tasks.Go(func() { h.probeVersions(ctx, n) })
 		}
-	} else {
+	default:
 		tasks.Go(func() { h.changeConfiguration(ctx, logf) })
 	}
 	if h.partner != nil {
@@ -164,6 +178,9 @@
 	if m.VersionInterval > 0 {
 		h.judgeVersions()
 	}
+	if m.Soak {
+		h.judgeSoak()
+	}
 	return &h.outcome, nil
 }
 
--- a/internal/mesh/simulation/processes/processes_test.go
+++ b/internal/mesh/simulation/processes/processes_test.go
@@ -45,7 +45,7 @@
 func TestFaultsOfControllersHitControllers(t *testing.T) {
 	h := &harness{Mesh: Mesh{Controllers: 3, Proxies: 2}}
 	want := map[string][]int{
-		KillController: {1}, FreezeController: {1}, WipeController: {1}, KillProxy: {3}, FreezeProxy: {3}, TermProxy: {3}, KillAll: {0, 1, 2, 3, 4},
+		KillController: {1}, FreezeController: {1}, WipeController: {1}, KillProxy: {3}, FreezeProxy: {3}, TermProxy: {3}, TermController: {1}, HangUpProxy: {3}, KillAll: {0, 1, 2, 3, 4},
 	}
 	for _, kind := range Kinds {
 		var affected []int
--- a/internal/mesh/simulation/processes/start.go
+++ b/internal/mesh/simulation/processes/start.go
@@ -20,6 +20,8 @@
 	"ottershift/internal/mesh/testmesh"
 )
 
+const gracePeriod = 3 * time.Second // of the proxies
+
 func (h *harness) startMesh() error {
 	add := func(program string, node *settings.Settings) error {
 		p := &process{name: node.Node, program: filepath.Join(h.Programs, program), settings: node, settingsFile: filepath.Join(h.dir, node.Node+".conf")}
@@ -38,7 +40,7 @@
 		}
 	}
 	for n, node := range h.plan.Proxies {
-		node.Bounds.Grace = 3 * time.Second
+		node.Bounds.Grace = gracePeriod
 		if err := add("proxy", node); err != nil {
 			return err
 		}
@@ -72,11 +74,13 @@
 	if err := cmd.Start(); err != nil {
 		return Error.New("%s: %v", p.program, err)
 	}
+	exited := make(chan struct{})
 	p.mu.Lock()
-	p.cmd, p.exitExpected = cmd, false
+	p.cmd, p.exited, p.exitExpected = cmd, exited, false
 	p.mu.Unlock()
 	h.exits.Go(func() {
 		err := cmd.Wait()
+		close(exited)
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		if p.cmd == cmd && !p.exitExpected {
@@ -94,10 +98,22 @@
 	p.cmd.Process.Signal(s)
 }
 
+// kill ends the process, if it still runs, and waits until its addresses are free.
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL, true)
+	p.mu.Lock()
+	exited := p.exited
+	p.mu.Unlock()
+	<-exited
+}
+
 func (h *harness) stop() {
 	for _, upstream := range h.upstreams {
 		upstream.Stop()
 	}
+	for _, life := range h.lives {
+		life.upstream.Stop()
+	}
 	for _, p := range h.processes {
 		p.signal(syscall.SIGCONT, true)
 		p.signal(syscall.SIGKILL, true)
--- a/internal/mesh/simulation/run.go
+++ b/internal/mesh/simulation/run.go
@@ -4,6 +4,7 @@
 	"time"
 
 	validation "github.com/go-ozzo/ozzo-validation/v4"
+	"github.com/zeebo/errs"
 
 	"ottershift/internal/mesh/simulation/processes"
 )
@@ -19,6 +20,7 @@
 	TenantRate                 float64  `toml:"tenant_rate"`
 	Partner                    duration // interval between two announcements of the partner, 0 for no partner
 	Versions                   duration // interval between two configuration versions whose propagation is measured, 0 for none
+	Soak                       bool     // faults are drawn from the seed, upstreams come and go, and amendments concern several hosts
 	Faults                     []Fault
 }
 
@@ -42,16 +44,36 @@
 	if settings.Versions != 0 {
 		check("run.versions", int64(settings.Versions), validation.Min(10*Millisecond))
 	}
+	if settings.Soak {
+		check("run.length", int64(settings.Length), validation.Min(int64(processes.MinSoakLength)))
+	}
 	check("run.rate", settings.Rate, validation.Required, validation.Min(1.0), validation.Max(5000.0))
 	check("run.size", settings.Size, validation.Min(0), validation.Max(8<<20))
 	return validateFaults("run", settings.Faults, processes.Kinds, settings.Length)
 }
 
+// Resize changes the numbers of controllers and proxies of the mesh of real processes. Zero keeps a number.
+func (question *Question) Resize(controllers, proxies int) error {
+	if controllers != 0 {
+		question.Run.Controllers = controllers
+	}
+	if proxies != 0 {
+		question.Run.Proxies = proxies
+	}
+	var faults errs.Group
+	faults.Add(question.Run.validate(func(key string, v any, rules ...validation.Rule) {
+		if err := validation.Validate(v, rules...); err != nil {
+			faults.Add(Error.New("%s: %v", key, err))
+		}
+	}))
+	return faults.Err()
+}
+
 // ProcessMesh returns the mesh of real processes that the question describes. short selects its short form.
 func (question *Question) ProcessMesh(programs, logs string, short bool) processes.Mesh {
 	settings := question.Run
 	mesh := processes.Mesh{Programs: programs, Logs: logs, Controllers: settings.Controllers, Proxies: settings.Proxies, Zones: settings.Zones, Services: settings.Services,
-		Length: time.Duration(settings.Length), Rate: settings.Rate, ProcessingTime: time.Duration(settings.Work), ResponseBytes: settings.Size, IdleRoutes: settings.Routes, Credit: settings.Credit, ExtraRate: settings.Extra, TenantRate: settings.TenantRate, Seed: question.Seed, PartnerInterval: time.Duration(settings.Partner), VersionInterval: time.Duration(settings.Versions)}
+		Length: time.Duration(settings.Length), Rate: settings.Rate, ProcessingTime: time.Duration(settings.Work), ResponseBytes: settings.Size, IdleRoutes: settings.Routes, Credit: settings.Credit, ExtraRate: settings.Extra, TenantRate: settings.TenantRate, Seed: question.Seed, PartnerInterval: time.Duration(settings.Partner), VersionInterval: time.Duration(settings.Versions), Soak: settings.Soak}
 	if short && settings.Short > 0 {
 		mesh.Length = time.Duration(settings.Short)
 	}
--- a/internal/mesh/testmesh/upstream.go
+++ b/internal/mesh/testmesh/upstream.go
@@ -28,17 +28,19 @@
 	controlAddress  string
 	heartbeatSeq    atomic.Int64
 	draining        atomic.Bool
-	paused          atomic.Bool // no heartbeats are sent by themselves
+	paused          atomic.Bool                          // no heartbeats are sent by themselves
+	heartbeatDelay  atomic.Pointer[func() time.Duration] // nil if heartbeats are sent when they are due
 	stop            chan struct{}
 	stopOnce        sync.Once
 
 	mu          sync.Mutex
-	sizes       map[string]int    // response sizes by path prefix, where they differ from ResponseSize
-	runs        map[string]int    // by attempt ID
-	lastHeaders map[string]string // headers of the last request
-	injections  []Injection       // faults of the next requests
-	faultsMet   map[string]Fault  // the last fault of each attempt, by attempt ID
-	hijacked    map[net.Conn]bool // connections that are taken over from the HTTP server
+	sizes       map[string]int       // response sizes by path prefix, where they differ from ResponseSize
+	runs        map[string]int       // by attempt ID
+	lastRun     map[string]time.Time // when the last run of each attempt began, by attempt ID
+	lastHeaders map[string]string    // headers of the last request
+	injections  []Injection          // faults of the next requests
+	faultsMet   map[string]Fault     // the last fault of each attempt, by attempt ID
+	hijacked    map[net.Conn]bool    // connections that are taken over from the HTTP server
 	connections int
 }
 
@@ -55,6 +57,7 @@
 		stop:           make(chan struct{}),
 		sizes:          map[string]int{},
 		runs:           map[string]int{},
+		lastRun:        map[string]time.Time{},
 		lastHeaders:    map[string]string{},
 		faultsMet:      map[string]Fault{},
 		hijacked:       map[net.Conn]bool{},
@@ -99,6 +102,19 @@
 	return maps.Clone(u.runs)
 }
 
+// RunsAfter returns when runs began that began after a time, by attempt ID.
+func (u *Upstream) RunsAfter(limit time.Time) map[string]time.Time {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	later := map[string]time.Time{}
+	for id, began := range u.lastRun {
+		if began.After(limit) {
+			later[id] = began
+		}
+	}
+	return later
+}
+
 // TotalRuns returns the number of runs of all attempts.
 func (u *Upstream) TotalRuns() (total int) {
 	u.mu.Lock()
@@ -139,6 +155,10 @@
 // PauseHeartbeats ends the heartbeats that the upstream sends by itself.
 func (u *Upstream) PauseHeartbeats() { u.paused.Store(true) }
 
+// DelayHeartbeats makes each heartbeat arrive some time after it was due, also after the upstream has ended. delay is
+// called for each of them, from one goroutine.
+func (u *Upstream) DelayHeartbeats(delay func() time.Duration) { u.heartbeatDelay.Store(&delay) }
+
 // LateHeartbeat returns a function that sends a heartbeat as it is due now, and reports whether the proxy acknowledged
 // it.
 func (u *Upstream) LateHeartbeat() (send func() bool) {
@@ -166,12 +186,20 @@
 	u.connections++
 }
 
+const heartbeatInterval = 100 * time.Millisecond
+
 func (u *Upstream) sendHeartbeats() {
-	ticker := time.NewTicker(100 * time.Millisecond)
+	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
 	for {
-		if !u.paused.Load() {
+		delay := u.heartbeatDelay.Load()
+		switch {
+		case u.paused.Load():
+		case delay == nil:
 			u.sendHeartbeat()
+		default:
+			send := u.LateHeartbeat()
+			time.AfterFunc((*delay)(), func() { send() })
 		}
 		select {
 		case <-ticker.C:
@@ -299,7 +327,9 @@
 func (u *Upstream) recordRun(r *http.Request) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.runs[r.Header.Get("X-Attempt-Id")]++
+	id := r.Header.Get("X-Attempt-Id")
+	u.runs[id]++
+	u.lastRun[id] = time.Now()
 }
 
 // responseTo returns the complete, correct response to a request.
