--- a/internal/mesh/proxy/control.go
+++ b/internal/mesh/proxy/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -72,7 +73,7 @@
 	}
 	if departing {
 		if err := p.recordDeparture(r.Context(), id); err != nil {
-			apierror.Write(w, apierror.OutcomeUnknown, 0, err.Error())
+			apierror.Write(w, apierror.OutcomeUnknown, 0, fmt.Sprintf("the end of %s is not recorded, announce it again: %v", id, err))
 			return
 		}
 	}
