--- a/internal/mesh/proxy/departures.go
+++ b/internal/mesh/proxy/departures.go
@@ -19,12 +19,10 @@
 	departureTimeout = 850 * time.Millisecond
 	// departureHedgeDelay is how long a silent controller is waited for before the next one is called as well.
 	departureHedgeDelay = 150 * time.Millisecond
-	// departureRetryDelay is the pause of a starting proxy after no controller has returned the departures.
+	// departureRetryDelay is the pause after all controllers have failed.
 	departureRetryDelay = 50 * time.Millisecond
 )
 
-var errNoController = errors.New("no controller is known")
-
 // recordDeparture returns once the core has agreed that an instance of the local upstream has departed.
 func (p *Proxy) recordDeparture(ctx context.Context, id string) error {
 	if p.local.isRecorded(id) {
@@ -33,6 +31,9 @@
 	ctx, cancel := context.WithTimeout(ctx, departureTimeout)
 	defer cancel()
 	_, err := p.callDepartures(ctx, &membership.DepartureRequest{Node: p.settings.Node, Instance: id})
+	for err != nil && !errors.Is(err, rpc.ErrUnknownPath) && sleep(ctx, departureRetryDelay) {
+		_, err = p.callDepartures(ctx, &membership.DepartureRequest{Node: p.settings.Node, Instance: id})
+	}
 	switch {
 	case errors.Is(err, rpc.ErrUnknownPath): // all controllers are of the previous release
 		p.counters.Increment("departures_unsupported")
@@ -51,15 +52,26 @@
 func (p *Proxy) learnDepartures(ctx context.Context) {
 	for ctx.Err() == nil {
 		response, err := p.fetchDepartures(ctx)
-		if err == nil || errors.Is(err, rpc.ErrUnknownPath) {
+		switch {
+		case err == nil:
 			p.local.applyDepartures(response.Departed, time.Now())
 			return
+		case errors.Is(err, rpc.ErrUnknownPath): // all controllers are of the previous release, which keeps no departures
+			p.local.applyDepartures(nil, time.Now())
+			return
 		}
 		p.counters.Increment("departures_unknown")
-		select {
-		case <-time.After(departureRetryDelay):
-		case <-ctx.Done():
-		}
+		sleep(ctx, departureRetryDelay)
+	}
+}
+
+// sleep pauses and reports whether ctx has not ended meanwhile.
+func sleep(ctx context.Context, pause time.Duration) bool {
+	select {
+	case <-time.After(pause):
+		return true
+	case <-ctx.Done():
+		return false
 	}
 }
 
@@ -69,60 +81,18 @@
 	return p.callDepartures(ctx, &membership.DepartureRequest{Node: p.settings.Node})
 }
 
-// callDepartures calls the controllers one after the other until one has answered. The coordinator comes first, so that
-// changes of several proxies are proposed together and not by rivals. The next controller is called when one fails, or
-// as well when one is silent. The error is rpc.ErrUnknownPath only if no controller knows the call.
+// callDepartures calls the controllers until one has answered. The error is rpc.ErrUnknownPath only if no controller
+// knows the call.
 func (p *Proxy) callDepartures(ctx context.Context, request *membership.DepartureRequest) (*membership.DepartureResponse, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	type outcome struct {
-		response *membership.DepartureResponse
-		err      error
-	}
-	controllers := p.departureControllers()
-	outcomes := make(chan outcome, len(controllers))
-	next, running := 0, 0
-	startNext := func() {
-		if next == len(controllers) {
-			return
-		}
-		address := controllers[next]
-		next++
-		running++
-		go func() {
-			response := &membership.DepartureResponse{}
-			err := p.caller.Call(ctx, address, rpc.PathDepartures, request, response)
-			outcomes <- outcome{response, err}
-		}()
-	}
-	hedge := time.NewTicker(departureHedgeDelay)
-	defer hedge.Stop()
-	startNext()
-	failure := errNoController
-	if running > 0 {
-		failure = nil
-	}
-	for running > 0 {
-		select {
-		case result := <-outcomes:
-			if result.err == nil {
-				return result.response, nil
-			}
-			if failure == nil || !errors.Is(result.err, rpc.ErrUnknownPath) {
-				failure = result.err
-			}
-			running--
-			startNext()
-		case <-hedge.C:
-			startNext()
-		case <-ctx.Done():
-			return &membership.DepartureResponse{}, ctx.Err()
-		}
-	}
-	return &membership.DepartureResponse{}, failure
+	return callAny(ctx, p.departureControllers(), departureHedgeDelay, func(ctx context.Context, address string) (membership.DepartureResponse, error) {
+		var response membership.DepartureResponse
+		err := p.caller.Call(ctx, address, rpc.PathDepartures, request, &response)
+		return response, err
+	})
 }
 
-// departureControllers returns the addresses of the known controllers, the coordinator first.
+// departureControllers returns the addresses of the known controllers. The coordinator comes first, so that changes of
+// several proxies are proposed together and not by rivals.
 func (p *Proxy) departureControllers() []string {
 	controllers := p.knownControllers()
 	p.tokenCache.Lock()
