Drain of a held closing counts from its arrival

Seen: TestDrainOfHeldClosingCountsFromItsArrival failed before: a closing that came while a restarted proxy did not know the departures yet, and was acknowledged meanwhile, was applied later with the time at which the departures were known. Requests could reach the upstream later than Drain after the acknowledgement, by as long as the proxy had waited. Cause: held heartbeats were kept without the time of their arrival. Change: they are applied as of their arrival.

--- a/internal/mesh/proxy/departures.go
+++ b/internal/mesh/proxy/departures.go
@@ -54,10 +54,10 @@
 		response, err := p.fetchDepartures(ctx)
 		switch {
 		case err == nil:
-			p.local.applyDepartures(response.Departed, time.Now())
+			p.local.applyDepartures(response.Departed)
 			return
 		case errors.Is(err, rpc.ErrUnknownPath): // all controllers are of the previous release, which keeps no departures
-			p.local.applyDepartures(nil, time.Now())
+			p.local.applyDepartures(nil)
 			return
 		}
 		p.counters.Increment("departures_unknown")
--- a/internal/mesh/proxy/local_upstream.go
+++ b/internal/mesh/proxy/local_upstream.go
@@ -44,8 +44,9 @@
 
 // heldHeartbeat is a heartbeat that is applied once the departures are known.
 type heldHeartbeat struct {
-	id      string
-	message *heartbeatMessage
+	id        string
+	message   *heartbeatMessage
+	arrivedAt time.Time
 }
 
 // newLocalUpstream returns the state of an upstream that has sent no heartbeat yet.
@@ -60,8 +61,9 @@
 	u.learning = true
 }
 
-// applyDepartures records the instances that departed before this process started, then applies the held heartbeats.
-func (u *localUpstream) applyDepartures(departed []string, now time.Time) {
+// applyDepartures records the instances that departed before this process started, then applies the held heartbeats as of
+// their arrival.
+func (u *localUpstream) applyDepartures(departed []string) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for _, id := range departed {
@@ -70,7 +72,7 @@
 	}
 	u.learning = false
 	for _, heartbeat := range u.held {
-		u.applyHeartbeat(heartbeat.id, heartbeat.message, now)
+		u.applyHeartbeat(heartbeat.id, heartbeat.message, heartbeat.arrivedAt)
 	}
 	u.held = nil
 }
@@ -94,7 +96,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.learning {
-		u.held = append(u.held, heldHeartbeat{id, message})
+		u.held = append(u.held, heldHeartbeat{id, message, now})
 		u.held = u.held[max(0, len(u.held)-maxHeldHeartbeats):]
 		return
 	}
--- a/internal/mesh/proxy/local_upstream_test.go
+++ b/internal/mesh/proxy/local_upstream_test.go
@@ -88,10 +88,26 @@
 		_, kind := upstream.addressOf(id, time.Now())
 		must.Eq(t, apierror.NoCapacity, kind)
 	}
-	upstream.applyDepartures([]string{"old"}, time.Now())
+	upstream.applyDepartures([]string{"old"})
 	must.Eq(t, "new", upstream.id)
 	must.True(t, upstream.isRecorded("old"))
 	must.False(t, upstream.isRecorded("new"))
 	_, kind := upstream.addressOf("new", time.Now())
 	must.Eq(t, apierror.None, kind)
 }
+
+// The Drain of a closing that was held counts from its arrival, since it may have been acknowledged before the departures
+// were known. Were it to count from then, requests would reach the upstream later than Drain after the acknowledgement.
+func TestDrainOfHeldClosingCountsFromItsArrival(t *testing.T) {
+	const drain = 4 * time.Second
+	arrived := time.Now()
+	upstream := newLocalUpstream(drain, "127.0.0.1:1")
+	upstream.holdHeartbeats()
+	upstream.heartbeat("i", newHeartbeat(1, 6, "accepting"), arrived)
+	upstream.heartbeat("i", newHeartbeat(2, 6, conditionClosing), arrived)
+	upstream.applyDepartures(nil)
+	_, kind := upstream.addressOf("i", arrived.Add(drain*3/4))
+	must.Eq(t, apierror.None, kind)
+	_, kind = upstream.addressOf("i", arrived.Add(drain*3/4+time.Millisecond))
+	must.Eq(t, apierror.Misdirected, kind)
+}
