--- a/internal/mesh/simulation/processes/kept_connections.go
+++ b/internal/mesh/simulation/processes/kept_connections.go
@@ -13,8 +13,8 @@
 
 const (
 	keptConnectionsPerProxy = 2
-	keptRequestGap          = 100 * time.Millisecond // between two requests on a connection
-	keptRequestAllowance    = 2 * time.Second        // the time that a request allows
+	keptRequestGap          = 40 * time.Millisecond // mean, between two requests on a connection
+	keptRequestAllowance    = 2 * time.Second       // the time that a request allows
 	keptRequestTimeout      = keptRequestAllowance + time.Second
 	reconnectPause          = 50 * time.Millisecond
 )
--- a/internal/mesh/simulation/processes/kept_judge.go
+++ b/internal/mesh/simulation/processes/kept_judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 )
 
@@ -11,6 +12,8 @@
 	unansweredBound = 200 * time.Millisecond
 	// upstreamEndSlack is how much earlier than its recorded end an upstream may break requests off.
 	upstreamEndSlack = 500 * time.Millisecond
+	// faultSlack is how much earlier or later than planned a fault may begin or end.
+	faultSlack = 500 * time.Millisecond
 )
 
 // run is the run of a request at an upstream.
@@ -30,7 +33,7 @@
 
 // judge reports a request that a proxy read and left without a response, or whose work it broke off as it stopped.
 func (j *keptJudge) judge(r *keptRequest) {
-	if !connected(j.outages, r.proxy, r.sent, r.ended) {
+	if overlaps(j.outages, r.proxy, r) {
 		return
 	}
 	ran, passedOn := j.runs[r.id]
@@ -40,14 +43,21 @@
 		j.reportViolation("LOST: %s ran beside proxy %d, but its connection to proxy %d ended without a response, %v after it was sent", r.id, ran.proxy, r.proxy, r.waited())
 	case !r.complete && r.waited() > unansweredBound:
 		j.reportViolation("LOST: %s was not passed on, and its connection to proxy %d ended without a response, %v after it was sent", r.id, r.proxy, r.waited())
-	case passedOn && r.isFailure() && r.waited() < keptRequestAllowance && !connected(j.stops, r.proxy, r.sent, r.ended):
+	case passedOn && r.isFailure() && r.waited() < keptRequestAllowance && overlaps(j.stops, r.proxy, r):
 		j.reportViolation("LOST: %s at work beside proxy %d was broken off and answered %d while proxy %d stopped", r.id, ran.proxy, r.status, r.proxy)
 	}
 }
 
 // isSound reports whether the upstream and the proxy beside it could finish a run.
 func (j *keptJudge) isSound(ran run, r *keptRequest) bool {
-	return (ran.ended == 0 || ran.ended > r.ended+upstreamEndSlack) && connected(j.outages, ran.proxy, r.sent, r.ended)
+	return (ran.ended == 0 || ran.ended > r.ended+upstreamEndSlack) && !overlaps(j.outages, ran.proxy, r)
+}
+
+// overlaps reports whether a proxy had an outage while a request was open.
+func overlaps(outages []outage, proxy int, r *keptRequest) bool {
+	return slices.ContainsFunc(outages, func(o outage) bool {
+		return (o.proxy < 0 || o.proxy == proxy) && r.ended >= o.start-faultSlack && r.sent <= o.end+faultSlack
+	})
 }
 
 // waited is the time from the last byte of the request to the end of its response or connection.
--- a/internal/mesh/simulation/processes/soak_test.go
+++ b/internal/mesh/simulation/processes/soak_test.go
@@ -140,6 +140,7 @@
 		"passed on and not answered":           {0, 20 * time.Millisecond, ran, nil, nil, "LOST: a ran beside proxy 5"},
 		"its proxy was killed":                 {0, 20 * time.Millisecond, ran, []outage{{2, sent, sent + time.Second}}, nil, ""},
 		"the proxy beside its upstream was":    {0, 20 * time.Millisecond, ran, []outage{{5, sent, sent + time.Second}}, nil, ""},
+		"its proxy was killed before":          {0, 20 * time.Millisecond, ran, []outage{{2, sent - 2*time.Second, sent - time.Second}}, nil, "LOST: a ran"},
 		"another proxy was killed":             {0, 20 * time.Millisecond, ran, []outage{{3, sent, sent + time.Second}}, nil, "LOST: a ran"},
 		"its upstream ended":                   {0, 20 * time.Millisecond, &run{5, sent + 30*time.Millisecond}, nil, nil, ""},
 		"its upstream ended later":             {0, 20 * time.Millisecond, &run{5, sent + time.Minute}, nil, nil, "LOST: a ran"},
