Amendments keep the fields of hosts that they do not name

Seen: TestAmendKeepsOtherFieldsOfHosts failed before: a whole configuration with a further field in an entry of PostOffices was acknowledged, and any amendment, also of something else, removed the field from what is read back. Cause: a host was kept as its name and its routes only and encoded anew by each amendment, unlike routes, services and tenants, whose unknown fields are kept. Change: a host's other fields stay, and delivered ones replace them one by one, as those of SizeLimits do; both use mergeFields.

--- a/internal/mesh/routing/amend.go
+++ b/internal/mesh/routing/amend.go
@@ -148,24 +148,16 @@
 	if err := json.Unmarshal(raw, &c.Limits); err != nil {
 		return Error.New("SizeLimits: %v", err)
 	}
-	fields, names := map[string]json.RawMessage{}, map[string]string{}
-	for _, source := range []json.RawMessage{c.other["SizeLimits"], raw} {
-		var decoded map[string]json.RawMessage
-		if len(source) == 0 {
-			continue
-		}
-		if err := json.Unmarshal(source, &decoded); err != nil {
+	var existing, changed map[string]json.RawMessage
+	if previous := c.other["SizeLimits"]; len(previous) > 0 {
+		if err := json.Unmarshal(previous, &existing); err != nil {
 			return Error.New("SizeLimits: %v", err)
 		}
-		for name, value := range decoded {
-			known, found := names[strictjson.FoldCase(name)]
-			if !found {
-				known, names[strictjson.FoldCase(name)] = name, name
-			}
-			fields[known] = value
-		}
 	}
-	merged, err := json.Marshal(fields)
+	if err := json.Unmarshal(raw, &changed); err != nil {
+		return Error.New("SizeLimits: %v", err)
+	}
+	merged, err := json.Marshal(mergeFields(existing, changed))
 	if err != nil {
 		return Error.New("SizeLimits: %v", err)
 	}
@@ -205,13 +197,9 @@
 		top["Senders"] = rawItems(c.Tenants, func(t *Tenant) json.RawMessage { return t.raw })
 	}
 	top["Depots"] = rawItems(c.Services, func(s *Service) json.RawMessage { return s.raw })
-	type hostDocument struct {
-		Host   string            `json:"Town"`
-		Routes []json.RawMessage `json:"Regulations"`
-	}
-	hosts := []hostDocument{}
+	hosts := []any{}
 	for _, entry := range c.hosts {
-		hosts = append(hosts, hostDocument{entry.Host, rawItems(entry.Routes, func(r *Route) json.RawMessage { return r.raw })})
+		hosts = append(hosts, entry.encoded())
 	}
 	top["PostOffices"] = hosts
 	var err error
--- a/internal/mesh/routing/amend_routes.go
+++ b/internal/mesh/routing/amend_routes.go
@@ -15,7 +15,8 @@
 
 // mergeHosts applies delivered routes and withdrawn names of routes and hosts to the hosts of a configuration. A
 // delivered route replaces the route with its host and name at its position, or is added. A withdrawn name removes the
-// routes with that name at all hosts, except those that are replaced.
+// routes with that name at all hosts, except those that are replaced. A host keeps its other fields, except those that are
+// delivered.
 func mergeHosts(existing, delivered []*hostRoutes, withdrawnRoutes, withdrawnHosts map[string]bool) []*hostRoutes {
 	kept := withoutHosts(existing, withdrawnHosts)
 	replacements := matchRoutes(kept, delivered)
@@ -24,7 +25,7 @@
 	hadRoutes := map[*hostRoutes]bool{}
 	var merged []*hostRoutes
 	for _, entry := range kept {
-		updated := &hostRoutes{Host: entry.Host, Routes: make([]*Route, 0, len(entry.Routes))}
+		updated := &hostRoutes{Host: entry.Host, Routes: make([]*Route, 0, len(entry.Routes)), fields: entry.otherFields()}
 		for _, r := range entry.Routes {
 			switch replacement := replacements[r]; {
 			case replacement != nil:
@@ -47,6 +48,7 @@
 			merged = append(merged, byHost[host])
 		}
 		target := byHost[host]
+		target.fields = mergeFields(target.fields, entry.otherFields())
 		for _, r := range entry.Routes {
 			if !placed[r] {
 				target.Routes = append(target.Routes, r.at(target.Host))
--- a/internal/mesh/routing/amend_test.go
+++ b/internal/mesh/routing/amend_test.go
@@ -209,3 +209,34 @@
 		must.NoError(b, err)
 	}
 }
+
+// An amendment must not lose fields of a host that it does not name, as it keeps those of routes and of the whole
+// configuration: what was acknowledged is more than the host's name and routes.
+func TestAmendKeepsOtherFieldsOfHosts(t *testing.T) {
+	const route = `{"Name":"r","MailClass":"repeatable","Sorting":{"StreetPrefix":"/r/"},"Dispatch":{"Destination":"x","Deadline":"1s","DeliveryTries":1}}`
+	const a, b = `{"Owner":"jo","Regulations":[` + route + `],"Town":"a.example","Zone":{"x":1}}`, `{"Town":"b.example","Regulations":[` + route + `,` + route2 + `]}`
+	base, err := Parse([]byte(`{"Edition":7,"PostOffices":[` + a + `, ` + b + `],"Depots":[{"Name":"x"}]}`))
+	must.NoError(t, err)
+	for name, c := range map[string]struct{ change, want string }{
+		"not named":         {`"Deliver":{"Depots":[{"Name":"y"}]}`, a + `,` + b},
+		"other host":        {`"Deliver":{"PostOffices":[{"Town":"b.example","Regulations":[` + route + `]}]}`, a + `,` + b},
+		"one field":         {`"Deliver":{"PostOffices":[{"Town":"A.example","owner":"al"}]}`, strings.Replace(a, `"jo"`, `"al"`, 1) + `,` + b},
+		"another field":     {`"Deliver":{"PostOffices":[{"Town":"b.example","Owner":"al"}]}`, a + `,{"Owner":"al","Regulations":[` + route + `,` + route2 + `],"Town":"b.example"}`},
+		"host withdrawn":    {`"Withdraw":{"Towns":["a.example"]}`, b},
+		"host replaced":     {`"Deliver":{"PostOffices":[{"Town":"a.example","Owner":"al","Regulations":[` + route + `]}]},"Withdraw":{"Towns":["a.example"]}`, b + `,{"Owner":"al","Regulations":[` + route + `],"Town":"a.example"}`},
+		"added with fields": {`"Deliver":{"PostOffices":[{"Town":"c.example","Owner":"al","Regulations":[` + route + `]}]}`, a + `,` + b + `,{"Owner":"al","Regulations":[` + route + `],"Town":"c.example"}`},
+	} {
+		amended, err := base.Amend([]byte(`{"Edition":8,` + c.change + `}`))
+		must.NoError(t, err, must.Sprint(name))
+		must.StrContains(t, string(amended.Document()), `"PostOffices":[`+c.want+`]`, must.Sprint(name))
+		loaded, err := Load(amended.Document())
+		must.NoError(t, err, must.Sprint(name))
+		for _, again := range []*Configuration{amended, loaded} {
+			twice, err := again.Amend([]byte(`{"Edition":9}`))
+			must.NoError(t, err, must.Sprint(name))
+			must.StrContains(t, string(twice.Document()), `"PostOffices":[`+c.want+`]`, must.Sprint(name, " and amended again"))
+		}
+	}
+}
+
+const route2 = `{"Name":"s","MailClass":"repeatable","Sorting":{"StreetPrefix":"/s/"},"Dispatch":{"Destination":"x","Deadline":"1s","DeliveryTries":1}}`
--- a/internal/mesh/routing/parse.go
+++ b/internal/mesh/routing/parse.go
@@ -89,8 +89,8 @@
 		service.item = newItem(raw)
 		c.Services = append(c.Services, service)
 	}))
-	faults.Add(decodeItems(top["PostOffices"], "PostOffices", func(entry *rawHostRoutes, _ json.RawMessage) {
-		host := &hostRoutes{Host: entry.Host}
+	faults.Add(decodeItems(top["PostOffices"], "PostOffices", func(entry *rawHostRoutes, raw json.RawMessage) {
+		host := &hostRoutes{Host: entry.Host, raw: raw}
 		c.hosts = append(c.hosts, host)
 		for n, item := range entry.Routes {
 			decoded := newItem(item)
--- a/internal/mesh/routing/routing.go
+++ b/internal/mesh/routing/routing.go
@@ -18,6 +18,9 @@
 type hostRoutes struct {
 	Host   string   `json:"Town"`
 	Routes []*Route `json:"Rules"`
+
+	raw    json.RawMessage            // as received, nil for the result of Amend or Apply
+	fields map[string]json.RawMessage // of the result of Amend: fields other than the name and the routes
 }
 
 // Configuration is one version of the configuration of the mesh.
