Diff shows all top-level fields, not only SizeLimits

Seen: TestDiffShowsAllFields failed before: an operator who was about to replace a configuration by one without its partners saw no difference. Change: top-level fields are compared by name; one that only one side has is added or removed.

--- a/internal/mesh/routing/amend_test.go
+++ b/internal/mesh/routing/amend_test.go
@@ -197,6 +197,19 @@
 	must.Eq(t, []string{"+ route issue at a.example"}, Diff(parseRoutes(t, b), parseRoutes(t, a, b)))
 }
 
+// A partner that a whole configuration would remove must be shown, as all other fields that differ.
+func TestDiffShowsAllFields(t *testing.T) {
+	parse := func(fields string) *Configuration {
+		configuration, err := Parse([]byte(`{"Edition":7,"Depots":[]` + fields + `}`))
+		must.NoError(t, err)
+		return configuration
+	}
+	with := parse(`,"Mesh":"west","Partners":[{"Name":"east","Gateway":"127.0.0.1:1","Deadline":"1s"}],"SizeLimits":{"Idle":"3s"}`)
+	must.Eq(t, []string{`- Partners [{"Deadline":"1s","Gateway":"127.0.0.1:1","Name":"east"}]`, `~ SizeLimits {"Idle":"3s"} -> {"Idle":"4s"}`},
+		Diff(with, parse(`,"Mesh":"west","SizeLimits":{"Idle":"4s"}`)))
+	must.Eq(t, []string{`+ SizeLimits {"Idle":"3s"}`}, Diff(parse(``), parse(`,"SizeLimits":{"Idle":"3s"}`)))
+}
+
 // An amendment of one route among 4,000.
 func BenchmarkAmend(b *testing.B) {
 	var routes []testRoute
--- a/internal/mesh/routing/diff.go
+++ b/internal/mesh/routing/diff.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 )
 
 // Diff lists the differences between two configurations, one per line: "+" for added, "~" for changed, "-" for removed
@@ -15,8 +17,24 @@
 	lines = append(lines, diffItems("route", from.Routes, to.Routes, describeRoute)...)
 	lines = append(lines, diffItems("sender", from.Tenants, to.Tenants, func(t *Tenant) (string, string) { return t.Name, canonicalJSON(t.raw) })...)
 	lines = append(lines, diffItems("depot", from.Services, to.Services, func(s *Service) (string, string) { return s.Name, canonicalJSON(s.raw) })...)
-	if a, b := canonicalJSON(from.other["SizeLimits"]), canonicalJSON(to.other["SizeLimits"]); a != b {
-		lines = append(lines, fmt.Sprintf("~ SizeLimits %s -> %s", a, b))
+	return append(lines, diffFields(from.other, to.other)...)
+}
+
+// diffFields compares fields by name.
+func diffFields(from, to map[string]json.RawMessage) (lines []string) {
+	names := slices.AppendSeq(slices.Collect(maps.Keys(from)), maps.Keys(to))
+	slices.Sort(names)
+	for _, name := range slices.Compact(names) {
+		before, existed := from[name]
+		after, exists := to[name]
+		switch was, is := canonicalJSON(before), canonicalJSON(after); {
+		case !existed:
+			lines = append(lines, fmt.Sprintf("+ %s %s", name, is))
+		case !exists:
+			lines = append(lines, fmt.Sprintf("- %s %s", name, was))
+		case was != is:
+			lines = append(lines, fmt.Sprintf("~ %s %s -> %s", name, was, is))
+		}
 	}
 	return lines
 }
