meshsim run: clients' requests and operators' tasks in functions of their own

Need: runClients and Run had grown to do several things at once. Change: a request is drawn, sent and counted in separate functions; shares have names. The draws are in the same order.

--- a/internal/mesh/simulation/processes/processes.go
+++ b/internal/mesh/simulation/processes/processes.go
@@ -155,22 +155,7 @@
 		tasks.Go(func() { h.injectFault(ctx, f, logf) })
 	}
 	h.startedAt = time.Now()
-	switch {
-	case m.Soak:
-		h.startSoak(ctx, &tasks, logf)
-	case m.VersionInterval > 0:
-		h.versionLog.recordSent(firstVersion, 0, 0)
-		h.versionLog.recordAcknowledged(firstVersion, 1)
-		tasks.Go(func() { h.changeVersions(ctx, logf) })
-		for n := range h.plan.Proxies {
-			tasks.Go(func() { h.probeVersions(ctx, n) })
-		}
-	default:
-		tasks.Go(func() { h.changeConfiguration(ctx, logf) })
-	}
-	if h.partner != nil {
-		tasks.Go(func() { h.changeExports(ctx, logf) })
-	}
+	h.startOperators(ctx, &tasks, logf)
 	h.runClients(ctx, time.Now().Add(faultsEnd+4*time.Second))
 	tasks.Wait()
 	if ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
@@ -186,6 +171,26 @@
 	return &h.outcome, nil
 }
 
+// startOperators starts the tasks that change configurations and exports, and what belongs to them.
+func (h *harness) startOperators(ctx context.Context, tasks *sync.WaitGroup, logf func(string, ...any)) {
+	switch {
+	case h.Soak:
+		h.startSoak(ctx, tasks, logf)
+	case h.VersionInterval > 0:
+		h.versionLog.recordSent(firstVersion, 0, 0)
+		h.versionLog.recordAcknowledged(firstVersion, 1)
+		tasks.Go(func() { h.changeVersions(ctx, logf) })
+		for n := range h.plan.Proxies {
+			tasks.Go(func() { h.probeVersions(ctx, n) })
+		}
+	default:
+		tasks.Go(func() { h.changeConfiguration(ctx, logf) })
+	}
+	if h.partner != nil {
+		tasks.Go(func() { h.changeExports(ctx, logf) })
+	}
+}
+
 func (h *harness) reportViolation(format string, args ...any) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/mesh/simulation/processes/traffic.go
+++ b/internal/mesh/simulation/processes/traffic.go
@@ -39,7 +39,7 @@
 		return 0, 0
 	}
 	request.Host = "demo.example"
-	toPartner := strings.HasPrefix(path, "/scans/")
+	toPartner := strings.HasPrefix(path, partnerPath)
 	if toPartner {
 		request.Host = "zuid.example"
 	}
@@ -71,6 +71,22 @@
 	return status, time.Since(startedAt)
 }
 
+// Shares of the clients' requests, one in each of these.
+const (
+	onceOnlyEvery  = 4 // requests that must not be repeated
+	toPartnerEvery = 3 // requests for the partner, if there is one
+	sentAgainEvery = 5 // requests that are sent again through another proxy, in runs with burst credit
+)
+
+const partnerPath = "/scans/"
+
+// clientRequest is a request that clients send.
+type clientRequest struct {
+	proxy            int
+	method, path, id string
+	afterFaults      bool // it counts for the recovery check
+}
+
 // runClients sends client requests until ctx ends. From stableFrom on, all faults have been over for a while and requests
 // count for the recovery check.
 func (h *harness) runClients(ctx context.Context, stableFrom time.Time) {
@@ -80,53 +96,68 @@
 	sendCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), h.Length+5*time.Second)
 	defer cancel()
 	for n := 0; sleep(ctx, time.Duration(rng.ExpFloat64()/h.Rate*1e9)) == nil; n++ {
-		proxy, method, kind := rng.IntN(h.Proxies), "GET", "read"
-		if rng.IntN(4) == 0 {
-			method, kind = "POST", "once"
-		}
-		path, id := "/"+kind+"/"+h.Services[rng.IntN(len(h.Services))]+"/", fmt.Sprintf("%d-%d", h.Seed, n)
-		if h.partner != nil && rng.IntN(3) == 0 {
-			path = "/scans/x"
-		}
+		r := h.drawClientRequest(rng, n)
 		// Requests of a tenant over its rate limit are refused, so runs with burst credit have no recovery check.
-		afterFaults := time.Now().After(stableFrom) && h.Credit == 0 && !strings.HasPrefix(path, "/scans/")
+		r.afterFaults = time.Now().After(stableFrom) && h.Credit == 0 && !r.isForPartner()
 		// Some requests are sent again at once with the same idempotency key through another proxy.
-		if h.Credit > 0 && rng.IntN(5) == 0 {
+		if h.Credit > 0 && rng.IntN(sentAgainEvery) == 0 {
 			other := rng.IntN(h.Proxies)
-			inFlight.Go(func() { h.send(sendCtx, client, other, method, path, id+"/again") })
+			inFlight.Go(func() { h.send(sendCtx, client, other, r.method, r.path, r.id+"/again") })
 		}
 		inFlight.Go(func() {
-			status, elapsed := h.send(sendCtx, client, proxy, method, path, id)
-			h.mu.Lock()
-			defer h.mu.Unlock()
-			stats := &h.outcome.ByProxy[proxy]
-			stats.Requests++
-			h.outcome.Requests++
-			if afterFaults {
-				h.afterFaults[0]++
-			}
-			switch {
-			case status == http.StatusOK:
-				stats.OK++
-				h.outcome.OK++
-				if afterFaults {
-					h.afterFaults[1]++
-				}
-				if elapsed > latencyTarget {
-					h.outcome.Late++
-				}
-			case status == http.StatusForbidden && strings.HasPrefix(path, "/scans/"), status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
-				stats.Refused++
-			case status == 0:
-				stats.NoResponse++
-			default:
-				stats.Failed++
-			}
+			status, elapsed := h.send(sendCtx, client, r.proxy, r.method, r.path, r.id)
+			h.countResponse(r, status, elapsed)
 		})
 	}
 	inFlight.Wait()
 }
 
+// drawClientRequest returns the request with a number.
+func (h *harness) drawClientRequest(rng *rand.Rand, number int) *clientRequest {
+	r := &clientRequest{proxy: rng.IntN(h.Proxies), method: http.MethodGet, id: fmt.Sprintf("%d-%d", h.Seed, number)}
+	prefix := "/read/"
+	if rng.IntN(onceOnlyEvery) == 0 {
+		r.method, prefix = http.MethodPost, "/once/"
+	}
+	r.path = prefix + h.Services[rng.IntN(len(h.Services))] + "/"
+	if h.partner != nil && rng.IntN(toPartnerEvery) == 0 {
+		r.path = partnerPath + "x"
+	}
+	return r
+}
+
+// isForPartner reports whether a route of the partner serves the request.
+func (r *clientRequest) isForPartner() bool { return strings.HasPrefix(r.path, partnerPath) }
+
+// countResponse counts the result of a client request.
+func (h *harness) countResponse(r *clientRequest, status int, elapsed time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	stats := &h.outcome.ByProxy[r.proxy]
+	stats.Requests++
+	h.outcome.Requests++
+	if r.afterFaults {
+		h.afterFaults[0]++
+	}
+	switch {
+	case status == http.StatusOK:
+		stats.OK++
+		h.outcome.OK++
+		if r.afterFaults {
+			h.afterFaults[1]++
+		}
+		if elapsed > latencyTarget {
+			h.outcome.Late++
+		}
+	case status == http.StatusForbidden && r.isForPartner(), status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
+		stats.Refused++
+	case status == 0:
+		stats.NoResponse++
+	default:
+		stats.Failed++
+	}
+}
+
 // changeConfiguration changes the configuration every 3 s and reads it back at the end.
 func (h *harness) changeConfiguration(ctx context.Context, logf func(string, ...any)) {
 	edition, newest := 1, 1
